--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,733 @@
+// Package cluster keeps the controllers' membership, elects their leader and
+// holds the epoch: who is entitled to command workers, under which token.
+//
+// One unleased key holds the epoch. Each change of it is a compare-and-set
+// that raises the token; workers drop whatever bears a lower token, so tokens
+// are what fences an old leader. The leader's leased key only decides when
+// another may try.
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+// Keys of the state service that this package owns.
+const (
+	prefix    = "cluster/"
+	epochKey  = prefix + "epoch"
+	leaderKey = prefix + "leader"
+)
+
+// leaderTTL is how long a silent leader keeps the others waiting. Renewing
+// four times within it rides out a lost request.
+const (
+	leaderTTL   = 3 * time.Second
+	renewEvery  = leaderTTL / 4
+	beatEvery   = time.Second
+	watchFor    = 4 * time.Second // a refused controller's open watch stays silent: look elsewhere soon
+	peerOKFor   = 3 * beatEvery
+	beatTimeout = time.Second
+)
+
+// Epoch says who commands workers, and under which token.
+type Epoch struct {
+	Token       uint64 `json:"token"`
+	Leader      string `json:"leader"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+type leaderRecord struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Peer is what this controller knows of another.
+type peer struct {
+	node        string
+	client      Beater
+	lastSeen    time.Time // when its last answer came
+	incarnation uint64
+	token       uint64 // highest epoch token it has said it knows
+	stateOK     bool
+	workers     uint32
+	vouched     time.Time // when it was asked and knew of no newer epoch than ours
+}
+
+// Beater is the part of a peer's interface that this package calls.
+type Beater interface {
+	Beat(ctx context.Context, mine *peerpb.Status) (*peerpb.Status, error)
+}
+
+// Options are what a Cluster needs.
+type Options struct {
+	Node   string
+	Client *state.Client
+	Route  *state.Route
+	Peers  map[string]Beater
+	// LeaseFor is the workers' lease; the permission to answer their reports
+	// without a fresh confirmation of the epoch is a quarter of it.
+	LeaseFor time.Duration
+	// Lead runs while this controller leads; its context ends when it no
+	// longer does.
+	Lead func(ctx context.Context) error
+	// Progress is told to the peers, for display, and taken from the leader.
+	Progress   func() []*peerpb.Progress
+	OnProgress func([]*peerpb.Progress)
+	Log        *slog.Logger
+}
+
+// Cluster is this controller's view of the deployment.
+type Cluster struct {
+	opts        Options
+	incarnation uint64
+	permission  time.Duration
+	changed     chan struct{} // poked when the epoch or the leader key changes
+
+	mu            sync.Mutex
+	epoch         Epoch
+	version       uint64 // of the epoch key
+	known         bool   // the epoch was read in this incarnation
+	leaderVersion uint64 // of the leader key; 0: nobody holds it
+	leader        leaderRecord
+	revision      uint64
+	lease         uint64
+	resigned      time.Time // when this leader asked the others to take over
+	confirmed     time.Time // when the last proof that the epoch is current was asked for
+	peers         map[string]*peer
+	fence         fence
+	workersHeard  map[string]time.Time
+	stopLead      context.CancelFunc
+	leading       chan struct{} // closed when the current Lead has returned
+}
+
+// fence collects, for the current epoch, the proof that nobody answers
+// workers under an older one.
+type fence struct {
+	acked      map[string]bool // peers that know this epoch
+	majorityAt time.Time
+	allAt      time.Time
+}
+
+// New makes a Cluster; Run starts it.
+func New(opts Options) *Cluster {
+	c := &Cluster{
+		opts:         opts,
+		incarnation:  rand.Uint64(),
+		permission:   opts.LeaseFor / 4,
+		changed:      make(chan struct{}, 1),
+		peers:        map[string]*peer{},
+		workersHeard: map[string]time.Time{},
+	}
+	for node, client := range opts.Peers {
+		c.peers[node] = &peer{node: node, client: client}
+	}
+	return c
+}
+
+// Run takes part in the cluster until ctx ends.
+func (c *Cluster) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.watch(ctx) })
+	g.Go(func() error { return c.stand(ctx) })
+	for _, p := range c.peers {
+		g.Go(func() error { return c.beat(ctx, p) })
+	}
+	return g.Wait()
+}
+
+// Current returns the epoch, its key's version, and whether this controller
+// leads it.
+func (c *Cluster) Current() (epoch Epoch, version uint64, leading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.epoch, c.version, c.leadsLocked()
+}
+
+func (c *Cluster) leadsLocked() bool {
+	return c.known && c.epoch.Leader == c.opts.Node && c.epoch.Incarnation == c.incarnation
+}
+
+// Condition is the condition that fences every write of the leader.
+func (c *Cluster) Condition() wire.Condition {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return wire.Condition{Key: epochKey, Version: c.version}
+}
+
+// IsEpoch tells whether key is the one that Condition is about.
+func IsEpoch(key string) bool { return key == epochKey }
+
+// Permitted tells whether this controller may answer workers' reports now: it
+// leads, and proof that its epoch is current was asked for a short while ago.
+// Without the bound, a leader cut off from everything but some workers would
+// renew their leases for ever, and nobody could ever count them as lapsed.
+func (c *Cluster) Permitted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leadsLocked() && time.Since(c.confirmed) < c.permission
+}
+
+// Fenced returns since when surely no other controller has answered a
+// worker's report, if that is proven. See docs/design.md, "Fencing".
+func (c *Cluster) Fenced() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leadsLocked() {
+		return time.Time{}, false
+	}
+	now := time.Now()
+	at := c.fence.allAt
+	if !c.fence.majorityAt.IsZero() {
+		// Clocks of two machines drift apart by up to 0.05%.
+		bound := c.fence.majorityAt.Add(c.permission + c.permission/1000)
+		if at.IsZero() || bound.Before(at) {
+			at = bound
+		}
+	}
+	return at, !at.IsZero() && !now.Before(at)
+}
+
+// Leader returns the node to which workers should report: the leader of the
+// current epoch, or "" if that one is not known to be alive.
+func (c *Cluster) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known || c.leaderVersion == 0 || c.leader.Node != c.epoch.Leader || c.leader.Incarnation != c.epoch.Incarnation {
+		return ""
+	}
+	return c.epoch.Leader
+}
+
+// HeardWorker notes that a worker reported here although another leads.
+func (c *Cluster) HeardWorker(machine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.workersHeard[machine] = now
+	for m, at := range c.workersHeard {
+		if now.Sub(at) > 5*time.Second {
+			delete(c.workersHeard, m)
+		}
+	}
+}
+
+// WorkersElsewhere is the largest number of workers that lately came to one
+// peer instead of the leader.
+func (c *Cluster) WorkersElsewhere() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	most := 0
+	for _, p := range c.peers {
+		if time.Since(p.lastSeen) < peerOKFor {
+			most = max(most, int(p.workers))
+		}
+	}
+	return most
+}
+
+// StatePeers returns the peers that lately reached the state service.
+func (c *Cluster) StatePeers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var nodes []string
+	for _, p := range c.peers {
+		if p.stateOK && time.Since(p.lastSeen) < peerOKFor {
+			nodes = append(nodes, p.node)
+		}
+	}
+	return nodes
+}
+
+// PeersAlive counts the peers heard from lately.
+func (c *Cluster) PeersAlive() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, p := range c.peers {
+		if time.Since(p.lastSeen) < peerOKFor {
+			n++
+		}
+	}
+	return n
+}
+
+// HandleBeat answers a peer's beat.
+func (c *Cluster) HandleBeat(theirs *peerpb.Status) *peerpb.Status {
+	c.mu.Lock()
+	if p := c.peers[theirs.Node]; p != nil {
+		p.lastSeen = time.Now()
+		p.incarnation, p.stateOK, p.workers = theirs.Incarnation, theirs.StateOk, theirs.WorkersHeard
+		p.token = theirs.Token
+		c.noteAckLocked(p)
+	}
+	newer := theirs.Token > c.epoch.Token
+	fromLeader := theirs.Node == c.epoch.Leader
+	c.mu.Unlock()
+	if newer {
+		c.poke()
+	}
+	if fromLeader && len(theirs.Progress) > 0 && c.opts.OnProgress != nil {
+		c.opts.OnProgress(theirs.Progress)
+	}
+	return c.status()
+}
+
+func (c *Cluster) status() *peerpb.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := &peerpb.Status{Node: c.opts.Node, Incarnation: c.incarnation,
+		StateOk: c.opts.Route.DirectOK(2 * time.Second)}
+	if c.known {
+		s.Token = c.epoch.Token
+	}
+	now := time.Now()
+	for _, at := range c.workersHeard {
+		if now.Sub(at) < 5*time.Second {
+			s.WorkersHeard++
+		}
+	}
+	return s
+}
+
+// noteAckLocked counts a peer that knows the current epoch: it will neither
+// answer workers under an older one nor vouch for one.
+func (c *Cluster) noteAckLocked(p *peer) {
+	if !c.leadsLocked() || p.token < c.epoch.Token {
+		return
+	}
+	if c.fence.acked == nil {
+		c.fence.acked = map[string]bool{}
+	}
+	c.fence.acked[p.node] = true
+	c.noteFenceLocked()
+}
+
+func (c *Cluster) noteFenceLocked() {
+	now := time.Now()
+	if c.fence.majorityAt.IsZero() && 2*(len(c.fence.acked)+1) > len(c.peers)+1 {
+		c.fence.majorityAt = now
+	}
+	if c.fence.allAt.IsZero() && len(c.fence.acked) == len(c.peers) {
+		c.fence.allAt = now
+	}
+}
+
+// noteVouchLocked confirms the epoch as of the latest time at which a
+// majority, this controller included, knew of no newer one. A peer that has
+// not read the epoch since it started does not count: it may have forgotten a
+// newer one.
+func (c *Cluster) noteVouchLocked() {
+	if !c.leadsLocked() {
+		return
+	}
+	var times []time.Time
+	for _, p := range c.peers {
+		times = append(times, p.vouched)
+	}
+	needed := (len(c.peers) + 1) / 2 // besides this controller
+	if needed == 0 {
+		return
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	if at := times[needed-1]; at.After(c.confirmed) {
+		c.confirmed = at
+	}
+}
+
+// beat exchanges status with one peer, again and again. The answers of a
+// majority that know no newer epoch also confirm ours: in an outage of the
+// state service that is what keeps workers' leases.
+func (c *Cluster) beat(ctx context.Context, p *peer) error {
+	tick := time.NewTicker(beatEvery)
+	defer tick.Stop()
+	for {
+		mine := c.status()
+		if c.opts.Progress != nil {
+			if _, _, leading := c.Current(); leading {
+				mine.Progress = c.opts.Progress()
+			}
+		}
+		sent := time.Now()
+		bctx, cancel := context.WithTimeout(ctx, beatTimeout)
+		theirs, err := p.client.Beat(bctx, mine)
+		cancel()
+		if err == nil {
+			c.mu.Lock()
+			p.lastSeen = time.Now()
+			p.incarnation, p.token, p.stateOK, p.workers = theirs.Incarnation, theirs.Token, theirs.StateOk, theirs.WorkersHeard
+			c.noteAckLocked(p)
+			if theirs.Token > 0 && theirs.Token <= c.epoch.Token {
+				p.vouched = sent
+				c.noteVouchLocked()
+			}
+			newer := theirs.Token > c.epoch.Token
+			c.mu.Unlock()
+			if newer {
+				c.poke()
+			}
+		} else {
+			c.opts.Log.Debug("beat failed", "peer", p.node, "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+func (c *Cluster) poke() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// refresh reads the epoch and the leader key.
+func (c *Cluster) refresh(ctx context.Context) error {
+	sent := time.Now()
+	items, revision, err := c.opts.Client.List(ctx, state.Urgent, prefix)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision < c.revision {
+		return nil
+	}
+	c.revision, c.known = revision, true
+	c.leaderVersion, c.leader = 0, leaderRecord{}
+	for _, item := range items {
+		c.takeLocked(item.Key, item.Value, item.Version)
+	}
+	if c.leadsLocked() && sent.After(c.confirmed) {
+		c.confirmed = sent
+	}
+	return nil
+}
+
+func (c *Cluster) takeLocked(key string, value json.RawMessage, version uint64) {
+	switch key {
+	case epochKey:
+		var e Epoch
+		if err := json.Unmarshal(value, &e); err != nil || e.Token < c.epoch.Token {
+			return
+		}
+		if e.Token > c.epoch.Token {
+			c.opts.Log.Info("epoch", "token", e.Token, "leader", e.Leader)
+		}
+		c.setEpochLocked(e, version)
+	case leaderKey:
+		var l leaderRecord
+		if json.Unmarshal(value, &l) == nil {
+			c.leader, c.leaderVersion = l, version
+		}
+	}
+}
+
+// setEpochLocked takes a newer epoch and starts or stops leading.
+func (c *Cluster) setEpochLocked(e Epoch, version uint64) {
+	led := c.leadsLocked()
+	if e.Token > c.epoch.Token {
+		// A token that this leader raised itself needs no new proof about the
+		// others: whoever knew the old one has not answered since.
+		if !led || e.Leader != c.opts.Node || e.Incarnation != c.incarnation {
+			c.fence = fence{}
+			c.confirmed = time.Time{}
+			for _, p := range c.peers {
+				p.vouched = time.Time{} // they vouched for another epoch
+			}
+		}
+	}
+	c.epoch, c.version, c.known = e, version, true
+	if led && !c.leadsLocked() && c.stopLead != nil {
+		c.opts.Log.Info("no longer leading", "token", e.Token, "leader", e.Leader)
+		c.stopLead()
+		c.stopLead = nil
+	}
+}
+
+// watch follows the epoch and the leader key.
+func (c *Cluster) watch(ctx context.Context) error {
+	fresh := false
+	for ctx.Err() == nil {
+		if !fresh {
+			if err := c.refresh(ctx); err != nil {
+				c.opts.Log.Debug("reading the epoch failed", "err", err)
+				sleep(ctx, 200*time.Millisecond+rand.N(200*time.Millisecond))
+				continue
+			}
+			fresh = true
+			c.poke()
+		}
+		c.mu.Lock()
+		after := c.revision
+		c.mu.Unlock()
+		events, err := c.opts.Client.Watch(ctx, prefix, after, watchFor)
+		if err != nil {
+			fresh = false
+			sleep(ctx, 100*time.Millisecond+rand.N(200*time.Millisecond))
+			continue
+		}
+		c.mu.Lock()
+		if events.Revision > c.revision {
+			c.revision = events.Revision
+			for _, e := range events.Events {
+				if e.Put != "" {
+					c.takeLocked(e.Put, e.Value, e.Version)
+				} else if e.Delete == leaderKey {
+					c.leaderVersion, c.leader = 0, leaderRecord{}
+				}
+			}
+		}
+		c.mu.Unlock()
+		if len(events.Events) > 0 {
+			c.poke()
+		}
+	}
+	return nil
+}
+
+// stand runs for leader when nobody leads, and keeps leading.
+func (c *Cluster) stand(ctx context.Context) error {
+	tick := time.NewTicker(renewEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.changed:
+		case <-tick.C:
+		}
+		c.mu.Lock()
+		known, leading := c.known, c.leadsLocked()
+		free := c.leaderVersion == 0
+		// A restarted leader takes its own place back at once.
+		mine := c.leader.Node == c.opts.Node && c.leader.Incarnation != c.incarnation
+		newer := false
+		for _, p := range c.peers {
+			newer = newer || p.token > c.epoch.Token
+		}
+		c.mu.Unlock()
+		switch {
+		case !known:
+		case newer:
+			if err := c.refresh(ctx); err != nil {
+				c.opts.Log.Debug("reading the epoch failed", "err", err)
+			}
+		case leading:
+			c.keep(ctx)
+			c.mu.Lock()
+			if c.leadsLocked() {
+				c.noteFenceLocked()
+			}
+			c.mu.Unlock()
+		case free || mine:
+			// Whoever comes first wins; jitter makes a tie rare.
+			sleep(ctx, rand.N(100*time.Millisecond))
+			c.claim(ctx)
+		}
+		c.mu.Lock()
+		start := c.leadsLocked() && c.stopLead == nil
+		var leadCtx context.Context
+		var previous chan struct{}
+		if start {
+			leadCtx, c.stopLead = context.WithCancel(ctx)
+			previous, c.leading = c.leading, make(chan struct{})
+			go c.lead(leadCtx, previous, c.leading)
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *Cluster) lead(ctx context.Context, previous, done chan struct{}) {
+	defer close(done)
+	if previous != nil {
+		<-previous
+	}
+	c.opts.Log.Info("leading", "node", c.opts.Node)
+	if err := c.opts.Lead(ctx); err != nil && ctx.Err() == nil {
+		c.opts.Log.Error("leading failed", "err", err)
+	}
+}
+
+// keep renews the leader's lease and confirms that the epoch is current.
+func (c *Cluster) keep(ctx context.Context) {
+	c.mu.Lock()
+	lease, version := c.lease, c.version
+	c.mu.Unlock()
+	sent := time.Now()
+	_, err := c.opts.Client.Txn(ctx, state.Urgent, wire.Txn{If: []wire.Condition{{Key: epochKey, Version: version}}})
+	var conflict *state.Conflict
+	switch {
+	case err == nil:
+		c.mu.Lock()
+		if c.leadsLocked() && sent.After(c.confirmed) {
+			c.confirmed = sent
+		}
+		c.mu.Unlock()
+	case errors.As(err, &conflict):
+		if err := c.refresh(ctx); err != nil {
+			c.opts.Log.Debug("reading the epoch failed", "err", err)
+		}
+		return
+	default:
+		c.opts.Log.Debug("confirming the epoch failed", "err", err)
+		return
+	}
+	c.mu.Lock()
+	resigned := time.Since(c.resigned) < 2*leaderTTL
+	keyless := c.leaderVersion == 0 && !resigned
+	c.mu.Unlock()
+	if err := c.opts.Client.Renew(ctx, lease); (errors.Is(err, state.ErrNotFound) || keyless) && !resigned {
+		c.opts.Log.Info("leader lease ended, taking it again")
+		c.claimLease(ctx)
+	}
+}
+
+// claimLease takes the leader key again within the same epoch, if nobody else
+// has claimed the epoch since.
+func (c *Cluster) claimLease(ctx context.Context) {
+	lease, err := c.opts.Client.Grant(ctx, leaderTTL)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	version, leaderVersion := c.version, c.leaderVersion
+	c.mu.Unlock()
+	record, _ := json.Marshal(leaderRecord{Node: c.opts.Node, Incarnation: c.incarnation})
+	revision, err := c.opts.Client.Txn(ctx, state.Urgent, wire.Txn{
+		If:   []wire.Condition{{Key: epochKey, Version: version}, {Key: leaderKey, Version: leaderVersion}},
+		Then: []wire.Change{{Put: leaderKey, Value: record, Lease: lease}},
+	})
+	if err != nil {
+		_ = c.refresh(ctx) // the next round decides on what it shows
+		return
+	}
+	c.mu.Lock()
+	c.lease, c.leader, c.leaderVersion = lease, leaderRecord{Node: c.opts.Node, Incarnation: c.incarnation}, revision
+	c.mu.Unlock()
+}
+
+// claim starts a new epoch with this controller as its leader.
+func (c *Cluster) claim(ctx context.Context) {
+	if err := c.refresh(ctx); err != nil {
+		return
+	}
+	c.mu.Lock()
+	free := c.leaderVersion == 0 || c.leader.Node == c.opts.Node && c.leader.Incarnation != c.incarnation
+	epoch, version, leaderVersion := c.epoch, c.version, c.leaderVersion
+	c.mu.Unlock()
+	if !free {
+		return
+	}
+	lease, err := c.opts.Client.Grant(ctx, leaderTTL)
+	if err != nil {
+		c.opts.Log.Debug("no lease", "err", err)
+		return
+	}
+	next := Epoch{Token: epoch.Token + 1, Leader: c.opts.Node, Incarnation: c.incarnation}
+	value, _ := json.Marshal(next)
+	record, _ := json.Marshal(leaderRecord{Node: c.opts.Node, Incarnation: c.incarnation})
+	sent := time.Now()
+	revision, err := c.opts.Client.Txn(ctx, state.Urgent, wire.Txn{
+		If: []wire.Condition{{Key: epochKey, Version: version}, {Key: leaderKey, Version: leaderVersion}},
+		Then: []wire.Change{
+			{Put: epochKey, Value: value},
+			{Put: leaderKey, Value: record, Lease: lease},
+		},
+	})
+	if err != nil {
+		c.opts.Log.Debug("claim failed", "err", err)
+		// After silence the claim may stand: reading tells, and if it is
+		// carried out later still, the watch does.
+		_ = c.refresh(ctx)
+		c.mu.Lock()
+		if c.leadsLocked() {
+			c.lease = lease
+		}
+		c.mu.Unlock()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease = lease
+	if next.Token > c.epoch.Token {
+		c.setEpochLocked(next, revision)
+	}
+	c.leader, c.leaderVersion = leaderRecord{Node: c.opts.Node, Incarnation: c.incarnation}, revision
+	c.confirmed = sent // not now: another may have claimed since
+	c.opts.Log.Info("elected", "token", next.Token)
+}
+
+// Raise raises the token of the epoch that this controller leads. Whatever
+// was sent to workers under the old token is void once they have seen the
+// new one.
+func (c *Cluster) Raise(ctx context.Context) error {
+	c.mu.Lock()
+	epoch, version, leading := c.epoch, c.version, c.leadsLocked()
+	c.mu.Unlock()
+	if !leading {
+		return errors.New("not leading")
+	}
+	epoch.Token++
+	value, _ := json.Marshal(epoch)
+	revision, err := c.opts.Client.Txn(ctx, state.Urgent, wire.Txn{
+		If:   []wire.Condition{{Key: epochKey, Version: version}},
+		Then: []wire.Change{{Put: epochKey, Value: value}},
+	})
+	if err != nil {
+		return errors.Join(err, c.refresh(ctx))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if epoch.Token > c.epoch.Token {
+		c.setEpochLocked(epoch, revision)
+	}
+	return nil
+}
+
+// Resign gives up leading, so that another controller takes over soon: this
+// one cannot reach the workers while another can.
+func (c *Cluster) Resign(ctx context.Context) {
+	c.mu.Lock()
+	version := c.leaderVersion
+	leads := c.leadsLocked()
+	if leads {
+		c.resigned = time.Now()
+	}
+	c.mu.Unlock()
+	if !leads {
+		return
+	}
+	c.opts.Log.Info("resigning")
+	_, err := c.opts.Client.Txn(ctx, state.Urgent, wire.Txn{
+		If:   []wire.Condition{{Key: leaderKey, Version: version}},
+		Then: []wire.Change{{Delete: leaderKey}},
+	})
+	if err != nil {
+		c.opts.Log.Info("resigning failed", "err", err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,71 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `
+node = "a"
+location = "north"
+bind = "127.0.0.1:1"
+peer_bind = "127.0.0.1:2"
+future = "ignored"
+[[seeds]]
+node = "b"
+location = "north"
+endpoint = "127.0.0.1:3"
+[outside]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+[cluster]
+size = 2
+zones = ["north"]
+[[cluster.teams]]
+name = "red"
+cpus = 4.0
+cpus_max = 8.0
+[cluster.workers]
+report_s = 1.5
+lease_s = 9.0
+cancel_s = 20.0
+[cluster.state]
+rps = 50.0
+write_rps = 20.0
+value_kb = 8.0
+txn_ops = 8
+[cluster.cloud]
+rps = 1.0
+list_lag_s = 3.0
+[cluster.machine_limits]
+core_share = 0.5
+ram_mb = 64.0
+max_connections = 100
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.ReportEvery != 1500*time.Millisecond || s.ValueBytes != 8192 || len(s.Peers) != 1 || s.Teams[0].CPUsMax != 8 {
+		t.Errorf("settings read wrong: %+v", s)
+	}
+}
+
+// Every wrong key is named at once, so that an operator corrects the file in
+// one go.
+func TestParseReportsEveryKey(t *testing.T) {
+	text := strings.NewReplacer(`node = "a"`, "", "lease_s = 9.0", "lease_s = -1.0", "txn_ops = 8", "", "size = 2", "size = 5",
+		`state = "127.0.0.1:5"`, `state = "nowhere"`).Replace(good)
+	_, err := Parse([]byte(text))
+	if err == nil {
+		t.Fatal("wrong settings were taken")
+	}
+	for _, key := range []string{"node is missing", "cluster.workers.lease_s", "cluster.state.txn_ops is missing", "cluster.size", "outside.state"} {
+		if !strings.Contains(err.Error(), key) {
+			t.Errorf("error does not name %q:\n%v", key, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/machines.go
@@ -0,0 +1,576 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"heronwick/internal/cloud"
+	"heronwick/internal/fleet"
+	"heronwick/internal/placement"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+const (
+	probeTimeout = time.Second
+	// keepWarm is how long an idle machine is kept for what may come.
+	keepWarm = 5 * time.Minute
+	// listEvery is how often the cloud's list is read.
+	listEvery = 5 * time.Second
+)
+
+// booting is a machine that was rented and whose worker has not reported.
+type booting struct {
+	place  placement.Place
+	since  time.Time
+	listed bool
+}
+
+// refusal remembers that the cloud had no such machine.
+type refusal struct {
+	until time.Time
+	wait  time.Duration
+}
+
+// silentAfter is how long a healthy worker can be silent: reports come every
+// ReportEvery plus or minus a quarter, and one may be lost and resent.
+func (s *Share) silentAfter() time.Duration {
+	return s.opts.Settings.ReportEvery*5/4 + 750*time.Millisecond
+}
+
+// deadAfter is when a silent worker that does not answer probes either counts
+// as lost, and its machine is returned for proof.
+func (s *Share) deadAfter() time.Duration {
+	return s.silentAfter() + 2*probeTimeout
+}
+
+// watchMachinesLocked probes silent workers, settles what leases or returns
+// prove, drains what is noticed, and raises the token where only that helps.
+func (s *Share) watchMachinesLocked(now time.Time) {
+	if !s.loaded || !s.opts.Authority.Permitted() {
+		return
+	}
+	silent := 0
+	for _, m := range s.machines {
+		if m.failures >= 2 && now.Sub(m.LastReport) > s.deadAfter() {
+			silent++
+		}
+	}
+	// Many at once: rather this controller is cut off than all of them dead.
+	cut := silent > max(2, len(s.machines)/3)
+	if cut && now.Sub(s.resigned) > 10*time.Second && s.opts.Elsewhere() > len(s.machines)/3 {
+		s.resigned = now
+		s.goDo(s.opts.Resign)
+	}
+	raise := false
+	token := s.opts.Authority.Token()
+	var back []*machine
+	for _, m := range s.machines {
+		silence := now.Sub(m.LastReport)
+		if silence > s.silentAfter() && now.Sub(m.probed) > probeTimeout && !m.probing {
+			s.probeLocked(m, now)
+		}
+		if m.Live() > 0 && silence > s.silentAfter() {
+			if at, ok := s.lapseLocked(m); ok && !now.Before(at) {
+				s.log.Info("lease lapsed", "machine", m.Name, "tasks", m.Live())
+				s.handleLocked(m, m.Lapsed())
+			}
+		}
+		dead := m.failures >= 2 && silence > s.deadAfter()
+		switch {
+		case m.returning:
+		case dead && !cut, s.overdueLocked(m, now):
+			back = append(back, m)
+		case m.suspect && m.Live() == 0:
+			back = append(back, m)
+		}
+		s.drainLocked(m, now)
+		raise = raise || m.WantsToken(token)
+	}
+	if len(back) > 0 {
+		s.returnLocked(back, "lost or set aside")
+	}
+	if raise && !s.raising && now.Sub(s.raised) > 2*time.Second {
+		s.raising, s.raised = true, now
+		s.goDo(func(ctx context.Context) {
+			if err := s.opts.Authority.Raise(ctx); err != nil {
+				s.log.Info("raising the token failed", "err", err)
+			}
+			s.mu.Lock()
+			s.raising = false
+			s.mu.Unlock()
+		})
+	}
+}
+
+// lapseLocked returns when the lease of the machine's worker has surely run
+// out: counted from the last answer that this or any other controller can
+// have given, with the drift of two clocks.
+func (s *Share) lapseLocked(m *machine) (time.Time, bool) {
+	fenced, ok := s.opts.Authority.Fenced()
+	if !ok {
+		return time.Time{}, false
+	}
+	last := m.LastAnswer
+	if fenced.After(last) {
+		last = fenced
+	}
+	lease := s.opts.Settings.LeaseFor
+	return last.Add(lease + lease/1000 + 200*time.Millisecond), true
+}
+
+// overdueLocked tells whether a cancelled job's task may still be there when
+// it must be gone soon, and its lease does not surely lapse before.
+func (s *Share) overdueLocked(m *machine, now time.Time) bool {
+	for _, a := range m.Attempts {
+		if a.MustGoBy.IsZero() || a.Exited() || now.Before(a.MustGoBy.Add(-3*time.Second)) {
+			continue
+		}
+		if now.After(a.MustGoBy) {
+			return true
+		}
+		if at, ok := s.lapseLocked(m); !ok || at.After(a.MustGoBy) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Share) probeLocked(m *machine, now time.Time) {
+	if m.Address == "" {
+		m.failures++
+		m.probed = now
+		return
+	}
+	m.probing, m.probed = true, now
+	s.goDo(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		report, err := s.opts.Workers.Status(ctx, m.Address)
+		cancel()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		m.probing = false
+		if err != nil {
+			m.failures++
+			s.log.Debug("worker silent", "machine", m.Name, "failures", m.failures, "err", err)
+			return
+		}
+		s.applyLocked(m, report)
+	})
+}
+
+// drainLocked empties a machine that the cloud will take away: replicas move
+// at once, and what can save is stopped in time. The rest runs on: it may
+// finish before, and stopping it would lose it anyway.
+func (s *Share) drainLocked(m *machine, now time.Time) {
+	if m.Notice.IsZero() {
+		return
+	}
+	for _, a := range m.Attempts {
+		if a.Stop || a.Exited() || !a.Sized {
+			continue
+		}
+		if a.Service || a.GraceS > 0 || a.Running.IsZero() {
+			s.log.Info("draining", "task", a.Task, "machine", m.Name)
+			a.Stop = true
+			s.sendLocked(m)
+		}
+	}
+}
+
+// returnLocked gives machines back. When the cloud says so, they and all that
+// was on them are gone.
+func (s *Share) returnLocked(machines []*machine, why string) {
+	var names []string
+	for _, m := range machines {
+		if m.returning || len(names) == wire.MaxReturn {
+			continue
+		}
+		m.returning = true
+		names = append(names, m.Name)
+		s.log.Info("returning machine", "machine", m.Name, "why", why, "tasks", m.Live(), "suspect", m.suspect)
+	}
+	if len(names) == 0 {
+		return
+	}
+	s.goDo(func(ctx context.Context) {
+		for {
+			err := s.opts.Cloud.Return(ctx, names)
+			if err == nil {
+				break
+			}
+			s.log.Info("returning machines failed, trying again", "machines", names, "err", err)
+			if !pause(ctx, 300*time.Millisecond+rand.N(400*time.Millisecond)) {
+				return
+			}
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		now := time.Now()
+		for _, name := range names {
+			s.returned[name] = now
+			delete(s.booting, name)
+			if m := s.machines[name]; m != nil {
+				s.goneLocked(m)
+			}
+		}
+		s.poke()
+	})
+}
+
+// goneLocked drops a machine that was returned, and its record.
+func (s *Share) goneLocked(m *machine) {
+	s.handleLocked(m, m.Gone())
+	s.list.Close(m.Name)
+	delete(s.machines, m.Name)
+	s.goDo(func(ctx context.Context) {
+		key := fleet.RecordKey(m.Name)
+		for {
+			s.mu.Lock()
+			committing, version := m.committing, m.version
+			s.mu.Unlock()
+			if !committing {
+				if version == 0 {
+					return
+				}
+				_, err := s.opts.Committer.Commit(ctx, state.Write{
+					Priority: state.Submission,
+					If:       []wire.Condition{s.opts.Authority.Condition(), {Key: key, Version: version}},
+					Then:     []wire.Change{{Delete: key}},
+				})
+				if err == nil {
+					return
+				}
+				if item, gerr := s.opts.Records.Get(ctx, state.Submission, key); gerr == nil {
+					s.mu.Lock()
+					m.version = item.Version
+					s.mu.Unlock()
+				} else if errors.Is(gerr, state.ErrNotFound) {
+					return
+				}
+			}
+			if !pause(ctx, 500*time.Millisecond) {
+				return
+			}
+		}
+	})
+}
+
+// runCloud reads the cloud's list, rents and returns.
+func (s *Share) runCloud(ctx context.Context) error {
+	tick := time.NewTicker(500 * time.Millisecond)
+	defer tick.Stop()
+	var listed time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if now := time.Now(); now.Sub(listed) > listEvery {
+			listed = now
+			machines, err := s.opts.Cloud.List(ctx)
+			if err != nil {
+				s.log.Info("listing machines failed", "err", err)
+			} else {
+				s.takeList(machines, time.Now())
+			}
+		}
+		s.mu.Lock()
+		s.returnIdleLocked(time.Now())
+		s.mu.Unlock()
+		s.rent(ctx)
+	}
+}
+
+// takeList takes the cloud's list. It lags: a machine that is missing may be
+// up, and one that is listed may be gone.
+func (s *Share) takeList(machines []wire.Machine, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var failed, stuck []string
+	for _, lm := range machines {
+		if _, gone := s.returned[lm.ID]; gone {
+			continue
+		}
+		age := time.Duration(lm.AgeS * float64(time.Second))
+		if lm.State == wire.MachineFailed {
+			failed = append(failed, lm.ID)
+			continue
+		}
+		if s.machines[lm.ID] != nil {
+			continue
+		}
+		b := s.booting[lm.ID]
+		if b == nil {
+			b = &booting{place: placement.Place{Type: lm.Type, Zone: lm.Zone, Spot: lm.Spot}, since: now.Add(-age)}
+			s.booting[lm.ID] = b
+		}
+		b.listed = true
+	}
+	for id, b := range s.booting {
+		if now.Sub(b.since) > s.bootLimit(b.place.Type) {
+			stuck = append(stuck, id)
+		}
+	}
+	for id, at := range s.returned {
+		if now.Sub(at) > 10*time.Minute {
+			delete(s.returned, id)
+		}
+	}
+	s.returnNamesLocked(failed, "failed")
+	s.returnNamesLocked(stuck, "never came up")
+}
+
+// bootLimit is when a machine that has not come up is given back: some take
+// several times as long as usual, a few for ever.
+func (s *Share) bootLimit(typeName string) time.Duration {
+	boot := 30 * time.Second
+	if t := s.types[typeName]; t != nil {
+		boot = time.Duration(t.BootS * float64(time.Second))
+	}
+	return 3*boot + 2*s.opts.Settings.ListLag
+}
+
+// returnNamesLocked gives back machines that may have no worker.
+func (s *Share) returnNamesLocked(names []string, why string) {
+	var known []*machine
+	for _, name := range names {
+		m := s.machines[name]
+		if m == nil {
+			m = s.addMachineLocked(fleet.NewMachine(name), time.Now())
+		}
+		known = append(known, m)
+	}
+	s.returnLocked(known, why)
+}
+
+// returnIdleLocked gives back a machine that has been idle for long, if more
+// are idle than are wanted in reserve.
+func (s *Share) returnIdleLocked(now time.Time) {
+	if !s.loaded || !s.opts.Authority.Permitted() {
+		return
+	}
+	var idle []*machine
+	for _, m := range s.machines {
+		if m.returning || m.Live() > 0 || len(m.Attempts) > 0 || m.dirty || m.committing || !s.synced(m) {
+			continue
+		}
+		idle = append(idle, m)
+	}
+	if len(idle) <= s.spare {
+		return
+	}
+	oldest := slices.MinFunc(idle, func(a, b *machine) int { return a.idleSince.Compare(b.idleSince) })
+	if now.Sub(oldest.idleSince) > keepWarm {
+		s.returnLocked([]*machine{oldest}, "idle")
+	}
+}
+
+// offer is a kind of machine that could be rented.
+type offer struct {
+	place placement.Place
+	t     *wire.MachineType
+}
+
+// virtual is a machine that is on its way, or would be if rented.
+type virtual struct {
+	place placement.Place
+	free  placement.Resources
+	rent  bool
+}
+
+// maxRentals bounds how many machines are asked for in one round.
+const maxRentals = 20
+
+// wantLocked works out which machines to rent: what waits is packed onto the
+// machines that are on their way, then onto new ones, and a reserve is kept
+// for bursts and losses.
+func (s *Share) wantLocked(now time.Time) []wire.RentRequest {
+	if !s.loaded || !s.opts.Authority.Permitted() {
+		return nil
+	}
+	var coming []*virtual
+	for _, b := range s.booting {
+		t := s.types[b.place.Type]
+		// One that is late does not count: it may never come.
+		if t == nil || now.Sub(b.since) > time.Duration(1.7*t.BootS*float64(time.Second)) {
+			continue
+		}
+		coming = append(coming, &virtual{place: b.place, free: placement.Capacity(t)})
+	}
+	var waiting []*jobState
+	for _, js := range s.jobs {
+		if !js.waiting.IsZero() && now.Sub(js.waiting) > 300*time.Millisecond && !js.mistaken() {
+			waiting = append(waiting, js)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *jobState) int {
+		return cmp.Or(cmp.Compare(a.rec.Job.Priority.Rank(), b.rec.Job.Priority.Rank()), a.due.Compare(b.due))
+	})
+	rented := 0
+	for _, js := range waiting {
+		zones := map[string]int{}
+		for z, n := range js.zones {
+			zones[z] = n
+		}
+		for range min(js.pending(), 500) {
+			v := s.virtualFor(js, zones, coming)
+			if v == nil {
+				if rented >= maxRentals {
+					break
+				}
+				o := s.offerLocked(&js.rec.Job, js.size, zones, now)
+				if o == nil {
+					break
+				}
+				v = &virtual{place: o.place, free: placement.Capacity(o.t), rent: true}
+				coming = append(coming, v)
+				rented++
+			}
+			v.free = v.free.Minus(js.size)
+			zones[v.place.Zone]++
+		}
+	}
+	coming = s.reserveLocked(coming, now)
+	counts := map[placement.Place]int{}
+	for _, v := range coming {
+		if v.rent {
+			counts[v.place]++
+		}
+	}
+	var requests []wire.RentRequest
+	for place, n := range counts {
+		s.rentals++
+		requests = append(requests, wire.RentRequest{
+			// Tokens are used once and the count only rises under one, so no
+			// request name ever comes again.
+			Request: fmt.Sprintf("heronwick-%d-%d", s.opts.Authority.Token(), s.rentals),
+			Type:    place.Type, Zone: place.Zone, Spot: place.Spot, Count: min(n, wire.MaxRent),
+		})
+	}
+	return requests
+}
+
+// reserveLocked adds what the reserve lacks: a part of the machines in use,
+// idle or on their way, to take bursts and what dead machines leave.
+func (s *Share) reserveLocked(coming []*virtual, now time.Time) []*virtual {
+	var free, total placement.Resources
+	inUse := 0
+	for _, m := range s.machines {
+		if !s.usableLocked(m, now) || m.Type == nil {
+			continue
+		}
+		inUse++
+		total = total.Plus(placement.Capacity(m.Type))
+		free = free.Plus(m.Free())
+	}
+	for _, v := range coming {
+		free = free.Plus(v.free)
+	}
+	s.spare = max(1, inUse/5)
+	if inUse == 0 || free.CPUs >= total.CPUs/4 {
+		return coming
+	}
+	any := wire.Job{Tasks: 1}
+	if o := s.offerLocked(&any, placement.Resources{}, nil, now); o != nil {
+		return append(coming, &virtual{place: o.place, free: placement.Capacity(o.t), rent: true})
+	}
+	any.Spot = true
+	if o := s.offerLocked(&any, placement.Resources{}, nil, now); o != nil {
+		return append(coming, &virtual{place: o.place, free: placement.Capacity(o.t), rent: true})
+	}
+	return coming
+}
+
+func (s *Share) virtualFor(js *jobState, zones map[string]int, coming []*virtual) *virtual {
+	for _, v := range coming {
+		if js.size.Within(v.free) && placement.Allows(&js.rec.Job, v.place, placement.Spread{ByZone: zones}) {
+			return v
+		}
+	}
+	return nil
+}
+
+// offerLocked chooses what to rent for a job: spot if it may, the cheapest
+// per CPU, in the zone with the fewest machines; not what the cloud has just
+// refused.
+func (s *Share) offerLocked(j *wire.Job, size placement.Resources, zones map[string]int, now time.Time) *offer {
+	perZone := map[string]int{}
+	for _, m := range s.machines {
+		perZone[m.Zone]++
+	}
+	for _, b := range s.booting {
+		perZone[b.place.Zone]++
+	}
+	var best *offer
+	cost := func(o *offer) float64 {
+		if o.place.Spot {
+			return o.t.SpotPrice / max(o.t.CPUs, 0.001)
+		}
+		return o.t.Price / max(o.t.CPUs, 0.001)
+	}
+	for _, t := range s.types {
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				o := &offer{place: placement.Place{Type: t.Name, Zone: zone, Spot: spot}, t: t}
+				if !size.Within(placement.Capacity(t)) || now.Before(s.refused[o.place].until) ||
+					!placement.Allows(j, o.place, placement.Spread{ByZone: zones}) {
+					continue
+				}
+				if best == nil || cmp.Or(cmp.Compare(cost(o), cost(best)), cmp.Compare(perZone[zone], perZone[best.place.Zone]),
+					cmp.Compare(zone, best.place.Zone)) < 0 {
+					best = o
+				}
+			}
+		}
+	}
+	return best
+}
+
+// rent rents what is wanted, one kind after the other.
+func (s *Share) rent(ctx context.Context) {
+	s.mu.Lock()
+	requests := s.wantLocked(time.Now())
+	s.mu.Unlock()
+	for _, req := range requests {
+		if ctx.Err() != nil {
+			return
+		}
+		place := placement.Place{Type: req.Type, Zone: req.Zone, Spot: req.Spot}
+		var names []string
+		var err error
+		for range 3 {
+			// Repeating an unanswered request rents nothing twice.
+			names, err = s.opts.Cloud.Rent(ctx, req)
+			if err == nil || errors.Is(err, cloud.ErrNoCapacity) || !pause(ctx, 300*time.Millisecond) {
+				break
+			}
+		}
+		s.mu.Lock()
+		now := time.Now()
+		if err != nil || len(names) < req.Count {
+			r := s.refused[place]
+			r.wait = min(max(2*r.wait, 5*time.Second), 40*time.Second)
+			r.until = now.Add(r.wait)
+			s.refused[place] = r
+			s.log.Info("rental not filled", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "asked", req.Count, "got", len(names), "err", err)
+		} else {
+			delete(s.refused, place)
+		}
+		for _, name := range names {
+			if s.machines[name] == nil && s.returned[name].IsZero() {
+				s.booting[name] = &booting{place: place, since: now}
+			}
+		}
+		if len(names) > 0 {
+			s.log.Info("rented", "machines", names, "type", req.Type, "zone", req.Zone, "spot", req.Spot)
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/scheduler/queue.go
@@ -0,0 +1,416 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"heronwick/internal/fleet"
+	"heronwick/internal/job"
+	"heronwick/internal/placement"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+// pending counts the job's tasks that are neither done nor possibly on a
+// machine.
+func (js *jobState) pending() int {
+	return js.rec.Job.Tasks - js.done.Count - len(js.live)
+}
+
+// nextTask returns the next task to place and leaves it queued.
+func (js *jobState) nextTask() (int, bool) {
+	for len(js.retry) > 0 {
+		i := js.retry[len(js.retry)-1]
+		if js.live[i] == 0 && !js.done.Has(i) {
+			return i, true
+		}
+		js.retry = js.retry[:len(js.retry)-1]
+	}
+	for js.next < js.rec.Job.Tasks {
+		if js.live[js.next] == 0 && !js.done.Has(js.next) {
+			return js.next, true
+		}
+		js.next++
+	}
+	return 0, false
+}
+
+// took removes the task that nextTask returned from the queue.
+func (js *jobState) took() {
+	if len(js.retry) > 0 {
+		js.retry = js.retry[:len(js.retry)-1]
+		return
+	}
+	js.next++
+}
+
+// scheduleLocked places what can be placed: by priority, then teams within
+// their guarantee, then what is due first. A job that finds no room does not
+// hold up the others.
+func (s *Share) scheduleLocked(now time.Time) {
+	if !s.loaded || !s.opts.Authority.Permitted() {
+		return
+	}
+	var queue []*jobState
+	for _, js := range s.jobs {
+		if js.pending() <= 0 {
+			js.waiting = time.Time{}
+			continue
+		}
+		if !now.Before(js.notBefore) {
+			queue = append(queue, js)
+		}
+	}
+	if len(queue) == 0 {
+		return
+	}
+	slices.SortFunc(queue, func(a, b *jobState) int {
+		return cmp.Or(
+			cmp.Compare(a.rec.Job.Priority.Rank(), b.rec.Job.Priority.Rank()),
+			-cmp.Compare(boolInt(s.guaranteed(a)), boolInt(s.guaranteed(b))),
+			a.due.Compare(b.due),
+			cmp.Compare(a.rec.Job.ID, b.rec.Job.ID),
+		)
+	})
+	for _, js := range queue {
+		s.placeJobLocked(js, now)
+	}
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// guaranteed tells whether one more task of the job stays within its team's
+// guarantee.
+func (s *Share) guaranteed(js *jobState) bool {
+	t := s.teams[js.rec.Job.Team]
+	after := s.used[js.rec.Job.Team].Plus(js.size)
+	return after.CPUs <= t.CPUs && after.GPUs <= t.GPUs
+}
+
+// withinLimit tells whether one more task of the job stays within its team's
+// limit, counting all that may still be on a machine.
+func (s *Share) withinLimit(js *jobState) bool {
+	t := s.teams[js.rec.Job.Team]
+	after := s.used[js.rec.Job.Team].Plus(js.size)
+	return (t.CPUsMax == 0 || after.CPUs <= t.CPUsMax) && (t.GPUsMax == 0 || after.GPUs <= t.GPUsMax)
+}
+
+func (s *Share) placeJobLocked(js *jobState, now time.Time) {
+	for {
+		index, ok := js.nextTask()
+		if !ok {
+			js.waiting = time.Time{}
+			return
+		}
+		if !s.withinLimit(js) {
+			js.waiting = time.Time{} // more machines would not help
+			return
+		}
+		m := s.findLocked(js, now)
+		if m == nil {
+			if js.waiting.IsZero() {
+				js.waiting = now
+			}
+			s.preemptLocked(js, now)
+			return
+		}
+		js.took()
+		s.placeLocked(js, index, m, now)
+	}
+}
+
+// findLocked chooses a machine: the most recently used one that fits, else an
+// idle one, which it opens. Machines that hold the image come first in both:
+// a fetch takes longer than all the rest of a start.
+func (s *Share) findLocked(js *jobState, now time.Time) *machine {
+	fits := func(name string) bool {
+		m := s.machines[name]
+		return m != nil && s.fitsLocked(js, m, now)
+	}
+	holds := func(name string) bool {
+		return s.machines[name].HoldsImage(js.rec.Job.Image) && fits(name)
+	}
+	if name, ok := s.list.Walk(holds); ok {
+		return s.machines[name]
+	}
+	idle := s.idleLocked(js, now)
+	if idle != nil && idle.HoldsImage(js.rec.Job.Image) {
+		s.list.MoveToFront(idle.Name)
+		return idle
+	}
+	if name, ok := s.list.Walk(fits); ok {
+		return s.machines[name]
+	}
+	if idle != nil {
+		s.list.MoveToFront(idle.Name)
+	}
+	return idle
+}
+
+// idleLocked returns the idle machine to open for the job: one that holds its
+// image before others, then spot before ordinary, which other jobs may need,
+// then by name.
+func (s *Share) idleLocked(js *jobState, now time.Time) *machine {
+	var best *machine
+	better := func(a, b *machine) bool {
+		return cmp.Or(
+			-cmp.Compare(boolInt(a.HoldsImage(js.rec.Job.Image)), boolInt(b.HoldsImage(js.rec.Job.Image))),
+			-cmp.Compare(boolInt(a.Spot), boolInt(b.Spot)),
+			cmp.Compare(a.Name, b.Name),
+		) < 0
+	}
+	for _, m := range s.machines {
+		if s.list.Has(m.Name) || !s.fitsLocked(js, m, now) {
+			continue
+		}
+		if best == nil || better(m, best) {
+			best = m
+		}
+	}
+	return best
+}
+
+// usableLocked tells whether new tasks may go to the machine at all.
+func (s *Share) usableLocked(m *machine, now time.Time) bool {
+	return s.synced(m) && m.Type != nil && !m.returning && !m.suspect && m.failures == 0 &&
+		m.Notice.IsZero() && !now.Before(m.cooling) && !m.Unsized() &&
+		now.Sub(m.LastReport) < s.silentAfter()
+}
+
+func (s *Share) fitsLocked(js *jobState, m *machine, now time.Time) bool {
+	if !s.usableLocked(m, now) || !js.size.Within(m.Free()) {
+		return false
+	}
+	return s.allowedLocked(js, m)
+}
+
+func (s *Share) allowedLocked(js *jobState, m *machine) bool {
+	if !placement.Allows(&js.rec.Job, m.Place(), placement.Spread{ByZone: js.zones}) {
+		return false
+	}
+	if js.failedOn[m.Name] && !js.mistaken() {
+		return false
+	}
+	return len(m.Attempts) < s.maxAttempts()
+}
+
+// maxAttempts keeps a machine's record within the size of a value.
+func (s *Share) maxAttempts() int {
+	const perAttempt, overhead = 64, 4096
+	return max(8, (s.opts.Settings.ValueBytes-overhead)/perAttempt)
+}
+
+// placeLocked books a task on a machine. The attempt's number rises with each
+// placement, across controllers and restarts, since tokens do.
+func (s *Share) placeLocked(js *jobState, index int, m *machine, now time.Time) {
+	s.number = max(s.number+1, s.opts.Authority.Token()<<20)
+	j := &js.rec.Job
+	a := &fleet.Attempt{Key: fleet.Key{Task: wire.TaskID(j.ID, index), Attempt: s.number}, Job: j.ID, Index: index}
+	s.describe(a, j)
+	m.Add(a, now)
+	s.countLocked(m, a)
+	m.dirty = true
+	s.log.Debug("placed", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "image_held", m.HoldsImage(j.Image))
+}
+
+// preemptLocked stops tasks to make room for one task of the job, as far as
+// the rules of preemption permit, on the machine where that loses least.
+func (s *Share) preemptLocked(js *jobState, now time.Time) {
+	// What was stopped a moment ago has not made its room yet.
+	if now.Sub(js.preempted) < 2*time.Second && s.stoppingLocked() {
+		return
+	}
+	guaranteed := s.guaranteed(js)
+	type choice struct {
+		m       *machine
+		victims []*fleet.Attempt
+		cost    float64
+	}
+	var best *choice
+	for _, m := range s.machines {
+		if !s.usableLocked(m, now) || !s.allowedLocked(js, m) {
+			continue
+		}
+		var may []*fleet.Attempt
+		for _, a := range m.Attempts {
+			if !a.Exited() && !a.Stop && s.mayPreempt(js, a, guaranteed) {
+				may = append(may, a)
+			}
+		}
+		if len(may) == 0 {
+			continue
+		}
+		slices.SortFunc(may, func(a, b *fleet.Attempt) int { return cmp.Compare(s.lossOf(a, now), s.lossOf(b, now)) })
+		room := m.Free()
+		c := choice{m: m}
+		if !m.HoldsImage(js.rec.Job.Image) {
+			c.cost += 10
+		}
+		for _, a := range may {
+			if js.size.Within(room) {
+				break
+			}
+			room = room.Plus(a.Size)
+			c.victims = append(c.victims, a)
+			c.cost += s.lossOf(a, now)
+		}
+		if js.size.Within(room) && len(c.victims) > 0 && (best == nil || c.cost < best.cost) {
+			best = &c
+		}
+	}
+	if best == nil {
+		return
+	}
+	js.preempted = now
+	for _, a := range best.victims {
+		s.log.Info("preempting", "task", a.Task, "machine", best.m.Name, "for", js.rec.Job.ID)
+		a.Stop = true
+	}
+	s.sendLocked(best.m)
+}
+
+// lossOf is what stopping an attempt loses, in seconds of work.
+func (s *Share) lossOf(a *fleet.Attempt, now time.Time) float64 {
+	if a.Running.IsZero() {
+		return 0
+	}
+	return 1 + now.Sub(a.Running).Seconds()
+}
+
+func (s *Share) stoppingLocked() bool {
+	for _, m := range s.machines {
+		for _, a := range m.Attempts {
+			if a.Stop && !a.Exited() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mayPreempt: a higher priority may stop a lower one, and a team that gets
+// its guarantee may stop any work that another runs above its own.
+func (s *Share) mayPreempt(js *jobState, victim *fleet.Attempt, guaranteed bool) bool {
+	if js.rec.Job.Priority.Rank() < victim.Rank {
+		return true
+	}
+	if !guaranteed || victim.Team == js.rec.Job.Team {
+		return false
+	}
+	t, used := s.teams[victim.Team], s.used[victim.Team]
+	return used.CPUs > t.CPUs && (t.CPUs > 0 || t.CPUsMax > 0)
+}
+
+// commitLocked writes the records of machines with new placements; many
+// machines share a transaction.
+func (s *Share) commitLocked() {
+	for _, m := range s.machines {
+		if !m.dirty || m.committing || m.returning {
+			continue
+		}
+		m.dirty, m.committing = false, true
+		w, attempts := s.recordLocked(m)
+		s.goDo(func(ctx context.Context) { s.commit(ctx, m, w, attempts) })
+	}
+}
+
+// recordLocked builds the write of a machine's record: fenced by the epoch,
+// by the record's own version, and by each job still being active, so that
+// nothing is placed for a job cancelled a moment ago.
+func (s *Share) recordLocked(m *machine) (state.Write, []*fleet.Attempt) {
+	s.rentals++ // any number that never comes again under this token
+	value, err := json.Marshal(m.Record(fmt.Sprintf("%d-%d", s.opts.Authority.Token(), s.rentals)))
+	if err != nil {
+		s.log.Error("encoding a machine's record", "machine", m.Name, "err", err)
+	}
+	key := fleet.RecordKey(m.Name)
+	w := state.Write{
+		Priority: state.Placement,
+		If:       []wire.Condition{s.opts.Authority.Condition(), {Key: key, Version: m.version}},
+		Then:     []wire.Change{{Put: key, Value: value}},
+		Persist:  true,
+	}
+	var attempts []*fleet.Attempt
+	seen := map[string]bool{}
+	for _, a := range m.Attempts {
+		if a.Durable || a.Exited() {
+			continue
+		}
+		attempts = append(attempts, a)
+		if js := s.jobs[a.Job]; js != nil && !seen[a.Job] {
+			seen[a.Job] = true
+			w.If = append(w.If, js.rec.Condition())
+		}
+	}
+	return w, attempts
+}
+
+func (s *Share) commit(ctx context.Context, m *machine, w state.Write, attempts []*fleet.Attempt) {
+	version, err := s.opts.Committer.Commit(ctx, w)
+	key := fleet.RecordKey(m.Name)
+	var conflict *state.Conflict
+	reread := err != nil && (!errors.As(err, &conflict) || conflict.Has(key))
+	if reread && ctx.Err() == nil {
+		// Only this share writes the record, so what is there now is an
+		// earlier write of its own, or of an earlier epoch.
+		item, gerr := s.opts.Records.Get(ctx, state.Placement, key)
+		switch {
+		case gerr == nil:
+			version = item.Version
+		case errors.Is(gerr, state.ErrNotFound):
+			version = 0
+		default:
+			reread = false
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.committing = false
+	if err == nil {
+		m.version = version
+		for _, a := range attempts {
+			a.Durable = true
+		}
+		s.sendLocked(m)
+		if m.dirty {
+			s.poke()
+		}
+		return
+	}
+	s.log.Debug("recording placements failed", "machine", m.Name, "err", err)
+	if reread {
+		m.version = version
+	}
+	m.dirty = true
+	if conflict != nil {
+		for _, failed := range conflict.Failed {
+			if id, ok := job.IsActive(failed); ok {
+				// The job is over: drop its placements, none of which was sent.
+				for k, a := range m.Attempts {
+					if a.Job == id && a.Unsent() {
+						delete(m.Attempts, k)
+						s.uncountLocked(a)
+					}
+				}
+				if js := s.jobs[id]; js != nil {
+					js.notBefore = time.Now().Add(time.Second)
+				}
+				s.resolveLocked(id)
+			}
+		}
+		s.closeIfEmptyLocked(m)
+	}
+	if ctx.Err() == nil {
+		time.AfterFunc(100*time.Millisecond, s.poke)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/share.go
@@ -0,0 +1,896 @@
+// Package scheduler runs a share: it queues the tasks of its jobs, places
+// them by Move To Front on its machines, preempts, and rents and returns
+// machines. What may be on each machine is in the store before a worker can
+// see it, and a task is placed again only when it is proven gone.
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"heronwick/internal/config"
+	"heronwick/internal/fleet"
+	"heronwick/internal/job"
+	"heronwick/internal/placement"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+// Authority says under which epoch this share commands, and what is proven
+// about other controllers.
+type Authority interface {
+	Token() uint64
+	Condition() wire.Condition
+	IsEpoch(key string) bool
+	Permitted() bool
+	Fenced() (time.Time, bool)
+	Raise(ctx context.Context) error
+}
+
+// Workers sends straight to workers.
+type Workers interface {
+	Command(ctx context.Context, address string, req *wire.CommandRequest) (*wire.Report, error)
+	Status(ctx context.Context, address string) (*wire.Report, error)
+}
+
+// Cloud rents machines.
+type Cloud interface {
+	Types(ctx context.Context) ([]wire.MachineType, error)
+	Rent(ctx context.Context, req wire.RentRequest) ([]string, error)
+	Return(ctx context.Context, machines []string) error
+	List(ctx context.Context) ([]wire.Machine, error)
+}
+
+// Jobs holds the jobs' records.
+type Jobs interface {
+	Listen(l job.Listener) []*job.Record
+	Resolve(ctx context.Context, id string) (f job.Final, over, found bool, err error)
+	ReadDone(ctx context.Context) (map[string]*job.DoneSet, map[string]job.DoneVersions, error)
+	WriteDone(ctx context.Context, r *job.Record, fence wire.Condition, chunk int, bits []byte, version uint64) (uint64, error)
+	Finish(ctx context.Context, r *job.Record, fence wire.Condition) error
+	DropDone(ctx context.Context, id string, versions job.DoneVersions) error
+	SetProgress(id string, p job.Progress)
+}
+
+// Records reads and writes the machines' records.
+type Records interface {
+	Get(ctx context.Context, p state.Priority, key string) (wire.Item, error)
+	List(ctx context.Context, p state.Priority, prefix string) ([]wire.Item, uint64, error)
+}
+
+// Committer writes in groups.
+type Committer interface {
+	Commit(ctx context.Context, w state.Write) (uint64, error)
+}
+
+// Options are what a Share needs.
+type Options struct {
+	Settings  *config.Settings
+	Authority Authority
+	Workers   Workers
+	Cloud     Cloud
+	Jobs      Jobs
+	Records   Records
+	Committer Committer
+	Types     []wire.MachineType
+	Resign    func(ctx context.Context) // gives up leading
+	Elsewhere func() int                // workers that lately came to a peer instead
+	Log       *slog.Logger
+}
+
+// machine is a machine of the share, with what the share decides about it.
+type machine struct {
+	*fleet.Machine
+	version    uint64 // of its record; 0: none
+	dirty      bool   // its record must be written
+	committing bool
+	sending    bool // a direct command is under way
+	sendAgain  bool
+	probing    bool
+	probed     time.Time
+	failures   int // probes without answer since the last sign of life
+	returning  bool
+	suspect    bool // fails what it starts: no new placements
+	failedJobs map[string]bool
+	idleSince  time.Time
+	first      time.Time // when this share first knew of it
+	cooling    time.Time // no placements before then
+}
+
+// jobState is a job of the share.
+type jobState struct {
+	rec  *job.Record
+	size placement.Resources
+	due  time.Time
+
+	next  int   // tasks from here on were never queued for another try
+	retry []int // tasks to place again
+	live  map[int]int
+	zones map[string]int
+
+	done     *job.DoneSet
+	versions job.DoneVersions
+	dirty    map[int]bool             // chunks to write
+	awaiting map[int][]*fleet.Attempt // by chunk: done, not yet in the store
+	flushing bool
+
+	failedOn  map[string]bool
+	succeeded bool
+	notBefore time.Time
+	waiting   time.Time // since when a task has found no room; zero: none waits
+	preempted time.Time // when tasks were last stopped for this job
+	told      job.Progress
+	toldAt    time.Time // when that last changed
+}
+
+// Share is one controller's part of the cluster: its jobs, its machines and
+// its Move To Front list.
+type Share struct {
+	opts    Options
+	log     *slog.Logger
+	base    uint64 // the token under which this share began
+	started time.Time
+	types   map[string]*wire.MachineType
+	teams   map[string]config.Team
+	wake    chan struct{}
+	ctx     context.Context
+	group   *errgroup.Group
+
+	mu       sync.Mutex
+	loaded   bool
+	early    map[string]time.Time // reports answered before the records were read
+	jobs     map[string]*jobState
+	machines map[string]*machine
+	list     placement.List
+	used     map[string]placement.Resources // by team, all that may be on machines
+	number   uint64                         // last attempt number
+	returned map[string]time.Time           // machines that are surely gone
+	booting  map[string]*booting
+	refused  map[placement.Place]refusal
+	rentals  uint64
+	raising  bool
+	raised   time.Time
+	resolve  map[string]bool // jobs being looked up
+	spare    int             // idle and booting machines wanted beyond the demand
+	resigned time.Time
+}
+
+// New makes a share; Run starts it.
+func New(opts Options) *Share {
+	s := &Share{
+		opts: opts, log: opts.Log,
+		types: map[string]*wire.MachineType{}, teams: map[string]config.Team{},
+		wake:  make(chan struct{}, 1),
+		early: map[string]time.Time{}, jobs: map[string]*jobState{}, machines: map[string]*machine{},
+		used: map[string]placement.Resources{}, returned: map[string]time.Time{},
+		booting: map[string]*booting{}, refused: map[placement.Place]refusal{}, resolve: map[string]bool{},
+	}
+	for i := range opts.Types {
+		s.types[opts.Types[i].Name] = &opts.Types[i]
+	}
+	for _, t := range opts.Settings.Teams {
+		s.teams[t.Name] = t
+	}
+	return s
+}
+
+// Run reads the records and runs the share until ctx ends.
+func (s *Share) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	s.ctx, s.group = ctx, g
+	s.base = s.opts.Authority.Token()
+	s.started = time.Now()
+	if err := s.load(ctx); err != nil {
+		return err
+	}
+	defer s.opts.Jobs.Listen(nil)
+	g.Go(func() error { return s.loop(ctx) })
+	g.Go(func() error { return s.runCloud(ctx) })
+	return g.Wait()
+}
+
+// goDo starts work that belongs to the share and ends with it.
+func (s *Share) goDo(f func(ctx context.Context)) {
+	s.group.Go(func() error {
+		f(s.ctx)
+		return nil
+	})
+}
+
+// load rebuilds the share: the records first, since nothing may be placed
+// before it is known what may be where.
+func (s *Share) load(ctx context.Context) error {
+	var items []wire.Item
+	var done map[string]*job.DoneSet
+	var versions map[string]job.DoneVersions
+	for {
+		var err error
+		items, _, err = s.opts.Records.List(ctx, state.Urgent, fleet.RecordPrefix)
+		if err == nil {
+			done, versions, err = s.opts.Jobs.ReadDone(ctx)
+		}
+		if err == nil {
+			break
+		}
+		s.log.Info("reading the records failed, trying again", "err", err)
+		if !pause(ctx, 200*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+	records := s.opts.Jobs.Listen(s)
+	s.mu.Lock()
+	now := time.Now()
+	for _, r := range records {
+		if s.jobs[r.Job.ID] == nil {
+			s.addJobLocked(r)
+		}
+	}
+	for id, set := range done {
+		if js := s.jobs[id]; js != nil {
+			js.done, js.versions = set, versions[id]
+			continue
+		}
+		s.goDo(func(ctx context.Context) { s.dropDone(ctx, id, versions[id]) })
+	}
+	for _, item := range items {
+		name := item.Key[len(fleet.RecordPrefix):]
+		fm, err := fleet.FromRecord(name, item.Value, s.base, now)
+		if err != nil {
+			s.mu.Unlock()
+			return fmt.Errorf("rebuilding the share: %w", err)
+		}
+		m := s.addMachineLocked(fm, now)
+		m.version = item.Version
+		for _, a := range m.Attempts {
+			s.adoptLocked(m, a)
+		}
+	}
+	for name, at := range s.early {
+		if m := s.machines[name]; m != nil {
+			m.LastAnswer = at
+		}
+	}
+	s.loaded = true
+	s.log.Info("share rebuilt", "token", s.base, "jobs", len(s.jobs), "machines", len(s.machines))
+	for _, m := range s.machines {
+		s.syncLocked(m)
+	}
+	for _, js := range s.jobs {
+		s.flushLocked(js)
+	}
+	s.mu.Unlock()
+	s.poke()
+	return nil
+}
+
+// syncLocked shows a worker the new token at once and takes its report: until
+// then nothing may be placed on its machine.
+func (s *Share) syncLocked(m *machine) {
+	if m.Address == "" || m.probing {
+		return
+	}
+	m.probing = true
+	req := &wire.CommandRequest{Token: s.opts.Authority.Token(), Session: m.Session, Commands: []wire.Command{}}
+	s.goDo(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+		report, err := s.opts.Workers.Command(ctx, m.Address, req)
+		cancel()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		m.probing = false
+		if err != nil {
+			s.log.Debug("no answer from worker", "machine", m.Name, "err", err)
+			return
+		}
+		s.applyLocked(m, report)
+	})
+}
+
+func (s *Share) addMachineLocked(fm *fleet.Machine, now time.Time) *machine {
+	m := &machine{Machine: fm, failedJobs: map[string]bool{}, idleSince: now, first: now}
+	m.Type = s.types[m.TypeName]
+	m.LastReport = now
+	s.machines[m.Name] = m
+	delete(s.booting, m.Name)
+	return m
+}
+
+// loop schedules whenever something has changed, and looks after the machines
+// at regular times.
+func (s *Share) loop(ctx context.Context) error {
+	tick := time.NewTicker(250 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+		case <-tick.C:
+			s.mu.Lock()
+			s.watchMachinesLocked(time.Now())
+			s.mu.Unlock()
+		}
+		s.mu.Lock()
+		s.scheduleLocked(time.Now())
+		s.commitLocked()
+		s.mu.Unlock()
+	}
+}
+
+func (s *Share) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Checkin takes a worker's report. It returns nil if this share has no right
+// to answer it.
+func (s *Share) Checkin(r *wire.Report) *wire.ReportReply {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.opts.Authority.Permitted() {
+		return nil
+	}
+	reply := &wire.ReportReply{Token: s.opts.Authority.Token(), Commands: []wire.Command{}}
+	if !s.loaded {
+		s.early[r.Machine] = now
+		return reply
+	}
+	if _, gone := s.returned[r.Machine]; gone {
+		return nil // sent before its machine was returned
+	}
+	m := s.machines[r.Machine]
+	if m == nil {
+		m = s.addMachineLocked(fleet.NewMachine(r.Machine), now)
+		s.log.Info("machine joined", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
+	}
+	fresh := s.applyLocked(m, r)
+	m.LastAnswer = now
+	if !fresh {
+		// Late or repeated: its reply will be dropped, and must not carry
+		// commands meant for the worker as it is now.
+		return reply
+	}
+	reply.Commands = append(reply.Commands, m.Reply()...)
+	return reply
+}
+
+// applyLocked takes a report or the answer to a direct command.
+func (s *Share) applyLocked(m *machine, r *wire.Report) bool {
+	if s.machines[m.Name] != m || r.Machine != m.Name {
+		return false
+	}
+	now := time.Now()
+	events, fresh := m.Apply(r, now)
+	if !fresh {
+		return false
+	}
+	m.failures = 0
+	if m.Type == nil {
+		m.Type = s.types[m.TypeName]
+	}
+	s.handleLocked(m, events)
+	if len(events) > 0 {
+		s.poke()
+	}
+	if s.wantsDirectLocked(m) {
+		s.sendLocked(m)
+	}
+	return true
+}
+
+// wantsDirectLocked tells whether waiting for the next report would cost
+// time: stops make room for what waits.
+func (s *Share) wantsDirectLocked(m *machine) bool {
+	for _, a := range m.Attempts {
+		if a.Stop && a.State != "" && !a.Exited() && a.State != wire.TaskSaving {
+			return true
+		}
+	}
+	return false
+}
+
+// synced tells whether the machine's report under this share's token has
+// come: then its records are settled.
+func (s *Share) synced(m *machine) bool { return m.Reported && m.Token >= s.base }
+
+// handleLocked draws the consequences of what a report or a proof told.
+func (s *Share) handleLocked(m *machine, events []fleet.Event) {
+	for _, e := range events {
+		a := e.Attempt
+		switch e.Kind {
+		case fleet.Found:
+			s.adoptLocked(m, a)
+			if a.Exited() {
+				s.exitedLocked(m, a)
+			}
+		case fleet.Started:
+			if js := s.jobs[a.Job]; js != nil && a.Service {
+				js.succeeded = true
+			}
+		case fleet.Exited:
+			s.exitedLocked(m, a)
+		case fleet.Lost:
+			s.log.Info("task lost", "task", a.Task, "attempt", a.Attempt, "machine", m.Name)
+			s.uncountLocked(a)
+		}
+	}
+	s.closeIfEmptyLocked(m)
+}
+
+// closeIfEmptyLocked takes a machine whose last task has ended off the list.
+func (s *Share) closeIfEmptyLocked(m *machine) {
+	if m.Live() > 0 {
+		if !s.list.Has(m.Name) {
+			s.list.Append(m.Name)
+		}
+		return
+	}
+	if s.list.Has(m.Name) {
+		s.list.Close(m.Name)
+		m.idleSince = time.Now()
+	}
+}
+
+// adoptLocked takes in an attempt that was recorded before or that a report
+// shows unexpectedly.
+func (s *Share) adoptLocked(m *machine, a *fleet.Attempt) {
+	js := s.jobs[a.Job]
+	if js == nil || a.Index >= js.rec.Job.Tasks {
+		if js != nil {
+			a.Stop = true
+			return
+		}
+		s.resolveLocked(a.Job)
+		return
+	}
+	s.describe(a, &js.rec.Job)
+	if a.Exited() {
+		return
+	}
+	if js.done.Has(a.Index) || js.live[a.Index] > 0 {
+		// Its result is known, or another attempt may be elsewhere: never two.
+		a.Stop = true
+	}
+	s.countLocked(m, a)
+	s.closeIfEmptyLocked(m)
+}
+
+func (s *Share) describe(a *fleet.Attempt, j *wire.Job) {
+	a.Team, a.Rank, a.Service = j.Team, j.Priority.Rank(), j.Kind == wire.KindService
+	a.Image, a.ImageGB = j.Image, j.ImageGB
+	a.Size, a.Sized = placement.Of(j), true
+	if j.CheckpointS > 0 {
+		a.GraceS = graceFor(j)
+	}
+}
+
+// graceFor leaves a task a little more than its owner says it needs to save.
+func graceFor(j *wire.Job) float64 { return j.SaveS*1.25 + 0.5 }
+
+// resolveLocked looks up a job that is not among the active ones, since tasks
+// of it may be on machines: it is over, or only not heard of yet.
+func (s *Share) resolveLocked(id string) {
+	if s.resolve[id] {
+		return
+	}
+	s.resolve[id] = true
+	s.goDo(func(ctx context.Context) {
+		for {
+			f, over, found, err := s.opts.Jobs.Resolve(ctx, id)
+			if err != nil {
+				if !pause(ctx, 300*time.Millisecond) {
+					return
+				}
+				continue
+			}
+			s.mu.Lock()
+			delete(s.resolve, id)
+			if over || !found {
+				// When it ended is not known: perhaps long ago.
+				s.endLocked(id, f, time.Now().Add(s.opts.Settings.ReportEvery*2))
+			}
+			s.mu.Unlock()
+			return
+		}
+	})
+}
+
+func (s *Share) countLocked(m *machine, a *fleet.Attempt) {
+	if a.Counted {
+		return
+	}
+	a.Counted, a.Zone = true, m.Zone
+	s.used[a.Team] = s.used[a.Team].Plus(a.Size)
+	if js := s.jobs[a.Job]; js != nil {
+		js.live[a.Index]++
+		js.zones[a.Zone]++
+	}
+}
+
+// uncountLocked takes an attempt out of all sums: it is surely gone. Its task
+// is queued again, unless it is done or may be elsewhere.
+func (s *Share) uncountLocked(a *fleet.Attempt) {
+	if !a.Counted {
+		return
+	}
+	a.Counted = false
+	s.used[a.Team] = s.used[a.Team].Minus(a.Size)
+	js := s.jobs[a.Job]
+	if js == nil {
+		return
+	}
+	js.zones[a.Zone]--
+	if js.live[a.Index]--; js.live[a.Index] <= 0 {
+		delete(js.live, a.Index)
+		if !js.done.Has(a.Index) && a.Index < js.next {
+			js.retry = append(js.retry, a.Index)
+		}
+	}
+	s.poke()
+}
+
+// exitedLocked takes the end of an attempt.
+func (s *Share) exitedLocked(m *machine, a *fleet.Attempt) {
+	js := s.jobs[a.Job]
+	now := time.Now()
+	if a.Why == wire.WhyDone && js != nil && !a.Service {
+		js.succeeded = true
+		clear(m.failedJobs)
+		chunk := js.done.Add(a.Index)
+		js.dirty[chunk] = true
+		js.awaiting[chunk] = append(js.awaiting[chunk], a)
+		s.uncountLocked(a)
+		s.stopOthersLocked(a)
+		s.flushLocked(js)
+		return
+	}
+	a.Handled = true
+	switch a.Why {
+	case wire.WhyStopped, wire.WhyDone:
+	case wire.WhyError:
+		s.failedLocked(m, js, a, now)
+	default:
+		s.log.Info("start refused", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "why", a.Why)
+		m.cooling = now.Add(time.Second)
+		if js != nil && a.Why == wire.WhyUnknown {
+			js.notBefore = now.Add(2 * time.Second)
+		}
+	}
+	s.uncountLocked(a)
+}
+
+// stopOthersLocked stops other attempts of a task that is done.
+func (s *Share) stopOthersLocked(done *fleet.Attempt) {
+	js := s.jobs[done.Job]
+	if js == nil || js.live[done.Index] == 0 {
+		return
+	}
+	for _, m := range s.machines {
+		for _, a := range m.Attempts {
+			if a.Task == done.Task && a != done && !a.Exited() {
+				a.Stop = true
+				s.sendLocked(m)
+			}
+		}
+	}
+}
+
+// failedLocked judges a failure: is it the machine or the job? A machine on
+// which several jobs fail that do not fail elsewhere is set aside; a job that
+// fails on several machines and succeeds on none is tried again ever later.
+func (s *Share) failedLocked(m *machine, js *jobState, a *fleet.Attempt, now time.Time) {
+	s.log.Info("task failed", "task", a.Task, "attempt", a.Attempt, "machine", m.Name)
+	if js == nil {
+		return
+	}
+	js.failedOn[m.Name] = true
+	m.failedJobs[a.Job] = true
+	if n := len(js.failedOn); n >= 2 && !js.succeeded {
+		js.notBefore = now.Add(min(30*time.Second, time.Second<<min(n-2, 5)))
+	}
+	evidence := 0
+	for id := range m.failedJobs {
+		if other := s.jobs[id]; other != nil && !other.mistaken() {
+			evidence++
+		}
+	}
+	if evidence >= 2 && !m.suspect {
+		m.suspect = true
+		s.log.Info("machine set aside: jobs fail on it that do not fail elsewhere", "machine", m.Name)
+	}
+}
+
+// mistaken tells whether the job seems to fail everywhere.
+func (js *jobState) mistaken() bool { return len(js.failedOn) >= 2 && !js.succeeded }
+
+// JobAdded implements job.Listener.
+func (s *Share) JobAdded(r *job.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.jobs[r.Job.ID] != nil {
+		return
+	}
+	s.addJobLocked(r)
+	for _, m := range s.machines {
+		for _, a := range m.Attempts {
+			if a.Job == r.Job.ID {
+				s.adoptLocked(m, a)
+				if a.Exited() && !a.Handled {
+					s.exitedLocked(m, a)
+				}
+			}
+		}
+	}
+	s.poke()
+}
+
+func (s *Share) addJobLocked(r *job.Record) *jobState {
+	j := &r.Job
+	accepted := time.UnixMilli(r.AcceptedMs)
+	js := &jobState{
+		rec: r, size: placement.Of(j), live: map[int]int{}, zones: map[string]int{},
+		done: &job.DoneSet{}, versions: job.DoneVersions{}, dirty: map[int]bool{}, awaiting: map[int][]*fleet.Attempt{},
+		failedOn: map[string]bool{}, due: s.dueBy(j, accepted),
+	}
+	s.jobs[j.ID] = js
+	return js
+}
+
+// dueBy is by when the job's users want it, as far as they have said: its
+// deadline, less the time it takes, or the objective of its class.
+func (s *Share) dueBy(j *wire.Job, accepted time.Time) time.Time {
+	estimate := time.Duration(j.EstimateS * float64(time.Second))
+	if j.DeadlineS != nil {
+		return accepted.Add(time.Duration(*j.DeadlineS*float64(time.Second)) - estimate)
+	}
+	within := time.Duration(0)
+	for _, o := range s.opts.Settings.Objectives {
+		if o.Class != j.Class || o.Within <= 0 {
+			continue
+		}
+		if within == 0 || o.Within < within {
+			within = o.Within
+		}
+	}
+	if within == 0 {
+		within = time.Minute
+	}
+	return accepted.Add(within)
+}
+
+// JobEnded implements job.Listener.
+func (s *Share) JobEnded(id string, f job.Final) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endLocked(id, f, time.Now().Add(s.opts.Settings.CancelIn*3/4))
+}
+
+// endLocked forgets a job that is over and stops its tasks.
+func (s *Share) endLocked(id string, f job.Final, goneBy time.Time) {
+	js := s.jobs[id]
+	if js != nil {
+		for _, attempts := range js.awaiting {
+			for _, a := range attempts {
+				a.Handled = true
+			}
+		}
+		if len(js.versions) > 0 {
+			s.goDo(func(ctx context.Context) { s.dropDone(ctx, id, js.versions) })
+		}
+	}
+	delete(s.jobs, id)
+	s.endTasksLocked(id, f, goneBy)
+}
+
+func (s *Share) dropDone(ctx context.Context, id string, versions job.DoneVersions) {
+	if err := s.opts.Jobs.DropDone(ctx, id, versions); err != nil {
+		s.log.Debug("dropping done tasks failed", "job", id, "err", err)
+	}
+}
+
+// endTasksLocked stops every task of a job that is over, also those whose
+// start may still be under way.
+func (s *Share) endTasksLocked(id string, f job.Final, goneBy time.Time) {
+	for _, m := range s.machines {
+		touched := false
+		for key, a := range m.Attempts {
+			if a.Job != id {
+				continue
+			}
+			if a.Exited() {
+				a.Handled = true
+				continue
+			}
+			if a.Unsent() {
+				delete(m.Attempts, key)
+				s.uncountLocked(a)
+				touched = true
+				continue
+			}
+			a.Stop, a.GraceS, a.MustGoBy = true, 0, goneBy
+			if !a.Sized {
+				a.Team, a.Size, a.Sized = f.Team, placement.Resources{CPUs: f.CPUs, GPUs: f.GPUs, MemoryGB: f.MemoryGB}, true
+				s.countLocked(m, a)
+			}
+			touched = true
+		}
+		if touched {
+			s.closeIfEmptyLocked(m)
+			s.sendLocked(m)
+		}
+	}
+	s.poke()
+}
+
+// commandTimeout bounds a direct command; the next report brings it again.
+const commandTimeout = 2 * time.Second
+
+// sendLocked sends a worker what it should be told, without waiting for its
+// next report.
+func (s *Share) sendLocked(m *machine) {
+	if m.sending {
+		m.sendAgain = true
+		return
+	}
+	if m.Address == "" || !m.Reported || !s.opts.Authority.Permitted() {
+		return
+	}
+	req := m.Direct(s.opts.Authority.Token())
+	if req == nil {
+		return
+	}
+	m.sending = true
+	s.goDo(func(ctx context.Context) {
+		cctx, cancel := context.WithTimeout(ctx, commandTimeout)
+		report, err := s.opts.Workers.Command(cctx, m.Address, req)
+		cancel()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		m.sending = false
+		m.DirectDone(req, err == nil)
+		if err != nil {
+			s.log.Debug("no answer from worker", "machine", m.Name, "err", err)
+			m.sendAgain = false
+			return
+		}
+		s.applyLocked(m, report)
+		if m.sendAgain {
+			m.sendAgain = false
+			s.sendLocked(m)
+		}
+	})
+}
+
+// progressFor is how long a change of progress is told, so that a lost
+// message does not hide it.
+const progressFor = 3 * time.Second
+
+// Progress tells how far the jobs are whose progress has changed lately, for
+// display.
+func (s *Share) Progress() map[string]job.Progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	running := map[string]int{}
+	for _, m := range s.machines {
+		for _, a := range m.Attempts {
+			if a.State == wire.TaskRunning {
+				running[a.Job]++
+			}
+		}
+	}
+	changed := map[string]job.Progress{}
+	for id, js := range s.jobs {
+		p := job.Progress{Done: js.done.Count, Running: running[id]}
+		if p != js.told {
+			js.told, js.toldAt = p, now
+		}
+		if now.Sub(js.toldAt) < progressFor {
+			changed[id] = p
+		}
+	}
+	return changed
+}
+
+// flushLocked writes a job's done tasks, and its end when all are done.
+func (s *Share) flushLocked(js *jobState) {
+	finished := js.rec.Job.Kind == wire.KindArray && js.done.Count >= js.rec.Job.Tasks
+	if js.flushing || len(js.dirty) == 0 && !finished {
+		return
+	}
+	js.flushing = true
+	s.goDo(func(ctx context.Context) {
+		for s.flushOnce(ctx, js) {
+		}
+	})
+}
+
+// flushOnce writes one chunk, or the end of the job. It returns false when
+// nothing is left to write.
+func (s *Share) flushOnce(ctx context.Context, js *jobState) bool {
+	s.mu.Lock()
+	id := js.rec.Job.ID
+	if s.jobs[id] != js || ctx.Err() != nil {
+		js.flushing = false
+		s.mu.Unlock()
+		return false
+	}
+	finished := js.rec.Job.Kind == wire.KindArray && js.done.Count >= js.rec.Job.Tasks
+	chunk, bits, found := 0, []byte(nil), false
+	if !finished {
+		for chunk = range js.dirty {
+			found = true
+			break
+		}
+		if !found {
+			js.flushing = false
+			s.mu.Unlock()
+			return false
+		}
+		bits = js.done.Chunk(chunk)
+		delete(js.dirty, chunk)
+	}
+	attempts := js.awaiting[chunk]
+	delete(js.awaiting, chunk)
+	version := js.versions[chunk]
+	s.mu.Unlock()
+
+	fence := s.opts.Authority.Condition()
+	var err error
+	if finished {
+		err = s.opts.Jobs.Finish(ctx, js.rec, fence)
+	} else {
+		version, err = s.opts.Jobs.WriteDone(ctx, js.rec, fence, chunk, bits, version)
+	}
+
+	s.mu.Lock()
+	var conflict *state.Conflict
+	switch {
+	case err == nil:
+		if !finished {
+			js.versions[chunk] = version
+		}
+		for _, a := range attempts {
+			a.Handled = true
+		}
+	default:
+		js.awaiting[chunk] = append(js.awaiting[chunk], attempts...)
+		if !finished {
+			js.dirty[chunk] = true
+		}
+		if errors.As(err, &conflict) {
+			s.log.Debug("writing done tasks failed", "job", id, "err", err)
+			for _, key := range conflict.Failed {
+				if ended, ok := job.IsActive(key); ok {
+					s.resolveLocked(ended)
+				}
+			}
+		}
+	}
+	s.mu.Unlock()
+	if err != nil && !pause(ctx, 300*time.Millisecond) {
+		return false
+	}
+	return true
+}
+
+// pause waits, or returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,308 @@
+// Package server answers users, workers and health checks over HTTP.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heronwick/internal/config"
+	"heronwick/internal/placement"
+	"heronwick/wire"
+)
+
+// Jobs accepts, tells of and cancels jobs.
+type Jobs interface {
+	Submit(ctx context.Context, j wire.Job) (status wire.JobStatus, created bool, err error)
+	Status(ctx context.Context, id string) (status wire.JobStatus, found bool, err error)
+	Cancel(ctx context.Context, id string) (status wire.JobStatus, found bool, err error)
+}
+
+// Options are what a Server needs.
+type Options struct {
+	Settings *config.Settings
+	Jobs     Jobs
+	Types    func() []wire.MachineType
+	// Checkin answers a report, or returns nil and to whom the worker should
+	// report, if that is known.
+	Checkin func(r *wire.Report) (reply *wire.ReportReply, redirect string)
+	Ready   func() bool
+	Log     *slog.Logger
+}
+
+// Deadlines of requests: users wait 2 s for a poll and 5 s for the rest.
+const (
+	pollTimeout   = 1500 * time.Millisecond
+	changeTimeout = 2500 * time.Millisecond
+)
+
+// maxUserRequests bounds the user requests in progress. Beyond it they are
+// refused at once, so that workers' reports are answered whatever users do.
+const maxUserRequests = 200
+
+// Server is the HTTP interface of a controller.
+type Server struct {
+	opts  Options
+	users chan struct{}
+	teams map[string]config.Team
+}
+
+// New makes a Server.
+func New(opts Options) *Server {
+	s := &Server{opts: opts, users: make(chan struct{}, maxUserRequests), teams: map[string]config.Team{}}
+	for _, t := range opts.Settings.Teams {
+		s.teams[t.Name] = t
+	}
+	return s
+}
+
+// Serve answers requests on ln until ctx ends.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	server := &fasthttp.Server{
+		Handler:                       s.Handle,
+		ErrorHandler:                  s.badRequest,
+		Name:                          "heronwick",
+		MaxRequestBodySize:            wire.MaxBody,
+		ReadBufferSize:                4 << 10,
+		WriteBufferSize:               4 << 10,
+		ReadTimeout:                   15 * time.Second, // a request that hangs half-way holds no socket for long
+		WriteTimeout:                  5 * time.Second,
+		IdleTimeout:                   2 * time.Minute,
+		Concurrency:                   s.opts.Settings.MaxConnections * 4 / 5, // leaves sockets for peers, state service and workers
+		NoDefaultDate:                 true,
+		DisableHeaderNamesNormalizing: false,
+		ReduceMemoryUsage:             true,
+		CloseOnShutdown:               true,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	err := server.Serve(ln)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// badRequest answers what is not HTTP, or too large: it is malformed, and
+// repeating it would not help.
+func (s *Server) badRequest(ctx *fasthttp.RequestCtx, err error) {
+	s.refuse(ctx, 400, &wire.FieldError{Reason: "bad request: " + err.Error()})
+	ctx.SetConnectionClose()
+}
+
+// Handle answers one request.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		// One bad request must not end the process, and with it all others'.
+		if r := recover(); r != nil {
+			s.opts.Log.Error("panic in a handler", "panic", r, "stack", string(debug.Stack()))
+			s.refuse(ctx, 500, errors.New("internal error"))
+		}
+	}()
+	path := string(ctx.Path())
+	method := string(ctx.Method())
+	switch {
+	case path == wire.PathReport:
+		if s.allow(ctx, method, "POST") {
+			s.report(ctx)
+		}
+	case path == wire.PathReady:
+		if s.allow(ctx, method, "GET") {
+			s.ready(ctx)
+		}
+	case path == wire.PathJobs:
+		if s.allow(ctx, method, "POST") {
+			s.user(ctx, s.submit)
+		}
+	case strings.HasPrefix(path, wire.PathJobs+"/"):
+		id, suffix, more := strings.Cut(path[len(wire.PathJobs)+1:], "/")
+		switch {
+		case !more:
+			if s.allow(ctx, method, "GET") {
+				s.user(ctx, func(ctx *fasthttp.RequestCtx) { s.status(ctx, id) })
+			}
+		case suffix == wire.SuffixCancel:
+			if s.allow(ctx, method, "POST") {
+				s.user(ctx, func(ctx *fasthttp.RequestCtx) { s.cancel(ctx, id) })
+			}
+		default:
+			s.refuse(ctx, 404, errors.New("no such path"))
+		}
+	default:
+		s.refuse(ctx, 404, errors.New("no such path"))
+	}
+}
+
+func (s *Server) allow(ctx *fasthttp.RequestCtx, method, want string) bool {
+	if method == want {
+		return true
+	}
+	ctx.Response.Header.Set("Allow", want)
+	s.refuse(ctx, 405, errors.New("method not allowed"))
+	return false
+}
+
+func (s *Server) user(ctx *fasthttp.RequestCtx, handle func(*fasthttp.RequestCtx)) {
+	select {
+	case s.users <- struct{}{}:
+		defer func() { <-s.users }()
+		handle(ctx)
+	default:
+		s.unavailable(ctx, errors.New("too many requests"))
+	}
+}
+
+func (s *Server) answer(ctx *fasthttp.RequestCtx, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		s.opts.Log.Error("encoding an answer", "err", err)
+		status, text = 500, []byte(`{"error":"internal error"}`)
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(text)
+}
+
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, status int, err error) {
+	body := wire.Error{Error: err.Error()}
+	var field *wire.FieldError
+	if errors.As(err, &field) {
+		body.Field = field.Field
+	}
+	s.answer(ctx, status, body)
+}
+
+// unavailable refuses at once and says when to come back.
+func (s *Server) unavailable(ctx *fasthttp.RequestCtx, err error) {
+	ctx.Response.Header.Set("Retry-After", "1")
+	s.refuse(ctx, 503, err)
+}
+
+func (s *Server) submit(ctx *fasthttp.RequestCtx) {
+	c, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	j, err := wire.ParseJob(ctx.PostBody())
+	types := s.opts.Types()
+	if err == nil && types == nil {
+		s.unavailable(ctx, errors.New("the machine types are not known yet"))
+		return
+	}
+	code := 400
+	if err == nil {
+		code, err = 422, s.canRun(&j, types)
+	}
+	if err != nil {
+		// A repeated submission of an accepted job is answered as such,
+		// whatever else it holds now.
+		if j.ID != "" {
+			status, found, serr := s.opts.Jobs.Status(c, j.ID)
+			switch {
+			case serr != nil:
+				s.unavailable(ctx, serr)
+				return
+			case found:
+				s.answer(ctx, 200, status)
+				return
+			}
+		}
+		s.refuse(ctx, code, err)
+		return
+	}
+	status, created, err := s.opts.Jobs.Submit(c, j)
+	switch {
+	case err != nil:
+		s.unavailable(ctx, err)
+	case created:
+		s.answer(ctx, 201, status)
+	default:
+		s.answer(ctx, 200, status)
+	}
+}
+
+// canRun tells why a job can never run: its team is unknown, no machine type
+// takes its tasks, or it needs more than its team's limit.
+func (s *Server) canRun(j *wire.Job, types []wire.MachineType) error {
+	if len(s.teams) > 0 {
+		t, ok := s.teams[j.Team]
+		if !ok {
+			return &wire.FieldError{Field: "roost", Reason: "no such team"}
+		}
+		n := 1.0
+		if j.Kind == wire.KindService {
+			n = float64(j.Tasks)
+		}
+		need := placement.Of(j).Times(n)
+		if t.CPUsMax > 0 && need.CPUs > t.CPUsMax || t.GPUsMax > 0 && need.GPUs > t.GPUsMax {
+			return &wire.FieldError{Field: "feathers", Reason: "the job needs more than its team's limit"}
+		}
+	}
+	if !placement.CanEver(j, types) {
+		return errors.New("a task fits no machine type that the job allows")
+	}
+	return nil
+}
+
+func (s *Server) status(ctx *fasthttp.RequestCtx, id string) {
+	if !wire.ValidJobID(id) {
+		s.refuse(ctx, 404, errors.New("no such job"))
+		return
+	}
+	c, cancel := context.WithTimeout(context.Background(), pollTimeout)
+	defer cancel()
+	status, found, err := s.opts.Jobs.Status(c, id)
+	s.tell(ctx, status, found, err)
+}
+
+func (s *Server) cancel(ctx *fasthttp.RequestCtx, id string) {
+	if !wire.ValidJobID(id) {
+		s.refuse(ctx, 404, errors.New("no such job"))
+		return
+	}
+	c, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	status, found, err := s.opts.Jobs.Cancel(c, id)
+	s.tell(ctx, status, found, err)
+}
+
+func (s *Server) tell(ctx *fasthttp.RequestCtx, status wire.JobStatus, found bool, err error) {
+	switch {
+	case err != nil:
+		s.unavailable(ctx, err)
+	case !found:
+		s.refuse(ctx, 404, errors.New("no such job"))
+	default:
+		s.answer(ctx, 200, status)
+	}
+}
+
+func (s *Server) ready(ctx *fasthttp.RequestCtx) {
+	if !s.opts.Ready() {
+		s.unavailable(ctx, errors.New("not ready"))
+		return
+	}
+	s.answer(ctx, 200, struct{}{})
+}
+
+func (s *Server) report(ctx *fasthttp.RequestCtx) {
+	var r wire.Report
+	if err := json.Unmarshal(ctx.PostBody(), &r); err != nil || r.Machine == "" || r.Session == 0 {
+		s.refuse(ctx, 400, &wire.FieldError{Reason: "not a report"})
+		return
+	}
+	reply, redirect := s.opts.Checkin(&r)
+	switch {
+	case reply != nil:
+		s.answer(ctx, 200, reply)
+	case redirect != "":
+		s.answer(ctx, 421, wire.Redirect{ReportTo: redirect})
+	default:
+		s.unavailable(ctx, errors.New("no right to answer workers"))
+	}
+}
--- /dev/null
+++ b/internal/state/budget.go
@@ -0,0 +1,153 @@
+package state
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Priority orders the requests of one controller to the state service.
+type Priority int
+
+// The priorities, most important first.
+const (
+	Urgent     Priority = iota // lease renewals, the epoch
+	Safety                     // what workers' reports and cancellations need
+	Placement                  // placements, and answers to users
+	Submission                 // accepting new jobs
+	priorities
+)
+
+// Budget is this controller's part of the state service's request and write
+// limits. Waiters are served by priority, then in order of arrival.
+//
+// x/time/rate has no priorities and counts one resource only, so the two
+// buckets are kept here.
+type Budget struct {
+	mu       sync.Mutex
+	requests bucket
+	writes   bucket
+	waiting  [priorities][]*waiter
+	timer    *time.Timer
+	pausedTo time.Time
+}
+
+type bucket struct {
+	rate, level, burst float64
+	last               time.Time
+}
+
+func (b *bucket) refill(now time.Time) {
+	b.level = min(b.burst, b.level+b.rate*now.Sub(b.last).Seconds())
+	b.last = now
+}
+
+// setRate changes the rate and keeps the burst at one second's worth, which
+// is what the service allows, but never less than one transaction needs.
+func (b *bucket) setRate(rate, least float64) {
+	now := time.Now()
+	b.refill(now)
+	b.rate, b.burst = rate, max(rate, least)
+	b.level = min(b.level, b.burst)
+}
+
+type waiter struct {
+	writes float64
+	ready  chan struct{}
+}
+
+// NewBudget makes a budget of so many requests and writes a second. largest
+// is the number of writes of the largest transaction.
+func NewBudget(requests, writes float64, largest int) *Budget {
+	now := time.Now()
+	b := &Budget{}
+	b.requests = bucket{rate: requests, level: max(requests, 1), burst: max(requests, 1), last: now}
+	burst := max(writes, float64(largest))
+	b.writes = bucket{rate: writes, level: burst, burst: burst, last: now}
+	return b
+}
+
+// SetRates changes the budget, for example when this controller becomes the
+// leader.
+func (b *Budget) SetRates(requests, writes float64, largest int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests.setRate(requests, 1)
+	b.writes.setRate(writes, float64(largest))
+}
+
+// Pause holds every request back for a while: the service said 429, so
+// together the controllers asked too much.
+func (b *Budget) Pause(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if until := time.Now().Add(d); until.After(b.pausedTo) {
+		b.pausedTo = until
+	}
+}
+
+// Acquire waits for one request with so many writes.
+func (b *Budget) Acquire(ctx context.Context, p Priority, writes int) error {
+	w := &waiter{writes: float64(writes), ready: make(chan struct{})}
+	b.mu.Lock()
+	b.waiting[p] = append(b.waiting[p], w)
+	b.serveLocked()
+	b.mu.Unlock()
+	select {
+	case <-w.ready:
+		return nil
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, other := range b.waiting[p] {
+		if other == w {
+			b.waiting[p] = append(b.waiting[p][:i], b.waiting[p][i+1:]...)
+			return ctx.Err()
+		}
+	}
+	return nil // served at the last moment
+}
+
+// serveLocked lets in whom the buckets allow and sets the timer for the next.
+func (b *Budget) serveLocked() {
+	now := time.Now()
+	b.requests.refill(now)
+	b.writes.refill(now)
+	for p := range b.waiting {
+		for len(b.waiting[p]) > 0 {
+			w := b.waiting[p][0]
+			wait := b.shortfall(now, w)
+			if wait > 0 {
+				b.wakeIn(wait)
+				return // nobody of lower priority passes
+			}
+			b.requests.level--
+			b.writes.level -= w.writes
+			b.waiting[p] = b.waiting[p][1:]
+			close(w.ready)
+		}
+	}
+}
+
+func (b *Budget) shortfall(now time.Time, w *waiter) time.Duration {
+	wait := b.pausedTo.Sub(now)
+	if lack := 1 - b.requests.level; lack > 0 {
+		wait = max(wait, time.Duration(lack/b.requests.rate*float64(time.Second))+time.Millisecond)
+	}
+	if lack := w.writes - b.writes.level; w.writes > 0 && lack > 0 {
+		wait = max(wait, time.Duration(lack/b.writes.rate*float64(time.Second))+time.Millisecond)
+	}
+	return wait
+}
+
+func (b *Budget) wakeIn(d time.Duration) {
+	if b.timer != nil {
+		b.timer.Stop()
+	}
+	b.timer = time.AfterFunc(d, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.serveLocked()
+	})
+}
--- /dev/null
+++ b/internal/state/commit.go
@@ -0,0 +1,235 @@
+package state
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"reflect"
+	"sync"
+	"time"
+
+	"heronwick/wire"
+)
+
+// Write is one unit of work for a Committer: its changes are made together,
+// when its conditions hold.
+type Write struct {
+	Priority Priority
+	If       []wire.Condition
+	Then     []wire.Change
+	// Persist keeps the write going until the service gives a definite answer
+	// or the context ends. Otherwise it fails with ErrUnavailable or
+	// ErrUnknown after one try.
+	Persist bool
+}
+
+type pending struct {
+	Write
+	ctx     context.Context
+	unknown bool // an earlier try had no response
+	done    chan outcome
+}
+
+type outcome struct {
+	revision uint64
+	err      error
+}
+
+// Committer groups writes into transactions (group commit). While one
+// transaction is under way the next fills, so that a quiet service has no
+// added delay and a busy one few transactions.
+type Committer struct {
+	client   *Client
+	ops      int
+	mu       sync.Mutex
+	queue    []*pending
+	inFlight int
+}
+
+// maxTxnBytes leaves room for the envelope below the service's 64 KiB.
+const maxTxnBytes = 56 << 10
+
+// maxInFlight lets a slow response hold up only part of the writes.
+const maxInFlight = 3
+
+// NewCommitter makes a Committer whose transactions hold at most ops changes
+// and four times as many conditions.
+func NewCommitter(client *Client, ops int) *Committer {
+	return &Committer{client: client, ops: ops}
+}
+
+// Commit carries out a write, in one transaction with others that wait. The
+// error is a *Conflict with the keys of this write that failed. Each write's
+// conditions must make a late copy of it fail.
+func (c *Committer) Commit(ctx context.Context, w Write) (uint64, error) {
+	p := &pending{Write: w, ctx: ctx, done: make(chan outcome, 1)}
+	c.mu.Lock()
+	c.queue = append(c.queue, p)
+	c.startLocked()
+	c.mu.Unlock()
+	select {
+	case o := <-p.done:
+		return o.revision, o.err
+	case <-ctx.Done():
+		return 0, errors.Join(ErrUnknown, ctx.Err())
+	}
+}
+
+func (c *Committer) startLocked() {
+	for c.inFlight < maxInFlight && len(c.queue) > 0 {
+		batch := c.takeLocked()
+		c.inFlight++
+		go c.run(batch)
+	}
+}
+
+// takeLocked takes the writes of the next transaction, the most urgent first.
+func (c *Committer) takeLocked() []*pending {
+	var batch, rest []*pending
+	ops, conditions, size := 0, 0, 0
+	for p := range priorities {
+		for _, w := range c.queue {
+			if w.Priority != p {
+				continue
+			}
+			bytes := 0
+			for _, change := range w.Then {
+				bytes += len(change.Value) + len(change.Put) + len(change.Delete) + 64
+			}
+			bytes += 100 * len(w.If)
+			fits := ops+len(w.Then) <= c.ops && conditions+len(w.If) <= 4*c.ops && size+bytes <= maxTxnBytes
+			if len(batch) > 0 && !fits {
+				rest = append(rest, w)
+				continue
+			}
+			ops, conditions, size = ops+len(w.Then), conditions+len(w.If), size+bytes
+			batch = append(batch, w)
+		}
+	}
+	c.queue = rest
+	return batch
+}
+
+func (c *Committer) run(batch []*pending) {
+	defer func() {
+		c.mu.Lock()
+		c.inFlight--
+		c.startLocked()
+		c.mu.Unlock()
+	}()
+	backoff := 50 * time.Millisecond
+	for len(batch) > 0 {
+		txn := wire.Txn{}
+		seen := map[wire.Condition]bool{}
+		priority := priorities
+		for _, w := range batch {
+			priority = min(priority, w.Priority)
+			for _, condition := range w.If {
+				if !seen[condition] {
+					seen[condition] = true
+					txn.If = append(txn.If, condition)
+				}
+			}
+			txn.Then = append(txn.Then, w.Then...)
+		}
+		// The transaction outlives any single writer's context, but not the
+		// last one's.
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		revision, err := c.client.Txn(ctx, priority, txn)
+		cancel()
+		var conflict *Conflict
+		switch {
+		case err == nil:
+			for _, w := range batch {
+				w.done <- outcome{revision: revision}
+			}
+			return
+		case errors.As(err, &conflict):
+			batch = c.settleConflict(batch, conflict)
+		default:
+			unknown := !errors.Is(err, ErrUnavailable)
+			var again []*pending
+			for _, w := range batch {
+				w.unknown = w.unknown || unknown
+				if w.Persist && w.ctx.Err() == nil {
+					again = append(again, w)
+					continue
+				}
+				if w.unknown {
+					err = errors.Join(ErrUnknown, err)
+				}
+				w.done <- outcome{err: err}
+			}
+			batch = again
+			if len(batch) > 0 {
+				time.Sleep(backoff)
+				backoff = min(2*backoff, time.Second)
+			}
+		}
+	}
+}
+
+// settleConflict ends the writes whose conditions failed and returns the
+// others, which go again at once. A write that had no response before may
+// have been carried out by that very try, so it is read back: here the
+// conflict proves that its conditions have moved on.
+func (c *Committer) settleConflict(batch []*pending, conflict *Conflict) []*pending {
+	var again []*pending
+	for _, w := range batch {
+		var mine []string
+		for _, condition := range w.If {
+			if conflict.Has(condition.Key) {
+				mine = append(mine, condition.Key)
+			}
+		}
+		switch {
+		case len(mine) == 0:
+			again = append(again, w)
+		case !w.unknown:
+			w.done <- outcome{err: &Conflict{Failed: mine}}
+		default:
+			w.done <- c.readBack(w, mine)
+		}
+	}
+	if len(again) == len(batch) {
+		// No key was named that anyone asked about: never loop on that.
+		for _, w := range again {
+			w.done <- outcome{err: conflict}
+		}
+		return nil
+	}
+	return again
+}
+
+// readBack tells whether an earlier try of w was carried out: then every
+// change is in place, at one revision for the puts.
+func (c *Committer) readBack(w *pending, failed []string) outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var revision uint64
+	for _, change := range w.Then {
+		key := change.Put + change.Delete
+		item, err := c.client.Get(ctx, w.Priority, key)
+		switch {
+		case errors.Is(err, ErrNotFound):
+			if change.Put != "" {
+				return outcome{err: &Conflict{Failed: failed}}
+			}
+		case err != nil:
+			return outcome{err: errors.Join(ErrUnknown, err)}
+		case change.Delete != "" || !sameJSON(item.Value, change.Value):
+			return outcome{err: &Conflict{Failed: failed}}
+		default:
+			revision = max(revision, item.Version)
+		}
+	}
+	return outcome{revision: revision}
+}
+
+func sameJSON(a, b json.RawMessage) bool {
+	var x, y any
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return false
+	}
+	return reflect.DeepEqual(x, y)
+}
--- /dev/null
+++ b/internal/state/route.go
@@ -0,0 +1,151 @@
+package state
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// HTTP sends requests straight to the state service.
+type HTTP struct {
+	client *fasthttp.HostClient
+}
+
+// NewHTTP makes a Doer for the state service at addr.
+func NewHTTP(addr string) *HTTP {
+	return &HTTP{client: &fasthttp.HostClient{
+		Addr:                          addr,
+		MaxConns:                      32,
+		MaxIdleConnDuration:           time.Minute,
+		MaxIdemponentCallAttempts:     1, // a silent second try would hide that the first may have been carried out
+		NoDefaultUserAgentHeader:      true,
+		DisableHeaderNamesNormalizing: true,
+		Dial: func(addr string) (net.Conn, error) {
+			return fasthttp.DialTimeout(addr, time.Second)
+		},
+	}}
+}
+
+// Do implements Doer.
+func (h *HTTP) Do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + h.client.Addr + target)
+	req.Header.SetMethod(method)
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(RequestTimeout)
+	}
+	if err := h.client.DoDeadline(req, resp, deadline); err != nil {
+		return 0, nil, fmt.Errorf("%s %s: %w", method, target, err)
+	}
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+}
+
+// directRetry is how long a failed direct path is left alone.
+const directRetry = time.Second
+
+// Route prefers the direct path to the state service and uses another
+// controller's while the direct one fails: one node alone can be refused or
+// cut off while the others are served.
+type Route struct {
+	direct Doer
+	peers  func() []Doer // peers that lately reached the service themselves
+
+	mu     sync.Mutex
+	badTo  time.Time // the direct path is left alone until then
+	lastOK time.Time // when the direct path last answered
+	viaOK  time.Time // when any path last answered
+	next   int
+}
+
+// NewRoute makes a Route; peers may be nil.
+func NewRoute(direct Doer, peers func() []Doer) *Route {
+	return &Route{direct: direct, peers: peers}
+}
+
+// DirectOK tells whether the direct path answered within d.
+func (r *Route) DirectOK(d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.lastOK.IsZero() && time.Since(r.lastOK) < d
+}
+
+// OK tells whether any path answered within d.
+func (r *Route) OK(d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.viaOK.IsZero() && time.Since(r.viaOK) < d
+}
+
+// Direct carries out a request for a peer, by the direct path only: a request
+// must not wander among controllers that all are refused.
+func (r *Route) Direct(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
+	status, reply, err := r.direct.Do(ctx, method, target, body)
+	r.note(status, err)
+	return status, reply, err
+}
+
+func (r *Route) note(status int, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	switch {
+	case err != nil || status == 503:
+		r.badTo = now.Add(directRetry)
+	default:
+		r.lastOK, r.viaOK, r.badTo = now, now, time.Time{}
+	}
+}
+
+// Do implements Doer. After a 503 (surely not carried out) another path is
+// tried at once; after silence the caller must decide, since the request may
+// have been carried out.
+func (r *Route) Do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
+	r.mu.Lock()
+	direct := !time.Now().Before(r.badTo)
+	r.mu.Unlock()
+	if direct {
+		status, reply, err := r.Direct(ctx, method, target, body)
+		if err != nil || status != 503 {
+			return status, reply, err
+		}
+	}
+	peer := r.pick()
+	if peer == nil {
+		if direct {
+			return 503, nil, nil
+		}
+		return r.Direct(ctx, method, target, body)
+	}
+	status, reply, err := peer.Do(ctx, method, target, body)
+	if err == nil && status != 503 {
+		r.mu.Lock()
+		r.viaOK = time.Now()
+		r.mu.Unlock()
+	}
+	return status, reply, err
+}
+
+func (r *Route) pick() Doer {
+	if r.peers == nil {
+		return nil
+	}
+	peers := r.peers()
+	if len(peers) == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+	return peers[r.next%len(peers)]
+}
