Queue by least remaining work, late jobs last

Cause: in a burst the queue served what was due first, so every job of the class became late by about the same time. Ruled out: capacity (the same machines), start latency (placements take about 40 ms).

--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -411,7 +411,7 @@
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *jobState) int {
-		return cmp.Or(cmp.Compare(a.rec.Job.Priority.Rank(), b.rec.Job.Priority.Rank()), a.due.Compare(b.due))
+		return cmp.Or(cmp.Compare(a.rec.Job.Priority.Rank(), b.rec.Job.Priority.Rank()), a.accepted.Compare(b.accepted))
 	})
 	rented := 0
 	for _, js := range waiting {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -49,9 +49,39 @@
 	js.next++
 }
 
+// starvedAfter is how many times its objective a job may wait behind others
+// of its priority that can still be in time.
+const starvedAfter = 10
+
+// urgency orders jobs of one priority: 0 for one that has starved, 1 for one
+// that can still be in time, 2 for one that is late already. When more is
+// asked than the machines can do, whoever serves late jobs first makes every
+// job late.
+func (js *jobState) urgency(now time.Time) int {
+	estimate := time.Duration(js.rec.Job.EstimateS * float64(time.Second))
+	longest := time.Duration(0)
+	for _, within := range js.within {
+		longest = max(longest, within)
+		// Estimates are often wrong by half.
+		if now.Add(estimate / 2).Before(js.accepted.Add(within)) {
+			return 1
+		}
+	}
+	if now.Sub(js.accepted) > starvedAfter*longest {
+		return 0
+	}
+	return 2
+}
+
+// remaining is the work left to place. The job with the least goes first:
+// that makes the most jobs end in time.
+func (js *jobState) remaining() float64 {
+	return float64(js.pending()) * js.share * max(js.rec.Job.EstimateS, 1)
+}
+
 // scheduleLocked places what can be placed: by priority, then teams within
-// their guarantee, then what is due first. A job that finds no room does not
-// hold up the others.
+// their guarantee, then what can be in time, the least work first. A job that
+// finds no room does not hold up the others.
 func (s *Share) scheduleLocked(now time.Time) {
 	if !s.loaded || !s.opts.Authority.Permitted() {
 		return
@@ -73,7 +103,8 @@
 		return cmp.Or(
 			cmp.Compare(a.rec.Job.Priority.Rank(), b.rec.Job.Priority.Rank()),
 			-cmp.Compare(boolInt(s.guaranteed(a)), boolInt(s.guaranteed(b))),
-			a.due.Compare(b.due),
+			cmp.Compare(a.urgency(now), b.urgency(now)),
+			cmp.Compare(a.remaining(), b.remaining()),
 			cmp.Compare(a.rec.Job.ID, b.rec.Job.ID),
 		)
 	})
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -107,7 +107,10 @@
 type jobState struct {
 	rec  *job.Record
 	size placement.Resources
-	due  time.Time
+
+	share    float64 // the largest part of a machine that a task takes
+	accepted time.Time
+	within   []time.Duration // objectives, from accepted on
 
 	next  int   // tasks from here on were never queued for another try
 	retry []int // tasks to place again
@@ -635,36 +638,47 @@
 
 func (s *Share) addJobLocked(r *job.Record) *jobState {
 	j := &r.Job
-	accepted := time.UnixMilli(r.AcceptedMs)
 	js := &jobState{
 		rec: r, size: placement.Of(j), live: map[int]int{}, zones: map[string]int{},
 		done: &job.DoneSet{}, versions: job.DoneVersions{}, dirty: map[int]bool{}, awaiting: map[int][]*fleet.Attempt{},
-		failedOn: map[string]bool{}, due: s.dueBy(j, accepted),
+		failedOn: map[string]bool{}, accepted: time.UnixMilli(r.AcceptedMs), within: s.objectives(j),
 	}
+	js.share = s.dominantShare(js.size)
 	s.jobs[j.ID] = js
 	return js
 }
 
-// dueBy is by when the job's users want it, as far as they have said: its
-// deadline, less the time it takes, or the objective of its class.
-func (s *Share) dueBy(j *wire.Job, accepted time.Time) time.Time {
-	estimate := time.Duration(j.EstimateS * float64(time.Second))
+// objectives is within what time of its acceptance the job's users want it,
+// as far as they have said: its deadline, and the objectives of its class.
+func (s *Share) objectives(j *wire.Job) []time.Duration {
 	if j.DeadlineS != nil {
-		return accepted.Add(time.Duration(*j.DeadlineS*float64(time.Second)) - estimate)
+		return []time.Duration{time.Duration(*j.DeadlineS * float64(time.Second))}
 	}
-	within := time.Duration(0)
+	var all []time.Duration
 	for _, o := range s.opts.Settings.Objectives {
-		if o.Class != j.Class || o.Within <= 0 {
-			continue
-		}
-		if within == 0 || o.Within < within {
-			within = o.Within
+		if o.Class == j.Class && o.Within > 0 {
+			all = append(all, o.Within)
 		}
 	}
-	if within == 0 {
-		within = time.Minute
+	if len(all) == 0 {
+		all = append(all, time.Minute)
+	}
+	return all
+}
+
+// dominantShare is the largest part of a machine's resources that a task of
+// the size takes.
+func (s *Share) dominantShare(size placement.Resources) float64 {
+	share := 1.0
+	for _, t := range s.types {
+		c := placement.Capacity(t)
+		of := max(size.CPUs/max(c.CPUs, 1e-9), size.MemoryGB/max(c.MemoryGB, 1e-9))
+		if c.GPUs > 0 {
+			of = max(of, size.GPUs/c.GPUs)
+		}
+		share = min(share, of)
 	}
-	return accepted.Add(within)
+	return share
 }
 
 // JobEnded implements job.Listener.
