Make room for services on machines that hold their image

Cause: services waited 7 s for a fetch although a machine with the image ran only lower priorities. What still misses: machines with the image full of services.

--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -26,9 +26,9 @@
 
 // booting is a machine that was rented and whose worker has not reported.
 type booting struct {
-	place  placement.Place
-	since  time.Time
-	listed bool
+	place placement.Place
+	since time.Time // when it was rented
+	seen  time.Time // when this share first knew of it
 }
 
 // refusal remembers that the cloud had no such machine.
@@ -141,6 +141,27 @@
 	return false
 }
 
+// logLoadLocked tells an operator how full the share is.
+func (s *Share) logLoadLocked(now time.Time) {
+	var total, free placement.Resources
+	usable, open, tasks, waiting := 0, 0, 0, 0
+	for _, m := range s.machines {
+		tasks += m.Live()
+		if s.list.Has(m.Name) {
+			open++
+		}
+		if s.usableLocked(m, now) {
+			usable++
+			total, free = total.Plus(placement.Capacity(m.Type)), free.Plus(m.Free())
+		}
+	}
+	for _, js := range s.jobs {
+		waiting += js.pending()
+	}
+	s.log.Info("load", "jobs", len(s.jobs), "waiting", waiting, "tasks", tasks, "machines", len(s.machines), "usable", usable,
+		"open", open, "booting", len(s.booting), "cpus", total.CPUs, "free_cpus", free.CPUs, "free_memory_gb", free.MemoryGB)
+}
+
 func (s *Share) probeLocked(m *machine, now time.Time) {
 	if m.Address == "" {
 		m.failures++
@@ -308,13 +329,14 @@
 		}
 		b := s.booting[lm.ID]
 		if b == nil {
-			b = &booting{place: placement.Place{Type: lm.Type, Zone: lm.Zone, Spot: lm.Spot}, since: now.Add(-age)}
+			b = &booting{place: placement.Place{Type: lm.Type, Zone: lm.Zone, Spot: lm.Spot}, since: now.Add(-age), seen: now}
 			s.booting[lm.ID] = b
 		}
-		b.listed = true
 	}
 	for id, b := range s.booting {
-		if now.Sub(b.since) > s.bootLimit(b.place.Type) {
+		// Up already, perhaps, and only its worker has not come to a new
+		// leader yet: a list lags, and by up to double its usual lag.
+		if now.Sub(b.since) > s.bootLimit(b.place.Type) && now.Sub(b.seen) > 2*s.opts.Settings.ListLag+s.deadAfter() {
 			stuck = append(stuck, id)
 		}
 	}
@@ -565,7 +587,7 @@
 		}
 		for _, name := range names {
 			if s.machines[name] == nil && s.returned[name].IsZero() {
-				s.booting[name] = &booting{place: place, since: now}
+				s.booting[name] = &booting{place: place, since: now, seen: now}
 			}
 		}
 		if len(names) > 0 {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -147,12 +147,15 @@
 			js.waiting = time.Time{} // more machines would not help
 			return
 		}
-		m := s.findLocked(js, now)
+		m, wait := s.findLocked(js, now)
+		if wait {
+			return
+		}
 		if m == nil {
 			if js.waiting.IsZero() {
 				js.waiting = now
 			}
-			s.preemptLocked(js, now)
+			s.preemptLocked(js, now, false)
 			return
 		}
 		js.took()
@@ -162,8 +165,10 @@
 
 // findLocked chooses a machine: the most recently used one that fits, else an
 // idle one, which it opens. Machines that hold the image come first in both:
-// a fetch takes longer than all the rest of a start.
-func (s *Share) findLocked(js *jobState, now time.Time) *machine {
+// a fetch takes longer than all the rest of a start. For a service, room is
+// made on one of those before another machine fetches the image; wait tells
+// that this is under way.
+func (s *Share) findLocked(js *jobState, now time.Time) (m *machine, wait bool) {
 	fits := func(name string) bool {
 		m := s.machines[name]
 		return m != nil && s.fitsLocked(js, m, now)
@@ -172,20 +177,23 @@
 		return s.machines[name].HoldsImage(js.rec.Job.Image) && fits(name)
 	}
 	if name, ok := s.list.Walk(holds); ok {
-		return s.machines[name]
+		return s.machines[name], false
 	}
 	idle := s.idleLocked(js, now)
 	if idle != nil && idle.HoldsImage(js.rec.Job.Image) {
 		s.list.MoveToFront(idle.Name)
-		return idle
+		return idle, false
+	}
+	if js.rec.Job.Kind == wire.KindService && s.preemptLocked(js, now, true) {
+		return nil, true
 	}
 	if name, ok := s.list.Walk(fits); ok {
-		return s.machines[name]
+		return s.machines[name], false
 	}
 	if idle != nil {
 		s.list.MoveToFront(idle.Name)
 	}
-	return idle
+	return idle, false
 }
 
 // idleLocked returns the idle machine to open for the job: one that holds its
@@ -255,11 +263,13 @@
 }
 
 // preemptLocked stops tasks to make room for one task of the job, as far as
-// the rules of preemption permit, on the machine where that loses least.
-func (s *Share) preemptLocked(js *jobState, now time.Time) {
+// the rules of preemption permit, on the machine where that loses least; if
+// so asked, only on machines that hold the job's image. It tells whether room
+// is being made.
+func (s *Share) preemptLocked(js *jobState, now time.Time, held bool) bool {
 	// What was stopped a moment ago has not made its room yet.
 	if now.Sub(js.preempted) < 2*time.Second && s.stoppingLocked() {
-		return
+		return true
 	}
 	guaranteed := s.guaranteed(js)
 	type choice struct {
@@ -269,7 +279,7 @@
 	}
 	var best *choice
 	for _, m := range s.machines {
-		if !s.usableLocked(m, now) || !s.allowedLocked(js, m) {
+		if held && !m.HoldsImage(js.rec.Job.Image) || !s.usableLocked(m, now) || !s.allowedLocked(js, m) {
 			continue
 		}
 		var may []*fleet.Attempt
@@ -300,7 +310,7 @@
 		}
 	}
 	if best == nil {
-		return
+		return false
 	}
 	js.preempted = now
 	for _, a := range best.victims {
@@ -308,6 +318,7 @@
 		a.Stop = true
 	}
 	s.sendLocked(best.m)
+	return true
 }
 
 // lossOf is what stopping an attempt loses, in seconds of work.
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -304,19 +304,27 @@
 	return m
 }
 
+// logLoadEvery is how often the share logs how full it is.
+const logLoadEvery = 10 * time.Second
+
 // loop schedules whenever something has changed, and looks after the machines
 // at regular times.
 func (s *Share) loop(ctx context.Context) error {
 	tick := time.NewTicker(250 * time.Millisecond)
 	defer tick.Stop()
+	var logged time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.wake:
-		case <-tick.C:
+		case now := <-tick.C:
 			s.mu.Lock()
-			s.watchMachinesLocked(time.Now())
+			s.watchMachinesLocked(now)
+			if now.Sub(logged) > logLoadEvery {
+				logged = now
+				s.logLoadLocked(now)
+			}
 			s.mu.Unlock()
 		}
 		s.mu.Lock()
@@ -416,6 +424,7 @@
 				s.exitedLocked(m, a)
 			}
 		case fleet.Started:
+			s.log.Debug("started", "task", a.Task, "machine", m.Name, "after", time.Since(a.Placed))
 			if js := s.jobs[a.Job]; js != nil && a.Service {
 				js.succeeded = true
 			}
@@ -545,6 +554,7 @@
 func (s *Share) exitedLocked(m *machine, a *fleet.Attempt) {
 	js := s.jobs[a.Job]
 	now := time.Now()
+	s.log.Debug("exited", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "why", a.Why, "ran", now.Sub(a.Running))
 	if a.Why == wire.WhyDone && js != nil && !a.Service {
 		js.succeeded = true
 		clear(m.failedJobs)
@@ -644,6 +654,7 @@
 		failedOn: map[string]bool{}, accepted: time.UnixMilli(r.AcceptedMs), within: s.objectives(j),
 	}
 	js.share = s.dominantShare(js.size)
+	s.log.Debug("job queued", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "cpus", j.CPUs, "image", j.Image, "estimate_s", j.EstimateS)
 	s.jobs[j.ID] = js
 	return js
 }
@@ -692,6 +703,7 @@
 func (s *Share) endLocked(id string, f job.Final, goneBy time.Time) {
 	js := s.jobs[id]
 	if js != nil {
+		s.log.Debug("job over", "job", id, "state", f.State, "after", time.Since(js.accepted))
 		for _, attempts := range js.awaiting {
 			for _, a := range attempts {
 				a.Handled = true
