--- /dev/null
+++ b/cmd/heronwick/controller_test.go
@@ -0,0 +1,439 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/config"
+	"heronwick/internal/standin"
+	"heronwick/wire"
+)
+
+// node is one controller's place in a test cluster: the controller that runs
+// there now, if any.
+type node struct {
+	name    string
+	current atomic.Pointer[controller]
+	stop    context.CancelFunc
+}
+
+// testCluster is three controllers with stand-ins for the rest.
+type testCluster struct {
+	t     *testing.T
+	ctx   context.Context
+	state *standin.State
+	fleet *standin.Fleet
+	nodes []*node
+}
+
+// link is a peer's connection, cut while nobody runs at its end.
+type link struct{ to *node }
+
+var errDown = errors.New("connection refused")
+
+func (l link) Beat(_ context.Context, mine *peerpb.Status) (*peerpb.Status, error) {
+	c := l.to.current.Load()
+	if c == nil {
+		return nil, errDown
+	}
+	return c.members.HandleBeat(mine), nil
+}
+
+func (l link) Do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
+	c := l.to.current.Load()
+	if c == nil {
+		return 0, nil, errDown
+	}
+	return c.route.Direct(ctx, method, target, body)
+}
+
+// withCluster runs f in a bubble with a fake clock, after the cluster has
+// settled on a leader, and checks the rules at the end.
+func withCluster(t *testing.T, machines int, prepare func(*testCluster), f func(*testCluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		tc := &testCluster{t: t, ctx: ctx, state: standin.NewState()}
+		tc.fleet = &standin.Fleet{
+			Types:    []wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"z"}}},
+			Capacity: machines + 2, Boot: 10 * time.Second, Fetch: 300 * time.Millisecond,
+			ReportEvery: 2 * time.Second, Lease: 12 * time.Second,
+			RunFor: func(string) time.Duration { return 20 * time.Second },
+			Nodes:  []string{"n0", "n1", "n2"},
+			Report: tc.report,
+		}
+		for _, name := range tc.fleet.Nodes {
+			tc.nodes = append(tc.nodes, &node{name: name})
+		}
+		if prepare != nil {
+			prepare(tc)
+		}
+		tc.fleet.Start(ctx)
+		for i := range tc.nodes {
+			tc.start(i)
+		}
+		for range machines {
+			tc.fleet.Add(false)
+		}
+		time.Sleep(5 * time.Second)
+		f(tc)
+		if broken := tc.fleet.Broken(); len(broken) > 0 {
+			t.Errorf("rules broken: %v", broken)
+		}
+		cancel()
+		time.Sleep(20 * time.Second) // lets the last timers end
+	})
+}
+
+func (tc *testCluster) start(i int) {
+	n := tc.nodes[i]
+	settings := &config.Settings{
+		Node: n.name, Zone: "z", Zones: []string{"z"},
+		Teams:       []config.Team{{Name: "red", CPUsMax: 16}, {Name: "blue"}},
+		ReportEvery: 2 * time.Second, LeaseFor: 12 * time.Second, CancelIn: 25 * time.Second,
+		StateRPS: 150, StateWriteRPS: 60, ValueBytes: 16 << 10, TxnOps: 16, CloudRPS: 5, ListLag: 3 * time.Second,
+		Cores: 1, MemoryBytes: 64 << 20, MaxConnections: 100,
+	}
+	out := outside{state: tc.state.Node(n.name), cloud: tc.fleet.Cloud(), workers: tc.fleet, peers: map[string]peer{}}
+	for _, other := range tc.nodes {
+		if other != n {
+			settings.Peers = append(settings.Peers, config.Peer{Node: other.name})
+			out.peers[other.name] = link{other}
+		}
+	}
+	ctx, stop := context.WithCancel(tc.ctx)
+	c := newController(settings, out, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	n.stop = stop
+	n.current.Store(c)
+	go func() { _ = c.run(ctx) }()
+}
+
+func (tc *testCluster) crash(i int) {
+	tc.nodes[i].current.Store(nil)
+	tc.nodes[i].stop()
+}
+
+// leader returns the index of the node that leads.
+func (tc *testCluster) leader() int {
+	for i, n := range tc.nodes {
+		if c := n.current.Load(); c != nil {
+			if _, _, leads := c.members.Current(); leads && c.members.Permitted() {
+				return i
+			}
+		}
+	}
+	tc.t.Fatal("nobody leads")
+	return -1
+}
+
+// call sends a request to node i and returns the answer.
+func (tc *testCluster) call(i int, method, path string, body any) (int, map[string]any, *fasthttp.RequestCtx) {
+	c := tc.nodes[i].current.Load()
+	if c == nil {
+		return 0, nil, nil
+	}
+	var ctx fasthttp.RequestCtx
+	ctx.Request.Header.SetMethod(method)
+	ctx.Request.SetRequestURI(path)
+	switch b := body.(type) {
+	case nil:
+	case string:
+		ctx.Request.SetBodyString(b)
+	default:
+		text, err := json.Marshal(b)
+		if err != nil {
+			tc.t.Fatal(err)
+		}
+		ctx.Request.SetBody(text)
+	}
+	c.front.Handle(&ctx)
+	var answer map[string]any
+	_ = json.Unmarshal(ctx.Response.Body(), &answer)
+	return ctx.Response.StatusCode(), answer, &ctx
+}
+
+func (tc *testCluster) report(name string, r *wire.Report) (int, *wire.ReportReply, string) {
+	i := slices.IndexFunc(tc.nodes, func(n *node) bool { return n.name == name })
+	status, _, ctx := tc.call(i, "POST", "/checkin", r)
+	if ctx == nil {
+		return 0, nil, ""
+	}
+	var reply wire.ReportReply
+	var redirect wire.Redirect
+	_ = json.Unmarshal(ctx.Response.Body(), &reply)
+	_ = json.Unmarshal(ctx.Response.Body(), &redirect)
+	return status, &reply, redirect.ReportTo
+}
+
+// submission is one that is well formed, with changes.
+func submission(id int, change func(map[string]any)) map[string]any {
+	j := map[string]any{
+		"uid": fmt.Sprintf("wk-%06d", id), "flight": "c", "roost": "blue", "gait": "array", "rank": "normal",
+		"feathers": 3, "cores": 2.0, "accelerators": 0.0, "ram_gb": 4.0, "plumage": "img", "pull_gb": 0.5,
+		"breeds": nil, "marsh": nil, "same_place": false, "spread": false, "drift": true,
+		"flight_s": 20.0, "molt_s": 0.0, "preen_s": 0.0, "dusk_s": nil, "later": "ignored",
+	}
+	if change != nil {
+		change(j)
+	}
+	return j
+}
+
+func (tc *testCluster) expect(i int, method, path string, body any, status int, stance string) {
+	tc.t.Helper()
+	got, answer, _ := tc.call(i, method, path, body)
+	if got != status || stance != "" && answer["stance"] != stance {
+		tc.t.Errorf("%s %s: got %d %v, want %d %q", method, path, got, answer, status, stance)
+	}
+}
+
+// From acceptance to done, with every answer of the user interface on the
+// way, at every controller.
+func TestJobFromSubmissionToDone(t *testing.T) {
+	withCluster(t, 2, nil, func(tc *testCluster) {
+		tc.expect(0, "GET", "/submissions/wk-000001", nil, 404, "")
+		tc.expect(0, "POST", "/submissions", submission(1, nil), 201, "queued")
+		tc.expect(1, "POST", "/submissions", submission(1, nil), 200, "")
+		time.Sleep(5 * time.Second)
+		for i := range tc.nodes {
+			tc.expect(i, "GET", "/submissions/wk-000001", nil, 200, "running")
+		}
+		time.Sleep(25 * time.Second)
+		for i := range tc.nodes {
+			tc.expect(i, "GET", "/submissions/wk-000001", nil, 200, "done")
+		}
+		// A late retry is answered as what it is, whatever else it holds.
+		tc.expect(2, "POST", "/submissions", submission(1, func(j map[string]any) { j["cores"] = -1 }), 200, "done")
+		tc.expect(2, "POST", "/submissions/wk-000001/withdraw", nil, 200, "done")
+		tc.expect(0, "GET", "/submissions/wk-000001", nil, 200, "done")
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	withCluster(t, 1, nil, func(tc *testCluster) {
+		for _, test := range []struct {
+			name   string
+			method string
+			path   string
+			body   any
+			status int
+			field  string
+		}{
+			{"not JSON", "POST", "/submissions", "{", 400, ""},
+			{"not an object", "POST", "/submissions", "[1]", 400, ""},
+			{"null", "POST", "/submissions", "null", 400, ""},
+			{"bad id", "POST", "/submissions", submission(1, func(j map[string]any) { j["uid"] = "x" }), 400, "uid"},
+			{"missing field", "POST", "/submissions", submission(1, func(j map[string]any) { delete(j, "ram_gb") }), 400, "ram_gb"},
+			{"null field", "POST", "/submissions", submission(1, func(j map[string]any) { j["spread"] = nil }), 400, "spread"},
+			{"wrong type", "POST", "/submissions", submission(1, func(j map[string]any) { j["cores"] = "4" }), 400, "cores"},
+			{"too many tasks", "POST", "/submissions", submission(1, func(j map[string]any) { j["feathers"] = 100001 }), 400, "feathers"},
+			{"half a task", "POST", "/submissions", submission(1, func(j map[string]any) { j["feathers"] = 1.5 }), 400, "feathers"},
+			{"huge number", "POST", "/submissions", strings.Replace(string(mustJSON(submission(1, nil))), `"cores":2`, `"cores":1e999`, 1), 400, "cores"},
+			{"unknown kind", "POST", "/submissions", submission(1, func(j map[string]any) { j["gait"] = "trot" }), 400, "gait"},
+			{"unknown priority", "POST", "/submissions", submission(1, func(j map[string]any) { j["rank"] = "top" }), 400, "rank"},
+			{"unknown team", "POST", "/submissions", submission(1, func(j map[string]any) { j["roost"] = "green" }), 422, "roost"},
+			{"fits no machine", "POST", "/submissions", submission(1, func(j map[string]any) { j["cores"] = 9 }), 422, ""},
+			{"over the limit", "POST", "/submissions", submission(1, func(j map[string]any) { j["roost"], j["gait"], j["feathers"] = "red", "daemon", 9 }), 422, "feathers"},
+			{"unknown job", "GET", "/submissions/wk-999999", nil, 404, ""},
+			{"no id", "GET", "/submissions/nonsense", nil, 404, ""},
+			{"cancel unknown", "POST", "/submissions/wk-999999/withdraw", nil, 404, ""},
+			{"unknown path", "GET", "/nothing", nil, 404, ""},
+			{"wrong method", "DELETE", "/submissions", nil, 405, ""},
+			{"ready", "GET", "/ready", nil, 200, ""},
+		} {
+			status, answer, _ := tc.call(0, test.method, test.path, test.body)
+			field, _ := answer["field"].(string)
+			if status != test.status || test.field != "" && field != test.field {
+				t.Errorf("%s: got %d %v, want %d about %q", test.name, status, answer, test.status, test.field)
+			}
+		}
+	})
+}
+
+func mustJSON(v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// A start that is still under way when its job is cancelled may be carried
+// out late; the token is raised so that it never is, or it is stopped.
+func TestCancelWithLateStart(t *testing.T) {
+	withCluster(t, 1, nil, func(tc *testCluster) {
+		tc.fleet.HoldCommands("host-000001", true)
+		tc.expect(0, "POST", "/submissions", submission(1, nil), 201, "")
+		time.Sleep(100 * time.Millisecond)
+		tc.expect(1, "POST", "/submissions/wk-000001/withdraw", nil, 200, "aborted")
+		time.Sleep(10 * time.Second)
+		tc.fleet.HoldCommands("host-000001", false)
+		time.Sleep(3 * time.Second)
+		if running := tc.fleet.Running(); len(running) > 0 {
+			t.Errorf("tasks of a cancelled job run: %v", running)
+		}
+		for i := range tc.nodes {
+			tc.expect(i, "GET", "/submissions/wk-000001", nil, 200, "aborted")
+		}
+	})
+}
+
+// The leader ends while a worker cannot be reached. Its tasks may run on, so
+// they are placed again only once its machine is returned or its lease gone.
+func TestTakeoverWithUnreachableWorker(t *testing.T) {
+	withCluster(t, 3, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 0 }
+	}, func(tc *testCluster) {
+		tc.expect(0, "POST", "/submissions", submission(1, func(j map[string]any) { j["gait"], j["feathers"] = "daemon", 4 }), 201, "")
+		time.Sleep(3 * time.Second)
+		before := tc.fleet.Running()
+		if len(before) != 4 {
+			t.Fatalf("%d of 4 replicas run", len(before))
+		}
+		machine := before["wk-000001/0"]
+		old := tc.leader()
+		tc.fleet.SetCloud(true) // no proof by returning it
+		tc.fleet.Cut(machine, true)
+		tc.crash(old)
+		time.Sleep(8 * time.Second)
+		tc.start(old)
+		if n := tc.fleet.Starts("wk-000001/0"); n != 1 {
+			t.Errorf("started %d times before its lease can have lapsed", n)
+		}
+		time.Sleep(30 * time.Second)
+		if running := tc.fleet.Running(); len(running) != 4 || running["wk-000001/0"] == machine {
+			t.Errorf("replicas not all back on other machines: %v, lost %s", running, machine)
+		}
+	})
+}
+
+// In an outage of the state service nothing new is decided, but workers keep
+// their leases and tasks run on; afterwards everything goes on.
+func TestStateOutage(t *testing.T) {
+	withCluster(t, 2, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 50 * time.Second }
+	}, func(tc *testCluster) {
+		tc.expect(0, "POST", "/submissions", submission(1, nil), 201, "")
+		time.Sleep(3 * time.Second)
+		tc.state.SetOutage(true)
+		time.Sleep(time.Second)
+		began := time.Now()
+		status, _, ctx := tc.call(1, "POST", "/submissions", submission(2, nil))
+		if status != 503 || string(ctx.Response.Header.Peek("Retry-After")) == "" || time.Since(began) > 2*time.Second {
+			t.Errorf("submission in an outage: status %d after %v, Retry-After %q", status, time.Since(began), ctx.Response.Header.Peek("Retry-After"))
+		}
+		time.Sleep(30 * time.Second) // far longer than a lease
+		for i := range tc.nodes {
+			tc.expect(i, "GET", "/ready", nil, 200, "")
+		}
+		tc.state.SetOutage(false)
+		time.Sleep(25 * time.Second)
+		tc.expect(2, "GET", "/submissions/wk-000001", nil, 200, "done")
+		for i := range 3 {
+			if n := tc.fleet.Starts(fmt.Sprintf("wk-000001/%d", i)); n != 1 {
+				t.Errorf("task %d started %d times", i, n)
+			}
+		}
+	})
+}
+
+// A controller that alone is refused by the state service answers through
+// the others.
+func TestStateRefusedToOne(t *testing.T) {
+	withCluster(t, 2, nil, func(tc *testCluster) {
+		tc.expect(0, "POST", "/submissions", submission(1, nil), 201, "")
+		for i, n := range tc.nodes {
+			tc.state.Refuse(n.name, true)
+			time.Sleep(10 * time.Second)
+			tc.expect(i, "GET", "/submissions/wk-000001", nil, 200, "")
+			tc.expect(i, "POST", "/submissions", submission(10+i, nil), 201, "")
+			tc.expect(i, "GET", "/submissions/wk-777777", nil, 404, "")
+			tc.state.Refuse(n.name, false)
+		}
+	})
+}
+
+// A team's limit holds over a takeover: what may still run counts.
+func TestQuotaOverTakeover(t *testing.T) {
+	withCluster(t, 4, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 0 }
+	}, func(tc *testCluster) {
+		for id := range 3 {
+			tc.expect(0, "POST", "/submissions", submission(id, func(j map[string]any) { j["roost"], j["gait"], j["feathers"] = "red", "daemon", 4 }), 201, "")
+		}
+		time.Sleep(3 * time.Second)
+		check := func(when string) {
+			if n := len(tc.fleet.Running()); n != 8 {
+				t.Errorf("%s: %d tasks of 2 CPUs run, the limit is 16 CPUs", when, n)
+			}
+		}
+		check("before")
+		for range 2 {
+			old := tc.leader()
+			tc.crash(old)
+			time.Sleep(6 * time.Second)
+			tc.start(old)
+			time.Sleep(2 * time.Second)
+			check("after a takeover")
+		}
+	})
+}
+
+// All controllers end at once and come back: nothing is lost, no lease lapses.
+func TestAllControllersRestart(t *testing.T) {
+	withCluster(t, 2, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 25 * time.Second }
+	}, func(tc *testCluster) {
+		tc.expect(0, "POST", "/submissions", submission(1, nil), 201, "")
+		time.Sleep(3 * time.Second)
+		for i := range tc.nodes {
+			tc.crash(i)
+		}
+		time.Sleep(5 * time.Second)
+		for i := range tc.nodes {
+			tc.start(i)
+		}
+		time.Sleep(22 * time.Second)
+		for i := range tc.nodes {
+			tc.expect(i, "GET", "/submissions/wk-000001", nil, 200, "done")
+		}
+		if n := tc.fleet.Starts("wk-000001/0"); n != 1 {
+			t.Errorf("a task started %d times", n)
+		}
+	})
+}
+
+// A machine on which everything fails is set aside and returned; a job that
+// fails everywhere empties no fleet.
+func TestFailingMachineAndFailingJob(t *testing.T) {
+	withCluster(t, 3, func(tc *testCluster) {
+		tc.fleet.Fails = func(job, machine string) bool { return machine == "host-000001" || job == "wk-000099" }
+	}, func(tc *testCluster) {
+		tc.expect(0, "POST", "/submissions", submission(99, nil), 201, "")
+		for id := range 6 {
+			tc.expect(0, "POST", "/submissions", submission(id, nil), 201, "")
+			time.Sleep(2 * time.Second)
+		}
+		time.Sleep(60 * time.Second)
+		for id := range 6 {
+			tc.expect(0, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil, 200, "done")
+		}
+		if !slices.Equal(tc.fleet.Returned, []string{"host-000001"}) {
+			t.Errorf("returned %v, want only the failing machine", tc.fleet.Returned)
+		}
+		tc.expect(0, "GET", "/submissions/wk-000099", nil, 200, "")
+		tc.expect(1, "POST", "/submissions/wk-000099/withdraw", nil, 200, "aborted")
+	})
+}
--- a/internal/cloud/offers.go
+++ b/internal/cloud/offers.go
@@ -20,10 +20,15 @@
 	Txn(ctx context.Context, p state.Priority, txn wire.Txn) (uint64, error)
 }
 
+// Source is the part of the cloud's client that Offers needs.
+type Source interface {
+	Types(ctx context.Context) ([]wire.MachineType, error)
+}
+
 // Offers knows the machine types. They are kept in the store too, so that a
 // controller that starts while the cloud is away can decide.
 type Offers struct {
-	client *Client
+	client Source
 	store  Store
 	log    *slog.Logger
 
@@ -33,7 +38,7 @@
 }
 
 // NewOffers makes Offers; Run fills them.
-func NewOffers(client *Client, store Store, log *slog.Logger) *Offers {
+func NewOffers(client Source, store Store, log *slog.Logger) *Offers {
 	return &Offers{client: client, store: store, log: log, known: make(chan struct{})}
 }
 
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -167,9 +167,6 @@
 	return wire.Condition{Key: epochKey, Version: c.version}
 }
 
-// IsEpoch tells whether key is the one that Condition is about.
-func IsEpoch(key string) bool { return key == epochKey }
-
 // Permitted tells whether this controller may answer workers' reports now: it
 // leads, and proof that its epoch is current was asked for a short while ago.
 // Without the bound, a leader cut off from everything but some workers would
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"heronwick/wire"
@@ -19,30 +20,37 @@
 // Record is what the store holds of a machine: which attempts may be on it.
 // It is written before the start of any of them can be sent.
 type Record struct {
-	Address  string             `json:"address"`
-	Type     string             `json:"type"`
-	Zone     string             `json:"zone"`
-	Spot     bool               `json:"spot"`
-	Session  uint64             `json:"session"`
-	Attempts map[string]uint64  `json:"attempts"`
-	Images   map[string]float64 `json:"images,omitempty"`
+	Address  string            `json:"address"`
+	Type     string            `json:"type"`
+	Zone     string            `json:"zone"`
+	Spot     bool              `json:"spot"`
+	Session  uint64            `json:"session"`
+	Attempts map[string]uint64 `json:"attempts"`
+	Images   []Image           `json:"images,omitempty"` // the most recently used first
 	// Write differs between any two writes, so that a read-back tells whose
 	// it was.
 	Write string `json:"write"`
 }
 
+// Image is an image that a machine holds.
+type Image struct {
+	Name string  `json:"name"`
+	GB   float64 `json:"gb"`
+}
+
 // Record returns the machine's record as of now.
 func (m *Machine) Record(write string) Record {
 	r := Record{Address: m.Address, Type: m.TypeName, Zone: m.Zone, Spot: m.Spot, Session: m.Session,
-		Attempts: map[string]uint64{}, Images: map[string]float64{}, Write: write}
+		Attempts: map[string]uint64{}, Write: write}
 	for _, a := range m.Attempts {
 		if !a.Exited() {
 			r.Attempts[a.Task] = max(r.Attempts[a.Task], a.Attempt)
 		}
 	}
 	for name, h := range m.Images {
-		r.Images[name] = h.GB
+		r.Images = append(r.Images, Image{Name: name, GB: h.GB})
 	}
+	slices.SortFunc(r.Images, func(a, b Image) int { return m.Images[b.Name].Used.Compare(m.Images[a.Name].Used) })
 	return r
 }
 
@@ -55,8 +63,8 @@
 	}
 	m := NewMachine(name)
 	m.Address, m.TypeName, m.Zone, m.Spot, m.Session = r.Address, r.Type, r.Zone, r.Spot, r.Session
-	for image, gb := range r.Images {
-		m.Images[image] = Held{GB: gb, Used: now}
+	for i, image := range r.Images {
+		m.Images[image.Name] = Held{GB: image.GB, Used: now.Add(-time.Duration(i) * time.Second)}
 	}
 	for task, attempt := range r.Attempts {
 		job, index, ok := wire.SplitTaskID(task)
--- a/internal/job/catalog.go
+++ b/internal/job/catalog.go
@@ -79,7 +79,7 @@
 	log    *slog.Logger
 
 	mu       sync.Mutex
-	loaded   bool
+	loaded   chan struct{} // closed once the records have been read
 	revision uint64
 	active   map[string]*Record
 	final    map[string]Final
@@ -94,15 +94,28 @@
 
 // NewCatalog makes an empty catalog; Run fills it.
 func NewCatalog(client *state.Client, commit *state.Committer, log *slog.Logger) *Catalog {
-	return &Catalog{client: client, commit: commit, log: log,
+	return &Catalog{client: client, commit: commit, log: log, loaded: make(chan struct{}),
 		active: map[string]*Record{}, final: map[string]Final{}, progress: map[string]Progress{}}
 }
 
 // Ready tells whether the records have been read.
 func (c *Catalog) Ready() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.loaded
+	select {
+	case <-c.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
+// Wait waits until the records have been read.
+func (c *Catalog) Wait(ctx context.Context) error {
+	select {
+	case <-c.loaded:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // Listen returns all active jobs and tells l of every change from then on. A
@@ -195,7 +208,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.revision, c.loaded = revision, true
+	c.revision = revision
+	if !c.Ready() {
+		close(c.loaded)
+	}
 	return nil
 }
 
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -27,7 +27,6 @@
 type Authority interface {
 	Token() uint64
 	Condition() wire.Condition
-	IsEpoch(key string) bool
 	Permitted() bool
 	Fenced() (time.Time, bool)
 	Raise(ctx context.Context) error
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,416 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"heronwick/internal/cloud"
+	"heronwick/wire"
+)
+
+// Fleet stands in for the cloud and the workers on its machines, and keeps
+// watch over the rules of running.
+type Fleet struct {
+	Types       []wire.MachineType
+	Capacity    int // machines that the cloud has
+	Boot        time.Duration
+	Fetch       time.Duration
+	ReportEvery time.Duration
+	Lease       time.Duration
+	// RunFor tells how long a job's tasks run; 0: until stopped.
+	RunFor func(job string) time.Duration
+	// Fails tells whether a task fails on a machine.
+	Fails func(job, machine string) bool
+	// Report delivers a report to a controller: its status, the reply (200)
+	// or the node to report to (421).
+	Report func(node string, r *wire.Report) (status int, reply *wire.ReportReply, redirect string)
+	Nodes  []string
+
+	ctx      context.Context
+	mu       sync.Mutex
+	workers  map[string]*Worker
+	next     int
+	answered map[string][]string // rentals by request name
+	down     bool
+	running  map[string]string // task -> machine
+	broken   []string
+	Returned []string
+	starts   map[string]int
+}
+
+// Worker stands in for the worker of one machine.
+type Worker struct {
+	fleet   *Fleet
+	name    string
+	typ     wire.MachineType
+	zone    string
+	spot    bool
+	node    int
+	session uint64
+	seq     uint64
+	token   uint64
+	renewed time.Time
+	tasks   map[string]*task
+	cut     bool
+	held    []*wire.CommandRequest
+	hold    bool
+	dead    bool
+	poke    chan struct{}
+}
+
+type task struct {
+	wire.TaskReport
+	timer *time.Timer
+}
+
+// Start begins the fleet's life; it ends with ctx.
+func (f *Fleet) Start(ctx context.Context) {
+	f.ctx = ctx
+	f.workers, f.answered, f.running, f.starts = map[string]*Worker{}, map[string][]string{}, map[string]string{}, map[string]int{}
+}
+
+// Add puts a machine up at once and returns its name.
+func (f *Fleet) Add(spot bool) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.addLocked(f.Types[0], f.Types[0].Zones[0], spot, 0)
+}
+
+func (f *Fleet) addLocked(t wire.MachineType, zone string, spot bool, boot time.Duration) string {
+	f.next++
+	w := &Worker{fleet: f, name: fmt.Sprintf("host-%06d", f.next), typ: t, zone: zone, spot: spot,
+		node: f.next, session: 1, tasks: map[string]*task{}, poke: make(chan struct{}, 1)}
+	f.workers[w.name] = w
+	go w.run(boot)
+	return w.name
+}
+
+// Broken lists the rules broken so far.
+func (f *Fleet) Broken() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.broken)
+}
+
+// Running returns which tasks run, and where.
+func (f *Fleet) Running() map[string]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.running)
+}
+
+// Starts counts how often a task has started.
+func (f *Fleet) Starts(task string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[task]
+}
+
+// SetCloud takes the cloud down or up.
+func (f *Fleet) SetCloud(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+// Cut cuts a machine's network or heals it. What its tasks do goes on.
+func (f *Fleet) Cut(machine string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[machine].cut = on
+}
+
+// HoldCommands holds direct commands to a machine back, without an answer;
+// ending that delivers them late.
+func (f *Fleet) HoldCommands(machine string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[machine]
+	w.hold = on
+	if !on {
+		for _, req := range w.held {
+			w.commandLocked(req)
+		}
+		w.held = nil
+	}
+}
+
+func (f *Fleet) cloudDown() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return cloud.ErrTrouble
+	}
+	return nil
+}
+
+// Cloud returns the fleet's cloud.
+func (f *Fleet) Cloud() *Cloud { return &Cloud{f} }
+
+// Cloud stands in for the cloud's interface.
+type Cloud struct{ fleet *Fleet }
+
+// Types lists the machine types.
+func (c *Cloud) Types(context.Context) ([]wire.MachineType, error) {
+	return c.fleet.Types, c.fleet.cloudDown()
+}
+
+// Rent rents machines.
+func (c *Cloud) Rent(_ context.Context, req wire.RentRequest) ([]string, error) {
+	f := c.fleet
+	if err := f.cloudDown(); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if names, ok := f.answered[req.Request]; ok {
+		return names, nil
+	}
+	var names []string
+	for range req.Count {
+		if len(f.workers) >= f.Capacity {
+			break
+		}
+		for _, t := range f.Types {
+			if t.Name == req.Type {
+				names = append(names, f.addLocked(t, req.Zone, req.Spot, f.Boot))
+			}
+		}
+	}
+	if len(names) == 0 {
+		return nil, cloud.ErrNoCapacity
+	}
+	f.answered[req.Request] = names
+	return names, nil
+}
+
+// Return gives machines back.
+func (c *Cloud) Return(_ context.Context, machines []string) error {
+	f := c.fleet
+	if err := f.cloudDown(); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range machines {
+		if w := f.workers[name]; w != nil {
+			w.killLocked()
+			w.dead = true
+			delete(f.workers, name)
+			f.Returned = append(f.Returned, name)
+		}
+	}
+	return nil
+}
+
+// List lists the machines.
+func (c *Cloud) List(context.Context) ([]wire.Machine, error) {
+	f := c.fleet
+	if err := f.cloudDown(); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []wire.Machine
+	for _, w := range f.workers {
+		all = append(all, wire.Machine{ID: w.name, Address: w.name, Type: w.typ.Name, Zone: w.zone, Spot: w.spot, State: wire.MachineRunning})
+	}
+	return all, nil
+}
+
+var errSilent = errors.New("standin: worker silent")
+
+// Command sends commands to the worker at the address, which is its name.
+func (f *Fleet) Command(ctx context.Context, address string, req *wire.CommandRequest) (*wire.Report, error) {
+	time.Sleep(time.Millisecond)
+	f.mu.Lock()
+	w := f.workers[address]
+	if w != nil && w.hold {
+		w.held = append(w.held, req)
+	}
+	if w == nil || w.cut || w.hold {
+		f.mu.Unlock()
+		<-ctx.Done()
+		return nil, errSilent
+	}
+	defer f.mu.Unlock()
+	w.commandLocked(req)
+	w.seq++
+	return w.reportLocked(), nil
+}
+
+// Status asks the worker at the address for its report.
+func (f *Fleet) Status(ctx context.Context, address string) (*wire.Report, error) {
+	f.mu.Lock()
+	w := f.workers[address]
+	if w == nil || w.cut {
+		f.mu.Unlock()
+		<-ctx.Done()
+		return nil, errSilent
+	}
+	defer f.mu.Unlock()
+	w.seq++
+	return w.reportLocked(), nil
+}
+
+func (w *Worker) reportLocked() *wire.Report {
+	r := &wire.Report{Machine: w.name, Address: w.name, Type: w.typ.Name, Zone: w.zone, Spot: w.spot,
+		Session: w.session, Seq: w.seq, Token: w.token}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, t.TaskReport)
+	}
+	return r
+}
+
+func (w *Worker) commandLocked(req *wire.CommandRequest) {
+	if req.Token < w.token || req.Session != w.session {
+		return
+	}
+	w.token = req.Token
+	w.executeLocked(req.Commands)
+}
+
+func (w *Worker) executeLocked(commands []wire.Command) {
+	for _, c := range commands {
+		key := fmt.Sprintf("%s#%d", c.Task, c.Attempt)
+		t := w.tasks[key]
+		switch {
+		case c.Op == wire.OpStart && t == nil:
+			w.startLocked(key, c)
+		case c.Op == wire.OpStop && t != nil && t.State != wire.TaskExited:
+			w.exitLocked(t, wire.WhyStopped)
+		case c.Op == wire.OpForget && t != nil && t.State == wire.TaskExited:
+			delete(w.tasks, key)
+		}
+	}
+	w.wake()
+}
+
+func (w *Worker) startLocked(key string, c wire.Command) {
+	f := w.fleet
+	t := &task{TaskReport: wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskFetching}}
+	w.tasks[key] = t
+	t.timer = time.AfterFunc(f.Fetch, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if t.State != wire.TaskFetching || w.dead {
+			return
+		}
+		if other, ok := f.running[c.Task]; ok {
+			f.broken = append(f.broken, fmt.Sprintf("%s starts on %s while on %s", c.Task, w.name, other))
+		}
+		f.running[c.Task] = w.name
+		f.starts[c.Task]++
+		t.State = wire.TaskRunning
+		job, _, _ := wire.SplitTaskID(c.Task)
+		if f.Fails != nil && f.Fails(job, w.name) {
+			w.exitLocked(t, wire.WhyError)
+		} else if d := f.RunFor(job); d > 0 {
+			t.timer = time.AfterFunc(d, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				if t.State == wire.TaskRunning {
+					w.exitLocked(t, wire.WhyDone)
+				}
+			})
+		}
+		w.wake()
+	})
+}
+
+func (w *Worker) exitLocked(t *task, why wire.Why) {
+	t.timer.Stop()
+	if t.State == wire.TaskRunning {
+		delete(w.fleet.running, t.Task)
+	}
+	t.State, t.Why = wire.TaskExited, why
+	w.wake()
+}
+
+func (w *Worker) killLocked() {
+	for _, t := range w.tasks {
+		if t.State != wire.TaskExited {
+			w.exitLocked(t, wire.WhyStopped)
+		}
+	}
+	w.tasks = map[string]*task{}
+}
+
+func (w *Worker) wake() {
+	select {
+	case w.poke <- struct{}{}:
+	default:
+	}
+}
+
+// run reports at regular times and whenever something changes, but not more
+// often than every half second.
+func (w *Worker) run(boot time.Duration) {
+	f := w.fleet
+	wait(f.ctx, boot)
+	f.mu.Lock()
+	w.renewed = time.Now()
+	f.mu.Unlock()
+	for f.ctx.Err() == nil {
+		f.mu.Lock()
+		if w.dead {
+			f.mu.Unlock()
+			return
+		}
+		now := time.Now()
+		if now.Sub(w.renewed) > f.Lease {
+			w.killLocked()
+			w.session++
+			w.renewed = now
+		}
+		w.seq++
+		r, cut := w.reportLocked(), w.cut
+		f.mu.Unlock()
+		if !cut {
+			w.exchange(r, now)
+		}
+		wait(f.ctx, 500*time.Millisecond)
+		timer := time.NewTimer(f.ReportEvery - 500*time.Millisecond)
+		select {
+		case <-w.poke:
+		case <-timer.C:
+		case <-f.ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (w *Worker) exchange(r *wire.Report, sent time.Time) {
+	f := w.fleet
+	status, reply, redirect := f.Report(f.Nodes[w.node%len(f.Nodes)], r)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case w.dead || w.cut:
+	case status == 200:
+		if reply.Token < w.token || r.Session != w.session {
+			return
+		}
+		w.token, w.renewed = reply.Token, sent
+		w.executeLocked(reply.Commands)
+	case status == 421 && slices.Contains(f.Nodes, redirect):
+		w.node = slices.Index(f.Nodes, redirect)
+		w.wake()
+	default:
+		w.node++
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,283 @@
+// Package standin holds scripted stand-ins for the world outside a
+// controller: the state service, the cloud and the workers. They follow the
+// published protocols in memory and by whatever clock time.Now shows, so that
+// tests run them under a fake one.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"heronwick/wire"
+)
+
+// errLost is what a caller sees of a response that never came.
+var errLost = errors.New("standin: no response")
+
+// State stands in for the state service.
+type State struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]wire.Item
+	events   []wire.Event
+	leases   map[uint64]*lease
+	nextID   uint64
+	changed  chan struct{}
+	outage   bool
+	refused  map[string]bool
+	lose     int // responses of this many transactions get lost, though carried out
+	hold     int // this many transactions are held back, unanswered
+	held     []wire.Txn
+	Requests int
+	Writes   int
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// NewState makes an empty state service.
+func NewState() *State {
+	return &State{items: map[string]wire.Item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), refused: map[string]bool{}}
+}
+
+// SetOutage starts or ends an outage. When it is over, every lease has its
+// full time again.
+func (s *State) SetOutage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage = on
+	for _, l := range s.leases {
+		if on {
+			l.timer.Stop()
+		} else {
+			l.timer.Reset(l.ttl)
+		}
+	}
+}
+
+// Refuse answers one node with 503, or serves it again.
+func (s *State) Refuse(node string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[node] = on
+}
+
+// LoseResponses carries out the next n transactions without a response.
+func (s *State) LoseResponses(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// HoldTxns holds back the next n transactions, without a response.
+func (s *State) HoldTxns(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold = n
+}
+
+// ReleaseTxns carries out what was held back, late, and returns the statuses
+// that nobody gets to see.
+func (s *State) ReleaseTxns() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var statuses []int
+	for _, txn := range s.held {
+		status, _ := s.txnLocked(txn)
+		statuses = append(statuses, status)
+	}
+	s.held = nil
+	return statuses
+}
+
+// Get returns a key's value, nil if it does not exist.
+func (s *State) Get(key string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
+// Node returns the service as one node reaches it.
+func (s *State) Node(node string) *Path { return &Path{state: s, node: node} }
+
+// Path is one node's way to a State.
+type Path struct {
+	state *State
+	node  string
+}
+
+// Do carries out one request.
+func (p *Path) Do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
+	s := p.state
+	u, err := url.Parse(target)
+	if err != nil {
+		return 400, nil, nil
+	}
+	time.Sleep(5 * time.Millisecond)
+	if u.Path == wire.PathWatch {
+		return s.watch(ctx, p.node, u.Query())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Requests++
+	if s.outage || s.refused[p.node] {
+		return 503, nil, nil
+	}
+	switch {
+	case method == "POST" && u.Path == wire.PathTxn:
+		var txn wire.Txn
+		if json.Unmarshal(body, &txn) != nil {
+			return 400, nil, nil
+		}
+		if s.hold > 0 {
+			s.hold--
+			s.held = append(s.held, txn)
+			return 0, nil, errLost
+		}
+		status, reply := s.txnLocked(txn)
+		if s.lose > 0 {
+			s.lose--
+			return 0, nil, errLost
+		}
+		return status, encode(reply), nil
+	case method == "GET" && u.Path == wire.PathKeys:
+		return 200, encode(s.listLocked(u.Query())), nil
+	case method == "GET" && strings.HasPrefix(u.Path, wire.PathKeys+"/"):
+		item, ok := s.items[u.Path[len(wire.PathKeys)+1:]]
+		if !ok {
+			return 404, encode(wire.TxnReply{Revision: s.revision}), nil
+		}
+		return 200, encode(item), nil
+	case method == "POST" && u.Path == wire.PathLeases:
+		var req wire.LeaseRequest
+		if json.Unmarshal(body, &req) != nil {
+			return 400, nil, nil
+		}
+		s.nextID++
+		id := s.nextID
+		ttl := time.Duration(req.TTLMs) * time.Millisecond
+		s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.expire(id) })}
+		return 200, encode(wire.Lease{ID: id}), nil
+	case method == "POST" && strings.HasSuffix(u.Path, "/"+wire.SuffixRenew):
+		id, _ := strconv.ParseUint(strings.Split(u.Path, "/")[2], 10, 64)
+		l := s.leases[id]
+		if l == nil {
+			return 404, nil, nil
+		}
+		l.timer.Reset(l.ttl)
+		return 200, []byte("{}"), nil
+	}
+	return 400, nil, nil
+}
+
+func encode(v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // a stand-in's own types always encode
+	}
+	return text
+}
+
+func (s *State) expire(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] == nil {
+		return
+	}
+	delete(s.leases, id)
+	var drop []wire.Change
+	for key, item := range s.items {
+		if item.Lease == id {
+			drop = append(drop, wire.Change{Delete: key})
+		}
+	}
+	if len(drop) > 0 {
+		s.txnLocked(wire.Txn{Then: drop})
+	}
+}
+
+func (s *State) txnLocked(txn wire.Txn) (int, wire.TxnReply) {
+	s.Writes += len(txn.Then)
+	var failed []string
+	for _, c := range txn.If {
+		if s.items[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return 409, wire.TxnReply{Failed: failed, Revision: s.revision}
+	}
+	for _, c := range txn.Then {
+		if c.Lease != 0 && s.leases[c.Lease] == nil {
+			return 400, wire.TxnReply{}
+		}
+	}
+	if len(txn.Then) == 0 {
+		return 200, wire.TxnReply{Revision: s.revision}
+	}
+	s.revision++
+	for _, c := range txn.Then {
+		if c.Put != "" {
+			s.items[c.Put] = wire.Item{Key: c.Put, Value: c.Value, Version: s.revision, Lease: c.Lease}
+			s.events = append(s.events, wire.Event{Put: c.Put, Value: c.Value, Version: s.revision})
+		} else {
+			delete(s.items, c.Delete)
+			s.events = append(s.events, wire.Event{Delete: c.Delete, Version: s.revision})
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return 200, wire.TxnReply{Revision: s.revision}
+}
+
+func (s *State) listLocked(q url.Values) wire.ItemList {
+	list := wire.ItemList{Items: []wire.Item{}, Revision: s.revision}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, q.Get("under")) && key > q.Get("after") {
+			list.Items = append(list.Items, item)
+		}
+	}
+	slices.SortFunc(list.Items, func(a, b wire.Item) int { return strings.Compare(a.Key, b.Key) })
+	return list
+}
+
+// watch stays open, silently, while its node is refused or all are.
+func (s *State) watch(ctx context.Context, node string, q url.Values) (int, []byte, error) {
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	ms, _ := strconv.Atoi(q.Get("wait_ms"))
+	deadline := time.NewTimer(time.Duration(ms) * time.Millisecond)
+	defer deadline.Stop()
+	for {
+		s.mu.Lock()
+		s.Requests++
+		var found []wire.Event
+		if !s.outage && !s.refused[node] {
+			for _, e := range s.events {
+				if e.Version > after && strings.HasPrefix(e.Put+e.Delete, q.Get("under")) {
+					found = append(found, e)
+				}
+			}
+		}
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(found) > 0 {
+			return 200, encode(wire.Events{Revision: revision, Events: found}), nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, nil, ctx.Err()
+		case <-deadline.C:
+			return 200, encode(wire.Events{Revision: after, Events: []wire.Event{}}), nil
+		case <-changed:
+		}
+	}
+}
