--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -270,6 +270,30 @@
 	return text
 }
 
+// Cancelling stops what runs, also what a new leader only finds on machines.
+func TestCancelRunning(t *testing.T) {
+	withCluster(t, 2, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 0 }
+	}, func(tc *testCluster) {
+		service := func(j map[string]any) { j["gait"] = "daemon" }
+		tc.expect(0, "POST", "/submissions", submission(1, service), 201, "")
+		tc.expect(0, "POST", "/submissions", submission(2, service), 201, "")
+		time.Sleep(3 * time.Second)
+		tc.expect(1, "POST", "/submissions/wk-000001/withdraw", nil, 200, "aborted")
+		time.Sleep(3 * time.Second)
+		if n := len(tc.fleet.Running()); n != 3 {
+			t.Errorf("%d tasks run, want the other job's 3", n)
+		}
+		old := tc.leader()
+		tc.crash(old)
+		tc.expect((old+1)%3, "POST", "/submissions/wk-000002/withdraw", nil, 200, "aborted")
+		time.Sleep(10 * time.Second)
+		if running := tc.fleet.Running(); len(running) != 0 {
+			t.Errorf("tasks of cancelled jobs run: %v", running)
+		}
+	})
+}
+
 // A start that is still under way when its job is cancelled may be carried
 // out late; the token is raised so that it never is, or it is stopped.
 func TestCancelWithLateStart(t *testing.T) {
@@ -281,8 +305,8 @@
 		time.Sleep(10 * time.Second)
 		tc.fleet.HoldCommands("host-000001", false)
 		time.Sleep(3 * time.Second)
-		if running := tc.fleet.Running(); len(running) > 0 {
-			t.Errorf("tasks of a cancelled job run: %v", running)
+		if n := tc.fleet.Starts("wk-000001/0"); n != 0 {
+			t.Errorf("a task of a cancelled job started %d times", n)
 		}
 		for i := range tc.nodes {
 			tc.expect(i, "GET", "/submissions/wk-000001", nil, 200, "aborted")
--- /dev/null
+++ b/internal/fleet/machine_test.go
@@ -0,0 +1,177 @@
+package fleet
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"heronwick/wire"
+)
+
+var t0 = time.Unix(1000, 0)
+
+// report builds a report of a machine's only worker.
+func report(session, seq, token uint64, tasks ...wire.TaskReport) *wire.Report {
+	return &wire.Report{Machine: "m", Address: "m", Type: "t", Session: session, Seq: seq, Token: token, Tasks: tasks}
+}
+
+func shown(a *Attempt, state wire.TaskState, why wire.Why) wire.TaskReport {
+	return wire.TaskReport{Task: a.Task, Attempt: a.Attempt, State: state, Why: why}
+}
+
+// machineWith returns a machine in session 1 with one durable attempt.
+func machineWith(t *testing.T) (*Machine, *Attempt) {
+	t.Helper()
+	m := NewMachine("m")
+	if _, fresh := m.Apply(report(1, 1, 5), t0); !fresh {
+		t.Fatal("the first report is not fresh")
+	}
+	a := &Attempt{Key: Key{"wk-1/0", 9}, Job: "wk-1", Sized: true}
+	m.Add(a, t0)
+	a.Durable = true
+	return m, a
+}
+
+func kinds(events []Event) []EventKind {
+	var k []EventKind
+	for _, e := range events {
+		k = append(k, e.Kind)
+	}
+	return k
+}
+
+// Nothing is sent before the store knows it may be on the machine.
+func TestNotSentBeforeDurable(t *testing.T) {
+	m, a := machineWith(t)
+	a.Durable = false
+	if len(m.Reply()) != 0 || m.Direct(5) != nil {
+		t.Error("a start went out before its record was written")
+	}
+	a.Durable = true
+	if len(m.Reply()) != 1 {
+		t.Error("the start does not go out")
+	}
+}
+
+// A direct start without answer may be carried out much later, while token
+// and session match: it is gone only when the worker has seen a higher token.
+func TestUnansweredStartStaysUntilTokenRises(t *testing.T) {
+	m, a := machineWith(t)
+	req := m.Direct(5)
+	m.DirectDone(req, false)
+	a.Stop = true
+	if events, _ := m.Apply(report(1, 2, 5), t0); len(events) != 0 || m.Live() != 1 {
+		t.Errorf("taken for gone though the start may come: %v", kinds(events))
+	}
+	if !m.WantsToken(5) {
+		t.Error("no higher token is asked for, so this never settles")
+	}
+	if events, _ := m.Apply(report(1, 3, 6), t0); len(events) != 1 || events[0].Kind != Lost {
+		t.Errorf("not settled by the higher token: %v", kinds(events))
+	}
+}
+
+// While a direct start is under way, no report proves that it is gone.
+func TestStartUnderWayStays(t *testing.T) {
+	m, a := machineWith(t)
+	req := m.Direct(5)
+	a.Stop = true
+	if events, _ := m.Apply(report(1, 2, 6), t0); len(events) != 0 {
+		t.Errorf("taken for gone while its start is under way: %v", kinds(events))
+	}
+	m.DirectDone(req, true)
+	if events, _ := m.Apply(report(1, 3, 6), t0); len(events) != 1 {
+		t.Error("not settled after the answer")
+	}
+}
+
+// After forget, a start that comes late would run the attempt once more.
+func TestForgetOnlyWhenNoStartCanCome(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		why      wire.Why
+		handled  bool
+		answered bool
+		token    uint64
+		want     bool
+	}{
+		{"done and recorded", wire.WhyDone, true, true, 5, true},
+		{"done, not recorded yet", wire.WhyDone, false, true, 5, false},
+		{"done, a start unanswered", wire.WhyDone, true, false, 5, false},
+		{"done, unanswered, token risen", wire.WhyDone, true, false, 6, true},
+		{"stopped, a copy may come", wire.WhyStopped, true, true, 5, false},
+		{"stopped, token risen", wire.WhyStopped, true, true, 6, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			m, a := machineWith(t)
+			req := m.Direct(5)
+			m.DirectDone(req, test.answered)
+			m.Apply(report(1, 2, test.token, shown(a, wire.TaskExited, test.why)), t0)
+			a.Handled = test.handled
+			forgets := 0
+			for _, c := range m.Reply() {
+				if c.Op == wire.OpForget {
+					forgets++
+				}
+			}
+			if (forgets == 1) != test.want {
+				t.Errorf("told to forget: %v, want %v", forgets == 1, test.want)
+			}
+		})
+	}
+}
+
+// A worker whose lease ran out comes with the next session and without tasks.
+func TestMovedSessionProvesGone(t *testing.T) {
+	m, a := machineWith(t)
+	m.Apply(report(1, 2, 5, shown(a, wire.TaskRunning, "")), t0)
+	events, _ := m.Apply(report(2, 3, 5), t0)
+	if len(events) != 1 || events[0].Kind != Lost || len(m.Attempts) != 0 {
+		t.Errorf("got %v", kinds(events))
+	}
+}
+
+// Late reports tell nothing: neither older ones nor those of a lapsed lease.
+func TestLateReportsAreIgnored(t *testing.T) {
+	m, a := machineWith(t)
+	m.Apply(report(1, 5, 5, shown(a, wire.TaskRunning, "")), t0)
+	if _, fresh := m.Apply(report(1, 4, 5), t0); fresh {
+		t.Error("an older report was taken")
+	}
+	m.Lapsed()
+	if _, fresh := m.Apply(report(1, 6, 5, shown(a, wire.TaskRunning, "")), t0); fresh || len(m.Attempts) != 0 {
+		t.Error("a report of a lapsed session brought its tasks back")
+	}
+	if _, fresh := m.Apply(report(2, 7, 5), t0); !fresh {
+		t.Error("the next session was not taken")
+	}
+}
+
+// At a takeover, what the record holds is settled by the first report under
+// the new token, not by an earlier one: an old leader's start may still come.
+func TestRecoveredSettlesUnderNewToken(t *testing.T) {
+	old, a := machineWith(t)
+	value := mustRecord(t, old)
+	m, err := FromRecord("m", value, 8, t0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if events, _ := m.Apply(report(1, 2, 5), t0); len(events) != 0 || m.Live() != 1 {
+		t.Errorf("settled under the old token: %v", kinds(events))
+	}
+	if len(m.Reply()) != 0 {
+		t.Error("the start of a recovered attempt is repeated")
+	}
+	if events, _ := m.Apply(report(1, 3, 8), t0); len(events) != 1 || events[0].Kind != Lost || events[0].Attempt.Key != a.Key {
+		t.Errorf("not settled under the new token: %v", kinds(events))
+	}
+}
+
+func mustRecord(t *testing.T, m *Machine) []byte {
+	t.Helper()
+	value, err := json.Marshal(m.Record("w"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,138 @@
+package state_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heronwick/internal/standin"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+func put(key string, version uint64, value int) state.Write {
+	text, _ := json.Marshal(value)
+	return state.Write{If: []wire.Condition{{Key: key, Version: version}}, Then: []wire.Change{{Put: key, Value: text}}}
+}
+
+func newCommitter(s *standin.State) (*state.Client, *state.Committer) {
+	client := state.NewClient(s.Node("a"), state.NewBudget(150, 60, 16))
+	return client, state.NewCommitter(client, 16)
+}
+
+// Many writes share few transactions, and one conflict takes out only its
+// own write.
+func TestGroupCommitWithConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewState()
+		_, c := newCommitter(s)
+		ctx := context.Background()
+		if _, err := c.Commit(ctx, put("taken", 0, 1)); err != nil {
+			t.Fatal(err)
+		}
+		before := s.Requests
+		var wg sync.WaitGroup
+		errs := make([]error, 20)
+		for i := range errs {
+			key := fmt.Sprintf("k%d", i)
+			if i == 7 {
+				key = "taken"
+			}
+			wg.Go(func() { _, errs[i] = c.Commit(ctx, put(key, 0, i)) })
+		}
+		wg.Wait()
+		for i, err := range errs {
+			var conflict *state.Conflict
+			if i == 7 && !errors.As(err, &conflict) || i != 7 && err != nil {
+				t.Errorf("write %d: %v", i, err)
+			}
+		}
+		if n := s.Requests - before; n > 8 {
+			t.Errorf("%d requests for 20 writes", n)
+		}
+	})
+}
+
+// A write whose response is lost was carried out: trying again must find
+// that, and not report a conflict with itself.
+func TestLostResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewState()
+		_, c := newCommitter(s)
+		s.LoseResponses(1)
+		w := put("k", 0, 1)
+		w.Persist = true
+		if _, err := c.Commit(context.Background(), w); err != nil {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
+// A transaction that is carried out late must fail: its conditions have been
+// moved on by the try that came after it.
+func TestLateTransactionFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewState()
+		_, c := newCommitter(s)
+		s.HoldTxns(1)
+		w := put("k", 0, 1)
+		w.Persist = true
+		version, err := c.Commit(context.Background(), w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Commit(context.Background(), put("k", version, 2)); err != nil {
+			t.Fatal(err)
+		}
+		for _, status := range s.ReleaseTxns() {
+			if status != 409 {
+				t.Errorf("the late copy was carried out: status %d", status)
+			}
+		}
+		if got := string(s.Get("k")); got != "2" {
+			t.Errorf("the late copy overwrote the value: %s", got)
+		}
+	})
+}
+
+// When the budget is short, the most urgent waits least.
+func TestBudgetServesByPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := state.NewBudget(10, 10, 1)
+		ctx := context.Background()
+		for range 10 {
+			if err := b.Acquire(ctx, state.Urgent, 1); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var mu sync.Mutex
+		var order []state.Priority
+		var wg sync.WaitGroup
+		began := time.Now()
+		for _, p := range []state.Priority{state.Submission, state.Placement, state.Urgent, state.Safety} {
+			wg.Go(func() {
+				if err := b.Acquire(ctx, p, 1); err != nil {
+					t.Error(err)
+				}
+				mu.Lock()
+				order = append(order, p)
+				mu.Unlock()
+			})
+			synctest.Wait()
+		}
+		wg.Wait()
+		for i := 1; i < len(order); i++ {
+			if order[i] < order[i-1] {
+				t.Errorf("served in the order %v", order)
+			}
+		}
+		if took := time.Since(began); took < 300*time.Millisecond {
+			t.Errorf("four requests in %v at 10 a second", took)
+		}
+	})
+}
