Let replicas fill half a machine at most while others can take them

Cause: services stacked on few machines, so their images were nowhere else and a dead machine took eight replicas with it (DESIGN, Limits). Ruled out: slow placement (40 ms), full machines (half of the CPUs were free).

--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -176,7 +176,16 @@
 	holds := func(name string) bool {
 		return s.machines[name].HoldsImage(js.rec.Job.Image) && fits(name)
 	}
-	if name, ok := s.list.Walk(holds); ok {
+	// Replicas stacked on one machine are all lost with it, and their images
+	// are then nowhere else: as long as another machine can take a replica,
+	// they fill half of one at most.
+	roomy := func(name string) bool { return s.belowHalfLocked(js, s.machines[name]) && fits(name) }
+	service := js.rec.Job.Kind == wire.KindService
+	if service {
+		if name, ok := s.list.Walk(func(name string) bool { return roomy(name) && holds(name) }); ok {
+			return s.machines[name], false
+		}
+	} else if name, ok := s.list.Walk(holds); ok {
 		return s.machines[name], false
 	}
 	idle := s.idleLocked(js, now)
@@ -184,8 +193,20 @@
 		s.list.MoveToFront(idle.Name)
 		return idle, false
 	}
-	if js.rec.Job.Kind == wire.KindService && s.preemptLocked(js, now, true) {
-		return nil, true
+	if service {
+		if name, ok := s.list.Walk(holds); ok {
+			return s.machines[name], false
+		}
+		if s.preemptLocked(js, now, true) {
+			return nil, true
+		}
+		if name, ok := s.list.Walk(roomy); ok {
+			return s.machines[name], false
+		}
+		if idle != nil {
+			s.list.MoveToFront(idle.Name)
+			return idle, false
+		}
 	}
 	if name, ok := s.list.Walk(fits); ok {
 		return s.machines[name], false
@@ -196,6 +217,21 @@
 	return idle, false
 }
 
+// belowHalfLocked tells whether one more replica leaves services on at most
+// half of the machine.
+func (s *Share) belowHalfLocked(js *jobState, m *machine) bool {
+	if m == nil || m.Type == nil {
+		return false
+	}
+	sum := js.size
+	for _, a := range m.Attempts {
+		if a.Service && !a.Exited() {
+			sum = sum.Plus(a.Size)
+		}
+	}
+	return sum.Within(placement.Capacity(m.Type).Times(0.5))
+}
+
 // idleLocked returns the idle machine to open for the job: one that holds its
 // image before others, then spot before ordinary, which other jobs may need,
 // then by name.
