--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -17,7 +17,9 @@
 )
 
 const (
-	probeTimeout = time.Second
+	probeTimeout = 700 * time.Millisecond
+	// deadProbes is how many probes in a row must go unanswered.
+	deadProbes = 3
 	// keepWarm is how long an idle machine is kept for what may come.
 	keepWarm = 5 * time.Minute
 	// listEvery is how often the cloud's list is read.
@@ -44,9 +46,25 @@
 }
 
 // deadAfter is when a silent worker that does not answer probes either counts
-// as lost, and its machine is returned for proof.
+// as lost, and its machine is returned for proof: a report is surely missing.
 func (s *Share) deadAfter() time.Duration {
-	return s.silentAfter() + 2*probeTimeout
+	return s.opts.Settings.ReportEvery*5/4 + 250*time.Millisecond
+}
+
+// probeAfter is how long a worker may be silent before it is asked: soon
+// where replicas would be down, since the probes then end with deadAfter.
+func (s *Share) probeAfter(m *machine) time.Duration {
+	for _, a := range m.Attempts {
+		if a.Service && !a.Exited() {
+			return s.deadAfter() - deadProbes*probeTimeout
+		}
+	}
+	return s.silentAfter()
+}
+
+// dead tells whether the worker counts as lost.
+func (s *Share) dead(m *machine, now time.Time) bool {
+	return m.failures >= deadProbes && now.Sub(m.LastReport) > s.deadAfter()
 }
 
 // watchMachinesLocked probes silent workers, settles what leases or returns
@@ -57,7 +75,7 @@
 	}
 	silent := 0
 	for _, m := range s.machines {
-		if m.failures >= 2 && now.Sub(m.LastReport) > s.deadAfter() {
+		if s.dead(m, now) {
 			silent++
 		}
 	}
@@ -72,7 +90,7 @@
 	var back []*machine
 	for _, m := range s.machines {
 		silence := now.Sub(m.LastReport)
-		if silence > s.silentAfter() && now.Sub(m.probed) > probeTimeout && !m.probing {
+		if silence > s.probeAfter(m) && now.Sub(m.probed) >= probeTimeout && !m.probing {
 			s.probeLocked(m, now)
 		}
 		if m.Live() > 0 && silence > s.silentAfter() {
@@ -81,10 +99,9 @@
 				s.handleLocked(m, m.Lapsed())
 			}
 		}
-		dead := m.failures >= 2 && silence > s.deadAfter()
 		switch {
 		case m.returning:
-		case dead && !cut, s.overdueLocked(m, now):
+		case s.dead(m, now) && !cut, s.overdueLocked(m, now):
 			back = append(back, m)
 		case m.suspect && m.Live() == 0:
 			back = append(back, m)
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -309,7 +309,7 @@
 // loop schedules whenever something has changed, and looks after the machines
 // at regular times.
 func (s *Share) loop(ctx context.Context) error {
-	tick := time.NewTicker(250 * time.Millisecond)
+	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
 	var logged time.Time
 	for {
