--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -20,13 +21,15 @@
 )
 
 // leaderPart is the leader's part of the state service's limits; the others
-// divide the rest. It places and records, they accept and answer.
-const leaderPart = 0.5
+// divide the rest: it also keeps the epoch and takes over what others leave.
+const leaderPart = 0.4
 
 // peer is another controller, as the wiring uses it.
 type peer interface {
 	cluster.Beater
 	state.Doer
+	Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceReply, error)
+	Settle(ctx context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error)
 }
 
 // outside is everything beyond this process.
@@ -54,13 +57,25 @@
 	share     atomic.Pointer[scheduler.Share]
 }
 
-// authority adapts the cluster to what a share needs.
-type authority struct{ *cluster.Cluster }
+// peerShares are the other controllers' shares.
+type peerShares map[string]peer
 
-// Token implements scheduler.Authority.
-func (a authority) Token() uint64 {
-	epoch, _, _ := a.Current()
-	return epoch.Token
+var errNoPeer = errors.New("no such peer")
+
+// Place implements scheduler.Peers.
+func (p peerShares) Place(ctx context.Context, node string, req *peerpb.PlaceRequest) (*peerpb.PlaceReply, error) {
+	if p[node] == nil {
+		return nil, errNoPeer
+	}
+	return p[node].Place(ctx, req)
+}
+
+// Settle implements scheduler.Peers.
+func (p peerShares) Settle(ctx context.Context, node string, req *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	if p[node] == nil {
+		return nil, errNoPeer
+	}
+	return p[node].Settle(ctx, req)
 }
 
 func newController(settings *config.Settings, out outside, log *slog.Logger) *controller {
@@ -78,7 +93,8 @@
 	}
 	c.members = cluster.New(cluster.Options{
 		Node: settings.Node, Client: c.client, Route: c.route, Peers: beaters, LeaseFor: settings.LeaseFor,
-		Lead: c.lead, Progress: c.progress, OnProgress: c.takeProgress, Log: log,
+		Share: c.runShare, Status: c.status, Changed: c.changed, Weights: c.weights,
+		Progress: c.progress, OnProgress: c.takeProgress, Log: log,
 	})
 	c.front = server.New(server.Options{
 		Settings: settings, Jobs: c.catalog, Types: c.offers.Types, Checkin: c.checkin, Ready: c.ready, Log: log,
@@ -113,24 +129,28 @@
 	return c.settings.StateRPS * part, c.settings.StateWriteRPS * part
 }
 
-func (c *controller) setRates(leading bool) {
+// changed follows the epoch: the share, and this controller's part of the
+// limits.
+func (c *controller) changed() {
+	_, leading, _ := c.members.Current()
 	requests, writes := c.rates(leading)
 	c.budget.SetRates(requests, writes, c.settings.TxnOps)
+	if s := c.share.Load(); s != nil {
+		s.Changed()
+	}
 }
 
-// lead runs the share while this controller leads.
-func (c *controller) lead(ctx context.Context) error {
+// runShare runs the share while this controller is a member.
+func (c *controller) runShare(ctx context.Context) error {
 	if err := c.offers.Wait(ctx); err != nil {
 		return err
 	}
 	if err := c.catalog.Wait(ctx); err != nil {
 		return err
 	}
-	c.setRates(true)
-	defer c.setRates(false)
 	s := scheduler.New(scheduler.Options{
-		Settings: c.settings, Authority: authority{c.members}, Workers: c.out.workers, Cloud: c.out.cloud,
-		Jobs: c.catalog, Records: c.client, Committer: c.committer, Types: c.offers.Types(),
+		Node: c.settings.Node, Settings: c.settings, Authority: c.members, Workers: c.out.workers, Cloud: c.out.cloud,
+		Peers: peerShares(c.out.peers), Jobs: c.catalog, Records: c.client, Committer: c.committer, Types: c.offers.Types(),
 		Resign: c.members.Resign, Elsewhere: c.members.WorkersElsewhere, Log: c.log,
 	})
 	c.share.Store(s)
@@ -138,6 +158,41 @@
 	return s.Run(ctx)
 }
 
+// status fills in what the peers are told of this controller.
+func (c *controller) status(status *peerpb.Status) {
+	status.Ready = c.catalog.Ready() && c.offers.Types() != nil
+	if s := c.share.Load(); s != nil {
+		s.Status(status)
+	}
+}
+
+// weights tells how much work each team has: what it is guaranteed and what
+// its jobs take.
+func (c *controller) weights() map[string]float64 {
+	weights := map[string]float64{}
+	active := c.catalog.Weights()
+	for _, t := range c.settings.Teams {
+		weights[t.Name] = 1 + t.CPUs + active[t.Name]
+	}
+	return weights
+}
+
+// Place implements cluster.Host.
+func (c *controller) Place(req *peerpb.PlaceRequest) *peerpb.PlaceReply {
+	if s := c.share.Load(); s != nil {
+		return s.Place(req)
+	}
+	return &peerpb.PlaceReply{}
+}
+
+// Settle implements cluster.Host.
+func (c *controller) Settle(req *peerpb.SettleRequest) *peerpb.SettleReply {
+	if s := c.share.Load(); s != nil {
+		return s.Settle(req)
+	}
+	return &peerpb.SettleReply{}
+}
+
 func (c *controller) progress() []*peerpb.Progress {
 	s := c.share.Load()
 	if s == nil {
@@ -165,12 +220,12 @@
 			return reply, ""
 		}
 	}
-	leader := c.members.Leader()
-	if leader == c.settings.Node {
+	home, _ := c.members.Home(r.Machine)
+	if home == c.settings.Node {
 		return nil, ""
 	}
 	c.members.HeardWorker(r.Machine)
-	return nil, leader
+	return nil, home
 }
 
 // ready tells whether this controller can take requests. In an outage of the
--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -52,6 +52,22 @@
 	return c.members.HandleBeat(mine), nil
 }
 
+func (l link) Place(_ context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceReply, error) {
+	c := l.to.current.Load()
+	if c == nil {
+		return nil, errDown
+	}
+	return c.Place(req), nil
+}
+
+func (l link) Settle(_ context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	c := l.to.current.Load()
+	if c == nil {
+		return nil, errDown
+	}
+	return c.Settle(req), nil
+}
+
 func (l link) Do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
 	c := l.to.current.Load()
 	if c == nil {
@@ -129,7 +145,7 @@
 func (tc *testCluster) leader() int {
 	for i, n := range tc.nodes {
 		if c := n.current.Load(); c != nil {
-			if _, _, leads := c.members.Current(); leads && c.members.Permitted() {
+			if _, leads, _ := c.members.Current(); leads && c.members.Permitted() {
 				return i
 			}
 		}
--- a/cmd/heronwick/main.go
+++ b/cmd/heronwick/main.go
@@ -97,7 +97,9 @@
 	log.Info("started", "version", version, "listen", settings.Listen, "peers", len(settings.Peers))
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.front.Serve(ctx, ln) })
-	g.Go(func() error { return (&cluster.Service{Cluster: c.members, Route: c.route}).Serve(ctx, peerLn) })
+	g.Go(func() error {
+		return (&cluster.Service{Cluster: c.members, Route: c.route, Host: c}).Serve(ctx, peerLn)
+	})
 	g.Go(func() error { return c.run(ctx) })
 	return g.Wait()
 }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -1,7 +1,8 @@
 // Package cluster keeps the controllers' membership, elects their leader and
 // holds the epoch: who is entitled to command workers, under which token.
 //
-// One unleased key holds the epoch. Each change of it is a compare-and-set
+// One unleased key holds the epoch: its token, the leader, the members, and
+// which member owns each team. Each change of it is a compare-and-set
 // that raises the token; workers drop whatever bears a lower token, so tokens
 // are what fences an old leader. The leader's leased key only decides when
 // another may try.
@@ -11,9 +12,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"hash/fnv"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,9 +30,10 @@
 
 // Keys of the state service that this package owns.
 const (
-	prefix    = "cluster/"
-	epochKey  = prefix + "epoch"
-	leaderKey = prefix + "leader"
+	prefix      = "cluster/"
+	epochKey    = prefix + "epoch"
+	leaderKey   = prefix + "leader"
+	ownerPrefix = prefix + "owner/"
 )
 
 // leaderTTL is how long a silent leader keeps the others waiting. Renewing
@@ -40,6 +45,10 @@
 	watchFor    = 4 * time.Second // a refused controller's open watch stays silent: look elsewhere soon
 	peerOKFor   = 3 * beatEvery
 	beatTimeout = time.Second
+	// deadAfter is when a member that does not answer loses its share.
+	deadAfter = 2500 * time.Millisecond
+	// shunFor keeps out a member that could not reach its workers.
+	shunFor = 15 * time.Second
 )
 
 // Epoch says who commands workers, and under which token.
@@ -47,6 +56,27 @@
 	Token       uint64 `json:"token"`
 	Leader      string `json:"leader"`
 	Incarnation uint64 `json:"incarnation"`
+	// Members holds the incarnation of each controller with a share.
+	Members map[string]uint64 `json:"members"`
+	// Teams says which member owns each team. A job whose team is not listed
+	// belongs to the member that its id hashes to.
+	Teams map[string]string `json:"teams"`
+}
+
+// OwnerOf returns the member that owns a job.
+func (e *Epoch) OwnerOf(team, job string) string {
+	if node, ok := e.Teams[team]; ok {
+		return node
+	}
+	best, highest := "", uint64(0)
+	for node := range e.Members {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(node + "/" + job))
+		if sum := h.Sum64(); best == "" || sum > highest || sum == highest && node < best {
+			best, highest = node, sum
+		}
+	}
+	return best
 }
 
 type leaderRecord struct {
@@ -64,6 +94,8 @@
 	stateOK     bool
 	workers     uint32
 	vouched     time.Time // when it was asked and knew of no newer epoch than ours
+	status      *peerpb.Status
+	shunned     time.Time // no member before then
 }
 
 // Beater is the part of a peer's interface that this package calls.
@@ -80,9 +112,15 @@
 	// LeaseFor is the workers' lease; the permission to answer their reports
 	// without a fresh confirmation of the epoch is a quarter of it.
 	LeaseFor time.Duration
-	// Lead runs while this controller leads; its context ends when it no
-	// longer does.
-	Lead func(ctx context.Context) error
+	// Share runs while this controller is a member; its context ends when it
+	// no longer is.
+	Share func(ctx context.Context) error
+	// Status fills in what the peers are told of the share.
+	Status func(*peerpb.Status)
+	// Changed is called, in no lock, when the epoch or an owner has changed.
+	Changed func()
+	// Weights tells how much work each team has.
+	Weights func() map[string]float64
 	// Progress is told to the peers, for display, and taken from the leader.
 	Progress   func() []*peerpb.Progress
 	OnProgress func([]*peerpb.Progress)
@@ -108,9 +146,11 @@
 	confirmed     time.Time // when the last proof that the epoch is current was asked for
 	peers         map[string]*peer
 	fence         fence
+	proven        []proof
+	owners        map[string]Owner
 	workersHeard  map[string]time.Time
-	stopLead      context.CancelFunc
-	leading       chan struct{} // closed when the current Lead has returned
+	stopShare     context.CancelFunc
+	sharing       chan struct{} // closed when the current Share has returned
 }
 
 // fence collects, for the current epoch, the proof that nobody answers
@@ -121,6 +161,12 @@
 	allAt      time.Time
 }
 
+// proof: since at, nobody answers workers under an epoch older than token.
+type proof struct {
+	token uint64
+	at    time.Time
+}
+
 // New makes a Cluster; Run starts it.
 func New(opts Options) *Cluster {
 	c := &Cluster{
@@ -130,6 +176,7 @@
 		changed:      make(chan struct{}, 1),
 		peers:        map[string]*peer{},
 		workersHeard: map[string]time.Time{},
+		owners:       map[string]Owner{},
 	}
 	for node, client := range opts.Peers {
 		c.peers[node] = &peer{node: node, client: client}
@@ -148,64 +195,78 @@
 	return g.Wait()
 }
 
-// Current returns the epoch, its key's version, and whether this controller
-// leads it.
-func (c *Cluster) Current() (epoch Epoch, version uint64, leading bool) {
+// Division returns the epoch, and the condition that fences what is decided
+// under it.
+func (c *Cluster) Division() (Epoch, wire.Condition) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.epoch, c.version, c.leadsLocked()
+	return c.epoch, wire.Condition{Key: epochKey, Version: c.version}
 }
 
-func (c *Cluster) leadsLocked() bool {
-	return c.known && c.epoch.Leader == c.opts.Node && c.epoch.Incarnation == c.incarnation
+// Current returns the epoch and whether this controller leads it and is a
+// member of it. The epoch's maps must not be changed.
+func (c *Cluster) Current() (epoch Epoch, leading, member bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.epoch, c.leadsLocked(), c.memberLocked()
 }
 
-// Condition is the condition that fences every write of the leader.
-func (c *Cluster) Condition() wire.Condition {
+// Token returns the token under which this controller commands.
+func (c *Cluster) Token() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return wire.Condition{Key: epochKey, Version: c.version}
+	return c.epoch.Token
+}
+
+func (c *Cluster) leadsLocked() bool {
+	return c.known && c.epoch.Leader == c.opts.Node && c.epoch.Incarnation == c.incarnation
+}
+
+func (c *Cluster) memberLocked() bool {
+	return c.known && c.epoch.Members[c.opts.Node] == c.incarnation
 }
 
 // Permitted tells whether this controller may answer workers' reports now: it
-// leads, and proof that its epoch is current was asked for a short while ago.
-// Without the bound, a leader cut off from everything but some workers would
-// renew their leases for ever, and nobody could ever count them as lapsed.
+// is a member, and proof that its epoch is current was asked for a short while
+// ago. Without the bound, a controller cut off from everything but some
+// workers would renew their leases for ever, and nobody could ever count them
+// as lapsed.
 func (c *Cluster) Permitted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leadsLocked() && time.Since(c.confirmed) < c.permission
+	return c.memberLocked() && time.Since(c.confirmed) < c.permission
 }
 
-// Fenced returns since when surely no other controller has answered a
-// worker's report, if that is proven. See docs/design.md, "Fencing".
-func (c *Cluster) Fenced() (time.Time, bool) {
+// Fenced returns since when surely no controller has answered a worker under
+// an epoch older than token, if that is proven. See docs/design.md, "Fencing".
+func (c *Cluster) Fenced(token uint64) (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.leadsLocked() {
-		return time.Time{}, false
-	}
-	now := time.Now()
-	at := c.fence.allAt
-	if !c.fence.majorityAt.IsZero() {
-		// Clocks of two machines drift apart by up to 0.05%.
-		bound := c.fence.majorityAt.Add(c.permission + c.permission/1000)
-		if at.IsZero() || bound.Before(at) {
-			at = bound
+	c.noteFenceLocked()
+	for _, p := range c.proven {
+		if p.token >= token {
+			return p.at, true
 		}
 	}
-	return at, !at.IsZero() && !now.Before(at)
+	return time.Time{}, false
 }
 
-// Leader returns the node to which workers should report: the leader of the
-// current epoch, or "" if that one is not known to be alive.
-func (c *Cluster) Leader() string {
+// Home returns the node to which a worker should report: its machine's owner,
+// else the leader, or "" if that one is not known to be alive. owned tells
+// whether its machine has an owner that is a member.
+func (c *Cluster) Home(machine string) (node string, owned bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.known || c.leaderVersion == 0 || c.leader.Node != c.epoch.Leader || c.leader.Incarnation != c.epoch.Incarnation {
-		return ""
+	if !c.known {
+		return "", false
+	}
+	if o, ok := c.owners[machine]; ok && c.validLocked(o) {
+		return o.Node, true
 	}
-	return c.epoch.Leader
+	if c.leaderVersion == 0 || c.leader.Node != c.epoch.Leader || c.leader.Incarnation != c.epoch.Incarnation {
+		return "", false
+	}
+	return c.epoch.Leader, false
 }
 
 // HeardWorker notes that a worker reported here although another leads.
@@ -265,28 +326,32 @@
 func (c *Cluster) HandleBeat(theirs *peerpb.Status) *peerpb.Status {
 	c.mu.Lock()
 	if p := c.peers[theirs.Node]; p != nil {
-		p.lastSeen = time.Now()
-		p.incarnation, p.stateOK, p.workers = theirs.Incarnation, theirs.StateOk, theirs.WorkersHeard
-		p.token = theirs.Token
-		c.noteAckLocked(p)
+		c.notePeerLocked(p, theirs)
 	}
 	newer := theirs.Token > c.epoch.Token
-	fromLeader := theirs.Node == c.epoch.Leader
 	c.mu.Unlock()
 	if newer {
 		c.poke()
 	}
-	if fromLeader && len(theirs.Progress) > 0 && c.opts.OnProgress != nil {
+	if len(theirs.Progress) > 0 && c.opts.OnProgress != nil {
 		c.opts.OnProgress(theirs.Progress)
 	}
 	return c.status()
 }
 
+// notePeerLocked takes what a peer says of itself.
+func (c *Cluster) notePeerLocked(p *peer, theirs *peerpb.Status) {
+	p.lastSeen, p.status = time.Now(), theirs
+	p.incarnation, p.token, p.stateOK, p.workers = theirs.Incarnation, theirs.Token, theirs.StateOk, theirs.WorkersHeard
+	c.noteAckLocked(p)
+}
+
 func (c *Cluster) status() *peerpb.Status {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	s := &peerpb.Status{Node: c.opts.Node, Incarnation: c.incarnation,
 		StateOk: c.opts.Route.DirectOK(2 * time.Second)}
+	c.opts.Status(s)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.known {
 		s.Token = c.epoch.Token
 	}
@@ -302,7 +367,7 @@
 // noteAckLocked counts a peer that knows the current epoch: it will neither
 // answer workers under an older one nor vouch for one.
 func (c *Cluster) noteAckLocked(p *peer) {
-	if !c.leadsLocked() || p.token < c.epoch.Token {
+	if !c.memberLocked() || p.token < c.epoch.Token {
 		return
 	}
 	if c.fence.acked == nil {
@@ -313,6 +378,9 @@
 }
 
 func (c *Cluster) noteFenceLocked() {
+	if !c.memberLocked() || len(c.proven) > 0 && c.proven[len(c.proven)-1].token >= c.epoch.Token {
+		return
+	}
 	now := time.Now()
 	if c.fence.majorityAt.IsZero() && 2*(len(c.fence.acked)+1) > len(c.peers)+1 {
 		c.fence.majorityAt = now
@@ -320,6 +388,23 @@
 	if c.fence.allAt.IsZero() && len(c.fence.acked) == len(c.peers) {
 		c.fence.allAt = now
 	}
+	at := c.fence.allAt
+	if !c.fence.majorityAt.IsZero() {
+		// Clocks of two machines drift apart by up to 0.05%.
+		bound := c.fence.majorityAt.Add(c.permission + c.permission/1000)
+		if at.IsZero() || bound.Before(at) {
+			at = bound
+		}
+	}
+	if at.IsZero() || now.Before(at) {
+		return
+	}
+	// Proof for this epoch is proof for all older ones; a few are kept so
+	// that a machine taken under an older epoch keeps its earlier date.
+	c.proven = append(c.proven, proof{token: c.epoch.Token, at: at})
+	if len(c.proven) > 64 {
+		c.proven = c.proven[1:]
+	}
 }
 
 // noteVouchLocked confirms the epoch as of the latest time at which a
@@ -327,7 +412,7 @@
 // not read the epoch since it started does not count: it may have forgotten a
 // newer one.
 func (c *Cluster) noteVouchLocked() {
-	if !c.leadsLocked() {
+	if !c.memberLocked() {
 		return
 	}
 	var times []time.Time
@@ -353,9 +438,7 @@
 	for {
 		mine := c.status()
 		if c.opts.Progress != nil {
-			if _, _, leading := c.Current(); leading {
-				mine.Progress = c.opts.Progress()
-			}
+			mine.Progress = c.opts.Progress()
 		}
 		sent := time.Now()
 		bctx, cancel := context.WithTimeout(ctx, beatTimeout)
@@ -363,9 +446,7 @@
 		cancel()
 		if err == nil {
 			c.mu.Lock()
-			p.lastSeen = time.Now()
-			p.incarnation, p.token, p.stateOK, p.workers = theirs.Incarnation, theirs.Token, theirs.StateOk, theirs.WorkersHeard
-			c.noteAckLocked(p)
+			c.notePeerLocked(p, theirs)
 			if theirs.Token > 0 && theirs.Token <= c.epoch.Token {
 				p.vouched = sent
 				c.noteVouchLocked()
@@ -407,10 +488,11 @@
 	}
 	c.revision, c.known = revision, true
 	c.leaderVersion, c.leader = 0, leaderRecord{}
+	clear(c.owners)
 	for _, item := range items {
 		c.takeLocked(item.Key, item.Value, item.Version)
 	}
-	if c.leadsLocked() && sent.After(c.confirmed) {
+	if c.memberLocked() && sent.After(c.confirmed) {
 		c.confirmed = sent
 	}
 	return nil
@@ -432,28 +514,35 @@
 		if json.Unmarshal(value, &l) == nil {
 			c.leader, c.leaderVersion = l, version
 		}
+	default:
+		c.takeOwnerLocked(key, value, version)
 	}
 }
 
-// setEpochLocked takes a newer epoch and starts or stops leading.
+// setEpochLocked takes a newer epoch and ends the share if this controller is
+// no member any more.
 func (c *Cluster) setEpochLocked(e Epoch, version uint64) {
-	led := c.leadsLocked()
+	was := c.memberLocked()
 	if e.Token > c.epoch.Token {
-		// A token that this leader raised itself needs no new proof about the
-		// others: whoever knew the old one has not answered since.
-		if !led || e.Leader != c.opts.Node || e.Incarnation != c.incarnation {
-			c.fence = fence{}
+		// What peers said of the old epoch proves nothing about this one: a
+		// member stays permitted for what it has confirmed before, since
+		// nobody may answer its workers without its share.
+		c.fence = fence{}
+		if !was || e.Members[c.opts.Node] != c.incarnation {
 			c.confirmed = time.Time{}
-			for _, p := range c.peers {
-				p.vouched = time.Time{} // they vouched for another epoch
-			}
+		}
+		for _, p := range c.peers {
+			p.vouched = time.Time{}
 		}
 	}
 	c.epoch, c.version, c.known = e, version, true
-	if led && !c.leadsLocked() && c.stopLead != nil {
-		c.opts.Log.Info("no longer leading", "token", e.Token, "leader", e.Leader)
-		c.stopLead()
-		c.stopLead = nil
+	for _, p := range c.peers {
+		c.noteAckLocked(p)
+	}
+	if was && !c.memberLocked() && c.stopShare != nil {
+		c.opts.Log.Info("no longer a member", "token", e.Token, "leader", e.Leader)
+		c.stopShare()
+		c.stopShare = nil
 	}
 }
 
@@ -469,6 +558,7 @@
 			}
 			fresh = true
 			c.poke()
+			c.opts.Changed()
 		}
 		c.mu.Lock()
 		after := c.revision
@@ -487,12 +577,15 @@
 					c.takeLocked(e.Put, e.Value, e.Version)
 				} else if e.Delete == leaderKey {
 					c.leaderVersion, c.leader = 0, leaderRecord{}
+				} else {
+					delete(c.owners, strings.TrimPrefix(e.Delete, ownerPrefix))
 				}
 			}
 		}
 		c.mu.Unlock()
 		if len(events.Events) > 0 {
 			c.poke()
+			c.opts.Changed()
 		}
 	}
 	return nil
@@ -527,37 +620,33 @@
 			}
 		case leading:
 			c.keep(ctx)
-			c.mu.Lock()
-			if c.leadsLocked() {
-				c.noteFenceLocked()
-			}
-			c.mu.Unlock()
+			c.manage(ctx)
 		case free || mine:
 			// Whoever comes first wins; jitter makes a tie rare.
 			sleep(ctx, rand.N(100*time.Millisecond))
 			c.claim(ctx)
 		}
 		c.mu.Lock()
-		start := c.leadsLocked() && c.stopLead == nil
-		var leadCtx context.Context
-		var previous chan struct{}
-		if start {
-			leadCtx, c.stopLead = context.WithCancel(ctx)
-			previous, c.leading = c.leading, make(chan struct{})
-			go c.lead(leadCtx, previous, c.leading)
+		if c.memberLocked() && c.stopShare == nil {
+			var shareCtx context.Context
+			shareCtx, c.stopShare = context.WithCancel(ctx)
+			previous := c.sharing
+			c.sharing = make(chan struct{})
+			go c.share(shareCtx, previous, c.sharing)
 		}
+		c.noteFenceLocked()
 		c.mu.Unlock()
 	}
 }
 
-func (c *Cluster) lead(ctx context.Context, previous, done chan struct{}) {
+func (c *Cluster) share(ctx context.Context, previous, done chan struct{}) {
 	defer close(done)
 	if previous != nil {
 		<-previous
 	}
-	c.opts.Log.Info("leading", "node", c.opts.Node)
-	if err := c.opts.Lead(ctx); err != nil && ctx.Err() == nil {
-		c.opts.Log.Error("leading failed", "err", err)
+	c.opts.Log.Info("share begins")
+	if err := c.opts.Share(ctx); err != nil && ctx.Err() == nil {
+		c.opts.Log.Error("share failed", "err", err)
 	}
 }
 
@@ -636,7 +725,10 @@
 		c.opts.Log.Debug("no lease", "err", err)
 		return
 	}
-	next := Epoch{Token: epoch.Token + 1, Leader: c.opts.Node, Incarnation: c.incarnation}
+	next := epoch.next()
+	delete(next.Members, epoch.Leader) // it is back as a member once it answers
+	next.Leader, next.Incarnation, next.Members[c.opts.Node] = c.opts.Node, c.incarnation, c.incarnation
+	next.divide(c.opts.Weights())
 	value, _ := json.Marshal(next)
 	record, _ := json.Marshal(leaderRecord{Node: c.opts.Node, Incarnation: c.incarnation})
 	sent := time.Now()
@@ -668,20 +760,28 @@
 	c.leader, c.leaderVersion = leaderRecord{Node: c.opts.Node, Incarnation: c.incarnation}, revision
 	c.confirmed = sent // not now: another may have claimed since
 	c.opts.Log.Info("elected", "token", next.Token)
+	c.poke()
 }
 
-// Raise raises the token of the epoch that this controller leads. Whatever
+// Raise raises the token and changes nothing else. Whatever
 // was sent to workers under the old token is void once they have seen the
 // new one.
 func (c *Cluster) Raise(ctx context.Context) error {
 	c.mu.Lock()
-	epoch, version, leading := c.epoch, c.version, c.leadsLocked()
+	epoch, version, member := c.epoch, c.version, c.memberLocked()
 	c.mu.Unlock()
-	if !leading {
-		return errors.New("not leading")
+	if !member {
+		return errors.New("not a member")
+	}
+	return c.change(ctx, epoch.next(), version)
+}
+
+// change makes next the epoch, if the current one still has the version.
+func (c *Cluster) change(ctx context.Context, next Epoch, version uint64) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return fmt.Errorf("encoding the epoch: %w", err)
 	}
-	epoch.Token++
-	value, _ := json.Marshal(epoch)
 	revision, err := c.opts.Client.Txn(ctx, state.Urgent, wire.Txn{
 		If:   []wire.Condition{{Key: epochKey, Version: version}},
 		Then: []wire.Change{{Put: epochKey, Value: value}},
@@ -691,9 +791,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if epoch.Token > c.epoch.Token {
-		c.setEpochLocked(epoch, revision)
+	if next.Token > c.epoch.Token {
+		c.setEpochLocked(next, revision)
 	}
+	c.poke()
 	return nil
 }
 
--- /dev/null
+++ b/internal/cluster/division.go
@@ -0,0 +1,260 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"heronwick/wire"
+)
+
+// Owner is the member that owns a machine: it alone answers its worker and
+// places on it. It changes only by the owner's own write, or, once the owner
+// is no member of the epoch, by the leader's.
+type Owner struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+	// Machine is what the owner before knew of it, for the one after.
+	Machine json.RawMessage `json:"machine,omitempty"`
+	Version uint64          `json:"-"`
+}
+
+func (c *Cluster) takeOwnerLocked(key string, value json.RawMessage, version uint64) {
+	machine, ok := strings.CutPrefix(key, ownerPrefix)
+	if !ok {
+		return
+	}
+	var o Owner
+	if json.Unmarshal(value, &o) == nil && version > c.owners[machine].Version {
+		o.Version = version
+		c.owners[machine] = o
+	}
+}
+
+func (c *Cluster) validLocked(o Owner) bool {
+	return o.Incarnation != 0 && c.epoch.Members[o.Node] == o.Incarnation
+}
+
+// Owners returns the machines that this controller owns, and the names of
+// those whose owner is no member.
+func (c *Cluster) Owners() (mine map[string]Owner, orphans []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	mine = map[string]Owner{}
+	for machine, o := range c.owners {
+		switch {
+		case o.Node == c.opts.Node && o.Incarnation == c.incarnation:
+			mine[machine] = o
+		case !c.validLocked(o):
+			orphans = append(orphans, machine)
+		}
+	}
+	return mine, orphans
+}
+
+// HostOf returns the member that owns a machine, or the leader, which takes
+// what has no owner.
+func (c *Cluster) HostOf(machine string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o, ok := c.owners[machine]; ok && c.validLocked(o) {
+		return o.Node
+	}
+	return c.epoch.Leader
+}
+
+// OwnerWrite returns the write that makes node the owner of a machine; ok is
+// false if the node is no member.
+func (c *Cluster) OwnerWrite(machine, node string, about json.RawMessage) (condition wire.Condition, change wire.Change, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	incarnation := c.epoch.Members[node]
+	if incarnation == 0 {
+		return condition, change, false
+	}
+	value, err := json.Marshal(Owner{Node: node, Incarnation: incarnation, Machine: about})
+	if err != nil {
+		return condition, change, false
+	}
+	key := ownerPrefix + machine
+	return wire.Condition{Key: key, Version: c.owners[machine].Version}, wire.Change{Put: key, Value: value}, true
+}
+
+// OwnerDrop returns the write that removes a machine that is gone.
+func (c *Cluster) OwnerDrop(machine string) (wire.Condition, wire.Change) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := ownerPrefix + machine
+	return wire.Condition{Key: key, Version: c.owners[machine].Version}, wire.Change{Delete: key}
+}
+
+// NoteOwner takes an owner's write that was carried out, before the watch
+// tells of it.
+func (c *Cluster) NoteOwner(change wire.Change, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if change.Put != "" {
+		c.takeOwnerLocked(change.Put, change.Value, version)
+		return
+	}
+	delete(c.owners, strings.TrimPrefix(change.Delete, ownerPrefix))
+}
+
+// next copies the epoch and raises the token.
+func (e *Epoch) next() Epoch {
+	n := *e
+	n.Token++
+	n.Members, n.Teams = maps.Clone(e.Members), maps.Clone(e.Teams)
+	if n.Members == nil {
+		n.Members = map[string]uint64{}
+	}
+	if n.Teams == nil {
+		n.Teams = map[string]string{}
+	}
+	return n
+}
+
+// divide gives every team an owner among the members. A team whose owner is a
+// member moves only if that evens out the work by much: a move costs its tasks
+// a second owner.
+func (e *Epoch) divide(weights map[string]float64) {
+	load := map[string]float64{}
+	for node := range e.Members {
+		load[node] = 0
+	}
+	nodes := slices.Sorted(maps.Keys(load))
+	teams := slices.Sorted(maps.Keys(weights))
+	slices.SortStableFunc(teams, func(a, b string) int {
+		switch {
+		case weights[a] > weights[b]:
+			return -1
+		case weights[a] < weights[b]:
+			return 1
+		}
+		return 0
+	})
+	least := func() string {
+		return slices.MinFunc(nodes, func(a, b string) int {
+			switch {
+			case load[a] < load[b]:
+				return -1
+			case load[a] > load[b]:
+				return 1
+			}
+			return 0
+		})
+	}
+	var loose []string
+	for _, t := range teams {
+		if _, ok := load[e.Teams[t]]; !ok {
+			loose = append(loose, t)
+			continue
+		}
+		load[e.Teams[t]] += weights[t]
+	}
+	for _, t := range loose {
+		e.Teams[t] = least()
+		load[e.Teams[t]] += weights[t]
+	}
+	for _, t := range teams {
+		from, to := e.Teams[t], least()
+		// Worth it only if the receiver stays well below what the giver had.
+		if from != to && load[to]+weights[t] < 0.75*load[from] {
+			e.Teams[t] = to
+			load[from] -= weights[t]
+			load[to] += weights[t]
+		}
+	}
+	for t := range e.Teams {
+		if _, ok := weights[t]; !ok {
+			delete(e.Teams, t)
+		}
+	}
+}
+
+// manage keeps the members and the division of the teams up to date. Only the
+// leader does.
+func (c *Cluster) manage(ctx context.Context) {
+	weights := c.opts.Weights()
+	c.mu.Lock()
+	if !c.leadsLocked() {
+		c.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	next, version := c.epoch.next(), c.version
+	changed := false
+	for node, p := range c.peers {
+		member := next.Members[node]
+		alive := !p.lastSeen.IsZero() && now.Sub(p.lastSeen) < deadAfter
+		if alive && member != 0 && p.status.Cut && p.status.Incarnation == member && p.workersElsewhere(c) {
+			p.shunned = now.Add(shunFor)
+		}
+		fit := alive && p.status != nil && p.status.Ready && now.After(p.shunned)
+		switch {
+		case member != 0 && (!alive || p.incarnation != member || now.Before(p.shunned)):
+			delete(next.Members, node)
+			changed = true
+			c.opts.Log.Info("member gone", "member", node, "silent", now.Sub(p.lastSeen), "shunned", now.Before(p.shunned))
+			fallthrough
+		case member == 0 && fit:
+			if fit {
+				next.Members[node] = p.incarnation
+				changed = true
+				c.opts.Log.Info("member joins", "member", node)
+			}
+		}
+	}
+	for _, node := range next.Teams {
+		changed = changed || next.Members[node] == 0
+	}
+	for t := range weights {
+		changed = changed || next.Teams[t] == ""
+	}
+	c.mu.Unlock()
+	if !changed {
+		return
+	}
+	next.divide(weights)
+	if err := c.change(ctx, next, version); err != nil {
+		c.opts.Log.Info("changing the epoch failed", "err", err)
+	}
+}
+
+// workersElsewhere tells whether the workers that a cut member cannot reach
+// come to other controllers.
+func (p *peer) workersElsewhere(c *Cluster) bool {
+	heard := len(c.workersHeard)
+	for _, other := range c.peers {
+		if other != p && time.Since(other.lastSeen) < peerOKFor {
+			heard = max(heard, int(other.workers))
+		}
+	}
+	return heard > int(p.status.Machines)/3
+}
+
+// Totals sums what the other members' shares have.
+func (c *Cluster) Totals() (machines, idle int, cpus, free float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for node, p := range c.peers {
+		if c.epoch.Members[node] != 0 && p.status != nil {
+			machines, idle = machines+int(p.status.Machines), idle+int(p.status.Idle)
+			cpus, free = cpus+p.status.Cpus, free+p.status.FreeCpus
+		}
+	}
+	return machines, idle, cpus, free
+}
+
+// Idle tells how many idle machines a member's share has.
+func (c *Cluster) Idle(node string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.peers[node]; p != nil && p.status != nil {
+		return int(p.status.Idle)
+	}
+	return 0
+}
--- a/internal/cluster/grpc.go
+++ b/internal/cluster/grpc.go
@@ -55,11 +55,38 @@
 	return int(reply.Status), reply.Body, nil
 }
 
+// Place asks the peer to take tasks.
+func (p *Conn) Place(ctx context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceReply, error) {
+	return p.client.Place(ctx, req)
+}
+
+// Settle asks the peer what became of tasks.
+func (p *Conn) Settle(ctx context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	return p.client.Settle(ctx, req)
+}
+
+// Host is the part of a share that peers call.
+type Host interface {
+	Place(req *peerpb.PlaceRequest) *peerpb.PlaceReply
+	Settle(req *peerpb.SettleRequest) *peerpb.SettleReply
+}
+
 // Service answers peers.
 type Service struct {
 	peerpb.UnimplementedPeerServer
 	Cluster *Cluster
 	Route   *state.Route
+	Host    Host
+}
+
+// Place implements peerpb.PeerServer.
+func (s *Service) Place(_ context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceReply, error) {
+	return s.Host.Place(req), nil
+}
+
+// Settle implements peerpb.PeerServer.
+func (s *Service) Settle(_ context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	return s.Host.Settle(req), nil
 }
 
 // Beat implements peerpb.PeerServer.
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -50,6 +50,10 @@
 	// Counted: the share has it in its sums, for Zone.
 	Counted bool
 	Zone    string
+	// Guest: its job belongs to another share, which asked under the epoch of
+	// token Epoch to have it here.
+	Guest bool
+	Epoch uint64
 
 	session    uint64
 	replied    uint64 // Seq of the report whose reply last held its start
@@ -257,6 +261,9 @@
 	return events
 }
 
+// Quiet tells whether nothing is on the machine and nothing can still come.
+func (m *Machine) Quiet() bool { return len(m.Attempts) == 0 }
+
 // Gone takes the proof that nothing is on the machine any more: it was
 // returned.
 func (m *Machine) Gone() []Event {
--- a/internal/job/catalog.go
+++ b/internal/job/catalog.go
@@ -12,7 +12,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -118,17 +120,36 @@
 	}
 }
 
-// Listen returns all active jobs and tells l of every change from then on. A
-// nil listener ends that.
-func (c *Catalog) Listen(l Listener) []*Record {
+// Listen tells l of every change from now on. A nil listener ends that.
+func (c *Catalog) Listen(l Listener) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.listener = l
-	records := make([]*Record, 0, len(c.active))
+}
+
+// Active returns an active job's record, nil if none is cached.
+func (c *Catalog) Active(id string) *Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.active[id]
+}
+
+// AllActive returns the records of all active jobs.
+func (c *Catalog) AllActive() []*Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Values(c.active))
+}
+
+// Weights sums, by team, the CPUs that the active jobs' tasks take together.
+func (c *Catalog) Weights() map[string]float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	weights := map[string]float64{}
 	for _, r := range c.active {
-		records = append(records, r)
+		weights[r.Job.Team] += r.Job.CPUs * float64(r.Job.Tasks)
 	}
-	return records
+	return weights
 }
 
 // SetProgress takes what to display of a job.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -49,7 +49,8 @@
 	Spot bool
 }
 
-// Spread tells where the tasks of one job are that may be on machines now.
+// Spread tells where the tasks of one job are that may be on machines now. Those
+// under "" may be in any zone.
 type Spread struct {
 	ByZone map[string]int
 }
@@ -66,7 +67,7 @@
 	if len(j.Types) > 0 && !slices.Contains(j.Types, at.Type) {
 		return false
 	}
-	if j.Spread && others.ByZone[at.Zone]+1 > (j.Tasks+1)/2 {
+	if j.Spread && others.ByZone[at.Zone]+others.ByZone[""]+1 > (j.Tasks+1)/2 {
 		return false
 	}
 	if j.OneZone {
--- /dev/null
+++ b/internal/scheduler/division.go
@@ -0,0 +1,497 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"heronwick/internal/cluster"
+	"heronwick/internal/fleet"
+	"heronwick/internal/job"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+// division is who owns which jobs and machines, as this share goes by it. All
+// that it writes is fenced by condition, so that nothing decided under one
+// division is recorded under another.
+type division struct {
+	cluster.Epoch
+	condition wire.Condition
+	// since is the condition when this division of the teams began; the token
+	// may have been raised since, which divides nothing.
+	since wire.Condition
+}
+
+// same tells whether two epochs divide alike.
+func same(a, b *cluster.Epoch) bool {
+	return a.Leader == b.Leader && a.Incarnation == b.Incarnation && mapsEqual(a.Members, b.Members) && mapsEqual(a.Teams, b.Teams)
+}
+
+func mapsEqual[V comparable](a, b map[string]V) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k, v := range a {
+		if w, ok := b[k]; !ok || w != v {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Share) mineLocked(j *wire.Job) bool {
+	return s.div.OwnerOf(j.Team, j.ID) == s.opts.Node
+}
+
+func (s *Share) leadsLocked() bool { return s.loaded && s.div.Leader == s.opts.Node }
+
+// divideLocked follows the epoch and the owners of machines: what is ours now
+// is rebuilt, what is no longer ours is let go.
+func (s *Share) divideLocked() {
+	if s.building {
+		return
+	}
+	epoch, condition := s.opts.Authority.Division()
+	mine, orphans := s.opts.Authority.Owners()
+	if s.loaded && epoch.Token != s.div.Token && same(&epoch, &s.div.Epoch) {
+		// Only the token has risen.
+		if s.adopted == s.div.Token {
+			s.adopted = epoch.Token
+		}
+		s.div.Epoch, s.div.condition = epoch, condition
+	}
+	var lost []string // machines that are ours, of whose tasks only the records tell
+	for name, o := range mine {
+		if s.machines[name] != nil || s.moving[name] || !s.returned[name].IsZero() {
+			continue
+		}
+		// Written before this share began: it may have had tasks since.
+		if o.Machine == nil || !s.loaded || o.Version <= s.begun {
+			lost = append(lost, name)
+			continue
+		}
+		s.takeLocked(name, o)
+	}
+	if epoch.Leader != s.opts.Node {
+		orphans = nil
+	}
+	orphans = slices.DeleteFunc(append(orphans, lost...), func(name string) bool { return s.moving[name] })
+	var gained []*job.Record
+	for _, r := range s.opts.Jobs.AllActive() {
+		if epoch.OwnerOf(r.Job.Team, r.Job.ID) == s.opts.Node && s.jobs[r.Job.ID] == nil {
+			gained = append(gained, r)
+		}
+	}
+	if s.loaded && epoch.Token == s.div.Token && len(orphans) == 0 && len(gained) == 0 && s.adopted == epoch.Token {
+		return
+	}
+	s.building = true
+	s.goDo(func(ctx context.Context) { s.rebuild(ctx, epoch, condition, gained, orphans) })
+}
+
+// takeLocked takes a machine that another share has given: nothing is on it.
+func (s *Share) takeLocked(name string, o cluster.Owner) {
+	now := time.Now()
+	m, err := fleet.FromRecord(name, o.Machine, s.div.Token, now)
+	if err != nil {
+		s.log.Error("a given machine is unreadable", "machine", name, "err", err)
+		return
+	}
+	t := s.addMachineLocked(m, now)
+	// Its owner before answered its worker for the last time before it gave
+	// the machine, and under this token or an older one.
+	t.base, t.fence, t.LastAnswer = 0, 0, now
+	s.log.Info("machine taken", "machine", name)
+	s.syncLocked(t)
+}
+
+// rebuild makes the share fit a new division: it lets go of jobs that are no
+// longer its own, takes machines without an owner, and reads from the records
+// what may be where, before anything of that is placed.
+func (s *Share) rebuild(ctx context.Context, epoch cluster.Epoch, condition wire.Condition, gained []*job.Record, orphans []string) {
+	s.mu.Lock()
+	first := !s.loaded
+	s.disownLocked(&epoch)
+	for _, name := range orphans {
+		s.moving[name] = true
+	}
+	s.mu.Unlock()
+
+	var err error
+	var adopted []string
+	var items []wire.Item
+	var done map[string]*job.DoneSet
+	var versions map[string]job.DoneVersions
+	var ended map[string]job.Final
+	if first || len(orphans) > 0 || len(gained) > 0 {
+		adopted = s.adoptOwners(ctx, orphans)
+		items, done, versions, ended, err = s.readRecords(ctx)
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.poke()
+	s.building = false
+	for _, name := range orphans {
+		delete(s.moving, name)
+	}
+	if now, _ := s.opts.Authority.Division(); err != nil || ctx.Err() != nil || now.Token != epoch.Token {
+		// The next division starts over: what was read may be outdated.
+		if err != nil {
+			s.log.Info("rebuilding the share failed, trying again", "err", err)
+		}
+		return
+	}
+	s.disownLocked(&epoch) // what came meanwhile by the old division
+	s.takeDivisionLocked(epoch, condition)
+	if first {
+		s.begun = condition.Version
+	}
+	now := time.Now()
+	for _, r := range gained {
+		if s.jobs[r.Job.ID] != nil || s.opts.Jobs.Active(r.Job.ID) == nil {
+			continue
+		}
+		js := s.addJobLocked(r)
+		if set := done[r.Job.ID]; set != nil {
+			js.done, js.versions = set, versions[r.Job.ID]
+		}
+	}
+	s.placeRecordsLocked(items, adopted, ended, gained, now)
+	if len(adopted) == len(orphans) {
+		s.adopted = epoch.Token
+	}
+	if first || len(gained)+len(adopted) > 0 {
+		s.log.Info("share rebuilt", "token", epoch.Token, "jobs", len(s.jobs), "gained", len(gained), "machines", len(s.machines),
+			"adopted", len(adopted), "lent", len(s.foreign))
+	}
+	s.loaded = true
+	if s.div.Leader == s.opts.Node {
+		for id, v := range versions {
+			if s.opts.Jobs.Active(id) == nil {
+				s.goDo(func(ctx context.Context) { s.dropDone(ctx, id, v) })
+			}
+		}
+	}
+	for _, js := range s.jobs {
+		s.flushLocked(js)
+	}
+}
+
+func (s *Share) takeDivisionLocked(epoch cluster.Epoch, condition wire.Condition) {
+	if !s.loaded || !same(&epoch, &s.div.Epoch) {
+		s.div.since = condition
+	}
+	s.div.Epoch, s.div.condition = epoch, condition
+}
+
+// disownLocked lets go of jobs that now belong to others. Their tasks on the
+// share's machines are guests from now on; what is not recorded yet never
+// starts.
+func (s *Share) disownLocked(epoch *cluster.Epoch) {
+	for id, js := range s.jobs {
+		if epoch.OwnerOf(js.rec.Job.Team, id) == s.opts.Node {
+			continue
+		}
+		delete(s.jobs, id)
+		for _, attempts := range js.awaiting {
+			for _, a := range attempts {
+				a.Guest = true // its new owner asks for it
+			}
+		}
+		for _, m := range s.machines {
+			for _, a := range m.Attempts {
+				if a.Job == id {
+					a.Guest, a.Epoch = true, 0
+					s.uncountLocked(a)
+				}
+			}
+		}
+		for _, f := range s.foreign {
+			if f.Job == id {
+				s.forgetLentLocked(f)
+			}
+		}
+	}
+}
+
+// dropStaleGuestsLocked removes guests that were not recorded under the epoch
+// in which their owner asked: it has been told, or finds, that they are not
+// here.
+func (s *Share) dropStaleGuestsLocked(m *machine) {
+	for key, a := range m.Attempts {
+		if a.Guest && !a.Durable && a.Epoch != s.div.Token {
+			delete(m.Attempts, key)
+		}
+	}
+	s.closeIfEmptyLocked(m)
+}
+
+// adoptOwners makes this share the owner of machines without one and returns
+// those for which that succeeded.
+func (s *Share) adoptOwners(ctx context.Context, machines []string) []string {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var adopted []string
+	for _, name := range machines {
+		wg.Go(func() {
+			if s.writeOwner(ctx, name, s.opts.Node, nil, 0) == nil {
+				mu.Lock()
+				adopted = append(adopted, name)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return adopted
+}
+
+// writeOwner makes node the owner of a machine. about is what node is to know
+// of it; without it node goes by the records. A record of the version given
+// is removed with it.
+func (s *Share) writeOwner(ctx context.Context, machine, node string, about json.RawMessage, record uint64) error {
+	_, fence := s.opts.Authority.Division()
+	condition, change, ok := s.opts.Authority.OwnerWrite(machine, node, about)
+	if !ok {
+		return fmt.Errorf("%s is no member", node)
+	}
+	w := state.Write{Priority: state.Safety, If: []wire.Condition{fence, condition}, Then: []wire.Change{change}, Persist: true}
+	if record > 0 {
+		key := fleet.RecordKey(machine)
+		w.If, w.Then = append(w.If, wire.Condition{Key: key, Version: record}), append(w.Then, wire.Change{Delete: key})
+	}
+	version, err := s.opts.Committer.Commit(ctx, w)
+	if err != nil {
+		s.log.Info("changing a machine's owner failed", "machine", machine, "to", node, "err", err)
+		return err
+	}
+	s.opts.Authority.NoteOwner(change, version)
+	return nil
+}
+
+// readRecords reads what may be on each machine, what is done, and which jobs
+// named there are over.
+func (s *Share) readRecords(ctx context.Context) (items []wire.Item, done map[string]*job.DoneSet, versions map[string]job.DoneVersions, ended map[string]job.Final, err error) {
+	if items, _, err = s.opts.Records.List(ctx, state.Urgent, fleet.RecordPrefix); err != nil {
+		return nil, nil, nil, nil, err
+	}
+	if done, versions, err = s.opts.Jobs.ReadDone(ctx); err != nil {
+		return nil, nil, nil, nil, err
+	}
+	ended = map[string]job.Final{}
+	for _, item := range items {
+		m, err := fleet.FromRecord(item.Key, item.Value, 1, time.Now())
+		if err != nil {
+			return nil, nil, nil, nil, err
+		}
+		for _, a := range m.Attempts {
+			if _, known := ended[a.Job]; known || s.opts.Jobs.Active(a.Job) != nil {
+				continue
+			}
+			f, over, _, err := s.opts.Jobs.Resolve(ctx, a.Job)
+			if err != nil {
+				return nil, nil, nil, nil, err
+			}
+			if over {
+				ended[a.Job] = f
+			}
+		}
+	}
+	return items, done, versions, ended, nil
+}
+
+// placeRecordsLocked takes from the records what may be on machines: on those
+// adopted, and on others' as far as own jobs are concerned.
+func (s *Share) placeRecordsLocked(items []wire.Item, adopted []string, ended map[string]job.Final, gained []*job.Record, now time.Time) {
+	isGained := map[string]bool{}
+	for _, r := range gained {
+		isGained[r.Job.ID] = true
+	}
+	// Guests here whose jobs have become ours.
+	for _, m := range s.machines {
+		for _, a := range m.Attempts {
+			if isGained[a.Job] {
+				s.adoptLocked(m, a)
+				if a.Exited() && !a.Handled {
+					s.exitedLocked(m, a)
+				}
+			}
+		}
+	}
+	recorded := map[string]bool{}
+	for _, item := range items {
+		name := item.Key[len(fleet.RecordPrefix):]
+		recorded[name] = true
+		fm, err := fleet.FromRecord(name, item.Value, s.div.Token, now)
+		if err != nil {
+			continue // readRecords has read it
+		}
+		if slices.Contains(adopted, name) && s.machines[name] == nil {
+			m := s.addMachineLocked(fm, now)
+			m.version, m.LastAnswer = item.Version, s.early[name]
+			for _, a := range m.Attempts {
+				if f, over := ended[a.Job]; over {
+					s.endTasksLocked(a.Job, f, now.Add(2*s.opts.Settings.ReportEvery))
+					continue
+				}
+				s.adoptLocked(m, a)
+			}
+			delete(s.early, name)
+			s.syncLocked(m)
+			continue
+		}
+		if s.machines[name] != nil {
+			continue
+		}
+		host := s.opts.Authority.HostOf(name)
+		for _, a := range fm.Attempts {
+			if f, over := ended[a.Job]; over && s.div.OwnerOf(f.Team, a.Job) == s.opts.Node {
+				a.Team, a.Size, a.Sized = f.Team, sizeOf(f), true
+				s.lendTrackLocked(a, host, fm.Zone)
+			} else if js := s.jobs[a.Job]; js != nil && isGained[a.Job] {
+				s.describe(a, &js.rec.Job)
+				s.lendTrackLocked(a, host, fm.Zone)
+			}
+		}
+	}
+	for _, name := range adopted {
+		if !recorded[name] && s.machines[name] == nil {
+			m := s.addMachineLocked(fleet.NewMachine(name), now)
+			m.LastAnswer = s.early[name]
+			delete(s.early, name)
+		}
+	}
+}
+
+// joinLocked decides about a worker whose machine this share does not have:
+// one just given to it, or one that nobody owns.
+func (s *Share) joinLocked(r *wire.Report, now time.Time) *machine {
+	if _, gone := s.returned[r.Machine]; gone {
+		return nil // sent before its machine was returned
+	}
+	node, owned := s.opts.Authority.Home(r.Machine)
+	if node != s.opts.Node || s.moving[r.Machine] && owned {
+		return nil
+	}
+	if owned || !s.loaded || s.adopted != s.div.Token {
+		// Given a moment ago, or perhaps one whose owner has gone.
+		s.early[r.Machine] = now
+		s.poke()
+		return nil
+	}
+	s.early[r.Machine] = now
+	if s.moving[r.Machine] {
+		return nil
+	}
+	_, orphans := s.opts.Authority.Owners()
+	if slices.Contains(orphans, r.Machine) {
+		s.poke()
+		return nil
+	}
+	// A machine without owner key never had anything placed on it.
+	s.moving[r.Machine] = true
+	s.log.Info("machine joins", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
+	s.goDo(func(ctx context.Context) {
+		err := s.writeOwner(ctx, r.Machine, s.opts.Node, nil, 0)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.moving, r.Machine)
+		if err != nil || s.machines[r.Machine] != nil {
+			return
+		}
+		m := s.addMachineLocked(fleet.NewMachine(r.Machine), time.Now())
+		m.LastAnswer = s.early[r.Machine]
+		delete(s.early, r.Machine)
+		s.applyLocked(m, r)
+		s.poke()
+	})
+	return nil
+}
+
+// giveableLocked tells whether a machine can change to another share: idle,
+// and nothing that this share has sent can still come to it.
+func (s *Share) giveableLocked(m *machine, now time.Time) bool {
+	return s.usableLocked(m, now) && m.Quiet() && !m.dirty && !m.committing && !m.sending && !m.probing
+}
+
+// giveLocked gives an idle machine to another share. This share answers its
+// worker no more before the write goes out.
+func (s *Share) giveLocked(m *machine, node string) {
+	about, err := json.Marshal(m.Record(""))
+	if err != nil {
+		s.log.Error("encoding a machine", "machine", m.Name, "err", err)
+		return
+	}
+	s.list.Close(m.Name)
+	delete(s.machines, m.Name)
+	s.moving[m.Name] = true
+	s.log.Info("giving machine", "machine", m.Name, "to", node)
+	s.goDo(func(ctx context.Context) {
+		err := s.writeOwner(ctx, m.Name, node, about, m.version)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.moving, m.Name)
+		var conflict *state.Conflict
+		if errors.As(err, &conflict) || err != nil && ctx.Err() == nil {
+			if mine, _ := s.opts.Authority.Owners(); mine[m.Name].Node != "" && s.machines[m.Name] == nil {
+				s.machines[m.Name] = m // not carried out: it is still ours
+			}
+		}
+		s.poke()
+	})
+}
+
+// regroupEvery is how often idle machines are regrouped among the shares.
+const regroupEvery = 30 * time.Second
+
+// regroupLocked gives idle machines that are more than a share needs at hand
+// back to the leader, and lets the leader hand them to shares without one. A
+// share that starves gets them at once, see Place.
+func (s *Share) regroupLocked(now time.Time) {
+	if !s.loaded || !s.opts.Authority.Permitted() || now.Sub(s.grouped) < regroupEvery {
+		return
+	}
+	s.grouped = now
+	for name, at := range s.returned {
+		if now.Sub(at) > 10*time.Minute {
+			delete(s.returned, name)
+		}
+	}
+	var idle []*machine
+	for _, m := range s.machines {
+		if s.giveableLocked(m, now) {
+			idle = append(idle, m)
+		}
+	}
+	if len(idle) <= 1 {
+		return
+	}
+	slices.SortFunc(idle, func(a, b *machine) int { return a.idleSince.Compare(b.idleSince) })
+	if s.div.Leader != s.opts.Node {
+		for _, m := range idle[1:] {
+			s.giveLocked(m, s.div.Leader)
+		}
+		return
+	}
+	for node := range s.div.Members {
+		if node != s.opts.Node && s.opts.Authority.Idle(node) == 0 && len(idle) > 1 && s.hasTeam(node) {
+			s.giveLocked(idle[0], node)
+			idle = idle[1:]
+		}
+	}
+}
+
+// hasTeam tells whether the member has jobs to place.
+func (s *Share) hasTeam(node string) bool {
+	for _, r := range s.opts.Jobs.AllActive() {
+		if s.div.OwnerOf(r.Job.Team, r.Job.ID) == node {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/scheduler/lend.go
@@ -0,0 +1,381 @@
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/fleet"
+	"heronwick/internal/job"
+	"heronwick/internal/placement"
+	"heronwick/wire"
+)
+
+// A task that finds no room in its share may go to a machine of another: the
+// job's owner asks, the machine's owner places it in its own list. The owner
+// of the job decides on further attempts and records what is done; the owner
+// of the machine records what may be on it and commands its worker.
+
+// lent is an attempt of an own job that may be on a machine of another share.
+type lent struct {
+	*fleet.Attempt
+	host        string
+	incarnation uint64 // of the host; if that has gone, the leader has its machines
+}
+
+// asking is what is under way with one peer.
+type asking struct {
+	busy bool
+	next time.Time // not again before then
+}
+
+const (
+	lendTimeout = time.Second
+	settleEvery = 400 * time.Millisecond
+	// askedFor is how long a peer's want counts, for renting.
+	askedFor = 2 * time.Second
+	// maxAsked bounds the tasks of one request.
+	maxAsked = 48
+	// barFor is how long an attempt that was denied can not be taken; no
+	// request is under way for longer, and none survives its epoch.
+	barFor = 10 * time.Minute
+)
+
+func sizeOf(f job.Final) placement.Resources {
+	return placement.Resources{CPUs: f.CPUs, GPUs: f.GPUs, MemoryGB: f.MemoryGB}
+}
+
+// lendTrackLocked counts an attempt that may be on another's machine.
+func (s *Share) lendTrackLocked(a *fleet.Attempt, host, zone string) {
+	if s.foreign[a.Key] != nil {
+		return
+	}
+	s.foreign[a.Key] = &lent{Attempt: a, host: host, incarnation: s.div.Members[host]}
+	s.countLocked(zone, a)
+}
+
+// forgetLentLocked drops a lent attempt: it is surely gone, or not this
+// share's to count any more.
+func (s *Share) forgetLentLocked(f *lent) {
+	delete(s.foreign, f.Key)
+	s.uncountLocked(f.Attempt)
+}
+
+// lendLocked asks the other shares for room for what waits: the leader first,
+// which has the idle machines.
+func (s *Share) lendLocked(now time.Time) {
+	if !s.loaded || !s.opts.Authority.Permitted() || len(s.div.Members) < 2 {
+		return
+	}
+	var waiting []*jobState
+	for _, js := range s.jobs {
+		if !js.waiting.IsZero() && js.pending() > 0 && s.withinLimit(js) && !now.Before(js.notBefore) && !js.mistaken() {
+			waiting = append(waiting, js)
+		}
+	}
+	if len(waiting) == 0 {
+		return
+	}
+	s.sortQueueLocked(waiting, now)
+	nodes := []string{s.div.Leader}
+	for node := range s.div.Members {
+		if node != s.div.Leader {
+			nodes = append(nodes, node)
+		}
+	}
+	slices.Sort(nodes[1:])
+	for _, node := range nodes {
+		if node == s.opts.Node {
+			continue
+		}
+		ask := s.asking[node]
+		if ask == nil {
+			ask = &asking{}
+			s.asking[node] = ask
+		}
+		if ask.busy || now.Before(ask.next) {
+			continue
+		}
+		s.askLocked(node, ask, waiting, now)
+	}
+}
+
+// askLocked asks one peer. The tasks count as lent before the request goes
+// out: without an answer the peer may have taken them.
+func (s *Share) askLocked(node string, ask *asking, waiting []*jobState, now time.Time) {
+	req := &peerpb.PlaceRequest{Node: s.opts.Node, Token: s.div.Token}
+	asked := 0
+	for _, js := range waiting {
+		if asked >= maxAsked {
+			break
+		}
+		w := &peerpb.Wanted{Job: js.rec.Job.ID, Guaranteed: s.guaranteed(js), Pending: uint32(js.unplaced()), Zones: map[string]uint32{}}
+		for zone, n := range js.zones {
+			if n > 0 {
+				w.Zones[zone] = uint32(n)
+			}
+		}
+		for asked < maxAsked && len(w.Attempts) < 16 && s.withinLimit(js) {
+			index, ok := js.nextTask()
+			if !ok {
+				break
+			}
+			js.took()
+			js.asking++
+			a := s.newAttempt(js, index)
+			s.lendTrackLocked(a, node, "")
+			w.Attempts = append(w.Attempts, &peerpb.Attempt{Task: a.Task, Attempt: a.Attempt})
+			asked++
+		}
+		if len(w.Attempts) > 0 {
+			req.Wanted = append(req.Wanted, w)
+		}
+	}
+	if asked == 0 {
+		return
+	}
+	ask.busy = true
+	s.goDo(func(ctx context.Context) {
+		cctx, cancel := context.WithTimeout(ctx, lendTimeout)
+		reply, err := s.opts.Peers.Place(cctx, node, req)
+		cancel()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		ask.busy = false
+		now := time.Now()
+		ask.next = now.Add(400 * time.Millisecond)
+		if err != nil {
+			s.log.Debug("asking for room failed", "peer", node, "err", err)
+			ask.next = now.Add(time.Second)
+		}
+		taken := map[fleet.Key]*peerpb.Hosted{}
+		for _, h := range reply.GetTaken() {
+			taken[fleet.Key{Task: h.Attempt.Task, Attempt: h.Attempt.Attempt}] = h
+		}
+		for _, w := range req.Wanted {
+			for _, at := range w.Attempts {
+				key := fleet.Key{Task: at.Task, Attempt: at.Attempt}
+				if js := s.jobs[w.Job]; js != nil {
+					js.asking--
+				}
+				f := s.foreign[key]
+				if f == nil || err != nil {
+					continue // without an answer, asking what became of it settles it
+				}
+				if h := taken[key]; h != nil {
+					s.moveZoneLocked(f, h.Zone)
+					s.log.Debug("lent", "task", at.Task, "attempt", at.Attempt, "to", node)
+					continue
+				}
+				s.forgetLentLocked(f)
+			}
+		}
+		if len(taken) > 0 || reply.GetGiven() > 0 {
+			ask.next = now.Add(50 * time.Millisecond)
+		}
+		s.poke()
+	})
+}
+
+// moveZoneLocked notes in which zone a lent attempt is.
+func (s *Share) moveZoneLocked(f *lent, zone string) {
+	if !f.Counted || f.Zone == zone {
+		return
+	}
+	if js := s.jobs[f.Job]; js != nil {
+		js.zones[f.Zone]--
+		js.zones[zone]++
+	}
+	f.Zone = zone
+}
+
+// Place takes tasks of another share's jobs, as far as they find room here;
+// an idle machine goes to the asking share as a whole instead.
+func (s *Share) Place(req *peerpb.PlaceRequest) *peerpb.PlaceReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := &peerpb.PlaceReply{}
+	if !s.loaded || !s.opts.Authority.Permitted() || req.Token != s.div.Token || s.opts.Authority.Token() != req.Token {
+		return reply
+	}
+	reply.Ready = true
+	now := time.Now()
+	for _, w := range req.Wanted {
+		s.placeWantedLocked(req.Node, w, reply, now)
+	}
+	if len(reply.Taken) > 0 {
+		s.poke()
+	}
+	return reply
+}
+
+func (s *Share) placeWantedLocked(from string, w *peerpb.Wanted, reply *peerpb.PlaceReply, now time.Time) {
+	r := s.opts.Jobs.Active(w.Job)
+	if r == nil || s.div.OwnerOf(r.Job.Team, r.Job.ID) != from {
+		return
+	}
+	g := s.guests[w.Job]
+	if g == nil {
+		g = s.newJob(r)
+		s.guests[w.Job] = g
+	}
+	g.zones = map[string]int{}
+	for zone, n := range w.Zones {
+		g.zones[zone] = int(n)
+	}
+	left := len(w.Attempts)
+	for _, at := range w.Attempts {
+		key := fleet.Key{Task: at.Task, Attempt: at.Attempt}
+		_, index, ok := wire.SplitTaskID(at.Task)
+		if !ok || !s.barred[key].IsZero() {
+			continue
+		}
+		m, wait := s.findLocked(g, now, w.Guaranteed)
+		if wait {
+			break
+		}
+		if m == nil {
+			s.preemptLocked(g, now, false, w.Guaranteed)
+			break
+		}
+		if s.giveableLocked(m, now) {
+			s.giveLocked(m, from)
+			reply.Given++
+			break // the asking share places there itself
+		}
+		a := &fleet.Attempt{Key: key, Job: w.Job, Index: index, Guest: true, Epoch: s.div.Token}
+		s.describe(a, &r.Job)
+		m.Add(a, now)
+		m.dirty = true
+		g.zones[m.Zone]++
+		left--
+		reply.Taken = append(reply.Taken, &peerpb.Hosted{Attempt: at, Zone: m.Zone, Known: true})
+		s.log.Debug("placed", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "image_held", m.HoldsImage(a.Image), "for", from)
+	}
+	if left > 0 {
+		g.asked, g.askedAt = int(w.Pending)-(len(w.Attempts)-left), now
+	}
+}
+
+// Settle tells what became of attempts that this share may have taken, and
+// lets go of those whose end is recorded. What is not known here never will
+// be: a request that is still under way must not bring it later.
+func (s *Share) Settle(req *peerpb.SettleRequest) *peerpb.SettleReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := &peerpb.SettleReply{}
+	if !s.loaded || s.div.Token < req.Token || s.div.Leader == s.opts.Node && s.adopted < req.Token {
+		return reply
+	}
+	reply.Ready = true
+	now := time.Now()
+	find := func(at *peerpb.Attempt) (*machine, *fleet.Attempt) {
+		key := fleet.Key{Task: at.Task, Attempt: at.Attempt}
+		for _, m := range s.machines {
+			if a := m.Attempts[key]; a != nil {
+				return m, a
+			}
+		}
+		return nil, nil
+	}
+	for _, at := range req.Handled {
+		if _, a := find(at); a != nil && a.Exited() {
+			a.Handled = true
+		}
+	}
+	for _, at := range req.Attempts {
+		h := &peerpb.Hosted{Attempt: at}
+		if m, a := find(at); a != nil {
+			h.Known, h.Zone, h.State, h.Why = true, m.Zone, string(a.State), string(a.Why)
+		} else {
+			s.barred[fleet.Key{Task: at.Task, Attempt: at.Attempt}] = now
+		}
+		reply.Hosted = append(reply.Hosted, h)
+	}
+	for key, at := range s.barred {
+		if now.Sub(at) > barFor {
+			delete(s.barred, key)
+		}
+	}
+	return reply
+}
+
+// runLent asks the hosts of lent attempts what became of them.
+func (s *Share) runLent(ctx context.Context) error {
+	tick := time.NewTicker(settleEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		s.mu.Lock()
+		requests := map[string]*peerpb.SettleRequest{}
+		for key, f := range s.foreign {
+			if s.div.Members[f.host] != f.incarnation {
+				// Also when the host is back: a new incarnation knows nothing
+				// of what the one before had taken, its machines' adopter does.
+				f.host, f.incarnation = s.div.Leader, s.div.Members[s.div.Leader]
+			}
+			if f.host == s.opts.Node {
+				if s.loaded && s.adopted == s.div.Token {
+					// Its machine was taken over here, without it.
+					s.forgetLentLocked(f)
+				}
+				continue
+			}
+			req := requests[f.host]
+			if req == nil {
+				req = &peerpb.SettleRequest{Node: s.opts.Node, Token: s.div.Token}
+				requests[f.host] = req
+			}
+			at := &peerpb.Attempt{Task: key.Task, Attempt: key.Attempt}
+			switch {
+			case !f.Exited():
+				req.Attempts = append(req.Attempts, at)
+			case f.Handled || s.jobs[f.Job] == nil:
+				req.Handled = append(req.Handled, at)
+			}
+		}
+		s.mu.Unlock()
+		for node, req := range requests {
+			s.settle(ctx, node, req)
+		}
+	}
+}
+
+func (s *Share) settle(ctx context.Context, node string, req *peerpb.SettleRequest) {
+	cctx, cancel := context.WithTimeout(ctx, lendTimeout)
+	reply, err := s.opts.Peers.Settle(cctx, node, req)
+	cancel()
+	if err != nil || !reply.Ready {
+		s.log.Debug("settling lent tasks failed", "peer", node, "err", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, at := range req.Handled {
+		if f := s.foreign[fleet.Key{Task: at.Task, Attempt: at.Attempt}]; f != nil {
+			s.forgetLentLocked(f)
+		}
+	}
+	for _, h := range reply.Hosted {
+		f := s.foreign[fleet.Key{Task: h.Attempt.Task, Attempt: h.Attempt.Attempt}]
+		if f == nil || f.host != node || f.Exited() {
+			continue
+		}
+		if !h.Known {
+			s.log.Info("task lost", "task", f.Task, "attempt", f.Attempt.Attempt, "host", node)
+			s.forgetLentLocked(f)
+			continue
+		}
+		s.moveZoneLocked(f, h.Zone)
+		f.State, f.Why = wire.TaskState(h.State), wire.Why(h.Why)
+		if f.Exited() {
+			s.endedLocked(f.Attempt, now)
+		}
+	}
+}
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"heronwick/internal/cloud"
+	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/fleet"
 	"heronwick/internal/placement"
 	"heronwick/internal/state"
@@ -81,7 +82,8 @@
 	}
 	// Many at once: rather this controller is cut off than all of them dead.
 	cut := silent > max(2, len(s.machines)/3)
-	if cut && now.Sub(s.resigned) > 10*time.Second && s.opts.Elsewhere() > len(s.machines)/3 {
+	s.cut = cut
+	if cut && s.leadsLocked() && now.Sub(s.resigned) > 10*time.Second && s.opts.Elsewhere() > len(s.machines)/3 {
 		s.resigned = now
 		s.goDo(s.opts.Resign)
 	}
@@ -108,6 +110,8 @@
 		}
 		s.drainLocked(m, now)
 		raise = raise || m.WantsToken(token)
+		// Leftovers alone keep an idle machine from being given or returned.
+		raise = raise || m.Live() == 0 && len(m.Attempts) > 0 && now.Sub(s.raised) > 10*time.Second && now.Sub(m.idleSince) > 2*time.Second
 	}
 	if len(back) > 0 {
 		s.returnLocked(back, "lost or set aside")
@@ -129,13 +133,15 @@
 // out: counted from the last answer that this or any other controller can
 // have given, with the drift of two clocks.
 func (s *Share) lapseLocked(m *machine) (time.Time, bool) {
-	fenced, ok := s.opts.Authority.Fenced()
-	if !ok {
-		return time.Time{}, false
-	}
 	last := m.LastAnswer
-	if fenced.After(last) {
-		last = fenced
+	if m.fence > 0 {
+		fenced, ok := s.opts.Authority.Fenced(m.fence)
+		if !ok {
+			return time.Time{}, false
+		}
+		if fenced.After(last) {
+			last = fenced
+		}
 	}
 	lease := s.opts.Settings.LeaseFor
 	return last.Add(lease + lease/1000 + 200*time.Millisecond), true
@@ -160,7 +166,6 @@
 
 // logLoadLocked tells an operator how full the share is.
 func (s *Share) logLoadLocked(now time.Time) {
-	var total, free placement.Resources
 	usable, open, tasks, waiting := 0, 0, 0, 0
 	for _, m := range s.machines {
 		tasks += m.Live()
@@ -169,13 +174,13 @@
 		}
 		if s.usableLocked(m, now) {
 			usable++
-			total, free = total.Plus(placement.Capacity(m.Type)), free.Plus(m.Free())
 		}
 	}
+	_, total, free := s.statusLocked(now)
 	for _, js := range s.jobs {
 		waiting += js.pending()
 	}
-	s.log.Info("load", "jobs", len(s.jobs), "waiting", waiting, "tasks", tasks, "machines", len(s.machines), "usable", usable,
+	s.log.Info("load", "jobs", len(s.jobs), "lent", len(s.foreign), "waiting", waiting, "tasks", tasks, "machines", len(s.machines), "usable", usable,
 		"open", open, "booting", len(s.booting), "cpus", total.CPUs, "free_cpus", free.CPUs, "free_memory_gb", free.MemoryGB)
 }
 
@@ -273,23 +278,25 @@
 			committing, version := m.committing, m.version
 			s.mu.Unlock()
 			if !committing {
-				if version == 0 {
+				condition, drop := s.opts.Authority.OwnerDrop(m.Name)
+				w := state.Write{Priority: state.Submission}
+				if condition.Version > 0 {
+					w.If, w.Then = append(w.If, condition), append(w.Then, drop)
+				}
+				if version > 0 {
+					w.If, w.Then = append(w.If, wire.Condition{Key: key, Version: version}), append(w.Then, wire.Change{Delete: key})
+				}
+				if len(w.Then) == 0 {
 					return
 				}
-				_, err := s.opts.Committer.Commit(ctx, state.Write{
-					Priority: state.Submission,
-					If:       []wire.Condition{s.opts.Authority.Condition(), {Key: key, Version: version}},
-					Then:     []wire.Change{{Delete: key}},
-				})
-				if err == nil {
+				if at, err := s.opts.Committer.Commit(ctx, w); err == nil {
+					s.opts.Authority.NoteOwner(drop, at)
 					return
 				}
-				if item, gerr := s.opts.Records.Get(ctx, state.Submission, key); gerr == nil {
+				if item, err := s.opts.Records.Get(ctx, state.Submission, key); err == nil || errors.Is(err, state.ErrNotFound) {
 					s.mu.Lock()
 					m.version = item.Version
 					s.mu.Unlock()
-				} else if errors.Is(gerr, state.ErrNotFound) {
-					return
 				}
 			}
 			if !pause(ctx, 500*time.Millisecond) {
@@ -310,6 +317,12 @@
 			return nil
 		case <-tick.C:
 		}
+		s.mu.Lock()
+		leads := s.leadsLocked()
+		s.mu.Unlock()
+		if !leads {
+			continue // one controller asks the cloud, so that its limit holds
+		}
 		if now := time.Now(); now.Sub(listed) > listEvery {
 			listed = now
 			machines, err := s.opts.Cloud.List(ctx)
@@ -336,6 +349,10 @@
 		if _, gone := s.returned[lm.ID]; gone {
 			continue
 		}
+		if node, owned := s.opts.Authority.Home(lm.ID); owned && node != s.opts.Node {
+			delete(s.booting, lm.ID)
+			continue // its owner looks after it
+		}
 		age := time.Duration(lm.AgeS * float64(time.Second))
 		if lm.State == wire.MachineFailed {
 			failed = append(failed, lm.ID)
@@ -357,11 +374,6 @@
 			stuck = append(stuck, id)
 		}
 	}
-	for id, at := range s.returned {
-		if now.Sub(at) > 10*time.Minute {
-			delete(s.returned, id)
-		}
-	}
 	s.returnNamesLocked(failed, "failed")
 	s.returnNamesLocked(stuck, "never came up")
 }
@@ -389,6 +401,29 @@
 	s.returnLocked(known, why)
 }
 
+// statusLocked sums what the share has.
+func (s *Share) statusLocked(now time.Time) (idle int, total, free placement.Resources) {
+	for _, m := range s.machines {
+		if !s.usableLocked(m, now) {
+			continue
+		}
+		total, free = total.Plus(placement.Capacity(m.Type)), free.Plus(m.Free())
+		if m.Live() == 0 {
+			idle++
+		}
+	}
+	return idle, total, free
+}
+
+// Status fills in what the peers are told of the share.
+func (s *Share) Status(status *peerpb.Status) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	idle, total, free := s.statusLocked(time.Now())
+	status.Machines, status.Idle = uint32(len(s.machines)), uint32(idle)
+	status.Cpus, status.FreeCpus, status.Cut = total.CPUs, free.CPUs, s.cut
+}
+
 // returnIdleLocked gives back a machine that has been idle for long, if more
 // are idle than are wanted in reserve.
 func (s *Share) returnIdleLocked(now time.Time) {
@@ -446,6 +481,12 @@
 	var waiting []*jobState
 	for _, js := range s.jobs {
 		if !js.waiting.IsZero() && now.Sub(js.waiting) > 300*time.Millisecond && !js.mistaken() {
+			js.asked = js.unplaced()
+			waiting = append(waiting, js)
+		}
+	}
+	for _, js := range s.guests {
+		if now.Sub(js.askedAt) < askedFor && !js.mistaken() {
 			waiting = append(waiting, js)
 		}
 	}
@@ -458,7 +499,7 @@
 		for z, n := range js.zones {
 			zones[z] = n
 		}
-		for range min(js.pending(), 500) {
+		for range min(js.asked, 500) {
 			v := s.virtualFor(js, zones, coming)
 			if v == nil {
 				if rented >= maxRentals {
@@ -489,7 +530,7 @@
 		requests = append(requests, wire.RentRequest{
 			// Tokens are used once and the count only rises under one, so no
 			// request name ever comes again.
-			Request: fmt.Sprintf("heronwick-%d-%d", s.opts.Authority.Token(), s.rentals),
+			Request: fmt.Sprintf("heronwick-%s-%d-%d", s.opts.Node, s.div.Token, s.rentals),
 			Type:    place.Type, Zone: place.Zone, Spot: place.Spot, Count: min(n, wire.MaxRent),
 		})
 	}
@@ -512,6 +553,9 @@
 	for _, v := range coming {
 		free = free.Plus(v.free)
 	}
+	machines, _, cpus, freeCPUs := s.opts.Authority.Totals()
+	inUse += machines
+	total.CPUs, free.CPUs = total.CPUs+cpus, free.CPUs+freeCPUs
 	s.spare = max(1, inUse/5)
 	if inUse == 0 || free.CPUs >= total.CPUs/4 {
 		return coming
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -22,6 +22,9 @@
 	return js.rec.Job.Tasks - js.done.Count - len(js.live)
 }
 
+// unplaced counts also those that another share is being asked to take.
+func (js *jobState) unplaced() int { return js.pending() + js.asking }
+
 // nextTask returns the next task to place and leaves it queued.
 func (js *jobState) nextTask() (int, bool) {
 	for len(js.retry) > 0 {
@@ -89,7 +92,9 @@
 	var queue []*jobState
 	for _, js := range s.jobs {
 		if js.pending() <= 0 {
-			js.waiting = time.Time{}
+			if js.asking == 0 {
+				js.waiting = time.Time{}
+			}
 			continue
 		}
 		if !now.Before(js.notBefore) {
@@ -99,6 +104,14 @@
 	if len(queue) == 0 {
 		return
 	}
+	s.sortQueueLocked(queue, now)
+	for _, js := range queue {
+		s.placeJobLocked(js, now)
+	}
+}
+
+// sortQueueLocked puts jobs in the order in which they are served.
+func (s *Share) sortQueueLocked(queue []*jobState, now time.Time) {
 	slices.SortFunc(queue, func(a, b *jobState) int {
 		return cmp.Or(
 			cmp.Compare(a.rec.Job.Priority.Rank(), b.rec.Job.Priority.Rank()),
@@ -108,9 +121,6 @@
 			cmp.Compare(a.rec.Job.ID, b.rec.Job.ID),
 		)
 	})
-	for _, js := range queue {
-		s.placeJobLocked(js, now)
-	}
 }
 
 func boolInt(b bool) int {
@@ -140,14 +150,16 @@
 	for {
 		index, ok := js.nextTask()
 		if !ok {
-			js.waiting = time.Time{}
+			if js.asking == 0 {
+				js.waiting = time.Time{}
+			}
 			return
 		}
 		if !s.withinLimit(js) {
 			js.waiting = time.Time{} // more machines would not help
 			return
 		}
-		m, wait := s.findLocked(js, now)
+		m, wait := s.findLocked(js, now, s.guaranteed(js))
 		if wait {
 			return
 		}
@@ -155,7 +167,7 @@
 			if js.waiting.IsZero() {
 				js.waiting = now
 			}
-			s.preemptLocked(js, now, false)
+			s.preemptLocked(js, now, false, s.guaranteed(js))
 			return
 		}
 		js.took()
@@ -168,7 +180,7 @@
 // a fetch takes longer than all the rest of a start. For a service, room is
 // made on one of those before another machine fetches the image; wait tells
 // that this is under way.
-func (s *Share) findLocked(js *jobState, now time.Time) (m *machine, wait bool) {
+func (s *Share) findLocked(js *jobState, now time.Time, guaranteed bool) (m *machine, wait bool) {
 	fits := func(name string) bool {
 		m := s.machines[name]
 		return m != nil && s.fitsLocked(js, m, now)
@@ -197,7 +209,7 @@
 		if name, ok := s.list.Walk(holds); ok {
 			return s.machines[name], false
 		}
-		if s.preemptLocked(js, now, true) {
+		if s.preemptLocked(js, now, true, guaranteed) {
 			return nil, true
 		}
 		if name, ok := s.list.Walk(roomy); ok {
@@ -288,26 +300,30 @@
 // placeLocked books a task on a machine. The attempt's number rises with each
 // placement, across controllers and restarts, since tokens do.
 func (s *Share) placeLocked(js *jobState, index int, m *machine, now time.Time) {
-	s.number = max(s.number+1, s.opts.Authority.Token()<<20)
+	a := s.newAttempt(js, index)
+	m.Add(a, now)
+	s.countLocked(m.Zone, a)
+	m.dirty = true
+	s.log.Debug("placed", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "image_held", m.HoldsImage(a.Image))
+}
+
+func (s *Share) newAttempt(js *jobState, index int) *fleet.Attempt {
+	s.number = max(s.number+1, s.div.Token<<20)
 	j := &js.rec.Job
 	a := &fleet.Attempt{Key: fleet.Key{Task: wire.TaskID(j.ID, index), Attempt: s.number}, Job: j.ID, Index: index}
 	s.describe(a, j)
-	m.Add(a, now)
-	s.countLocked(m, a)
-	m.dirty = true
-	s.log.Debug("placed", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "image_held", m.HoldsImage(j.Image))
+	return a
 }
 
 // preemptLocked stops tasks to make room for one task of the job, as far as
 // the rules of preemption permit, on the machine where that loses least; if
 // so asked, only on machines that hold the job's image. It tells whether room
 // is being made.
-func (s *Share) preemptLocked(js *jobState, now time.Time, held bool) bool {
+func (s *Share) preemptLocked(js *jobState, now time.Time, held, guaranteed bool) bool {
 	// What was stopped a moment ago has not made its room yet.
 	if now.Sub(js.preempted) < 2*time.Second && s.stoppingLocked() {
 		return true
 	}
-	guaranteed := s.guaranteed(js)
 	type choice struct {
 		m       *machine
 		victims []*fleet.Attempt
@@ -377,12 +393,13 @@
 }
 
 // mayPreempt: a higher priority may stop a lower one, and a team that gets
-// its guarantee may stop any work that another runs above its own.
+// its guarantee may stop any work that another runs above its own. What a
+// team of another share uses is not known here.
 func (s *Share) mayPreempt(js *jobState, victim *fleet.Attempt, guaranteed bool) bool {
 	if js.rec.Job.Priority.Rank() < victim.Rank {
 		return true
 	}
-	if !guaranteed || victim.Team == js.rec.Job.Team {
+	if !guaranteed || victim.Guest || victim.Team == js.rec.Job.Team {
 		return false
 	}
 	t, used := s.teams[victim.Team], s.used[victim.Team]
@@ -396,6 +413,7 @@
 		if !m.dirty || m.committing || m.returning {
 			continue
 		}
+		s.dropStaleGuestsLocked(m)
 		m.dirty, m.committing = false, true
 		w, attempts := s.recordLocked(m)
 		s.goDo(func(ctx context.Context) { s.commit(ctx, m, w, attempts) })
@@ -407,14 +425,14 @@
 // nothing is placed for a job cancelled a moment ago.
 func (s *Share) recordLocked(m *machine) (state.Write, []*fleet.Attempt) {
 	s.rentals++ // any number that never comes again under this token
-	value, err := json.Marshal(m.Record(fmt.Sprintf("%d-%d", s.opts.Authority.Token(), s.rentals)))
+	value, err := json.Marshal(m.Record(fmt.Sprintf("%s-%d-%d", s.opts.Node, s.div.Token, s.rentals)))
 	if err != nil {
 		s.log.Error("encoding a machine's record", "machine", m.Name, "err", err)
 	}
 	key := fleet.RecordKey(m.Name)
 	w := state.Write{
 		Priority: state.Placement,
-		If:       []wire.Condition{s.opts.Authority.Condition(), {Key: key, Version: m.version}},
+		If:       []wire.Condition{s.div.condition, {Key: key, Version: m.version}},
 		Then:     []wire.Change{{Put: key, Value: value}},
 		Persist:  true,
 	}
@@ -425,7 +443,7 @@
 			continue
 		}
 		attempts = append(attempts, a)
-		if js := s.jobs[a.Job]; js != nil && !seen[a.Job] {
+		if js := s.jobOf(a.Job); js != nil && !seen[a.Job] {
 			seen[a.Job] = true
 			w.If = append(w.If, js.rec.Condition())
 		}
@@ -480,7 +498,7 @@
 						s.uncountLocked(a)
 					}
 				}
-				if js := s.jobs[id]; js != nil {
+				if js := s.jobOf(id); js != nil {
 					js.notBefore = time.Now().Add(time.Second)
 				}
 				s.resolveLocked(id)
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -6,14 +6,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"heronwick/internal/cluster"
+	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/config"
 	"heronwick/internal/fleet"
 	"heronwick/internal/job"
@@ -22,14 +24,22 @@
 	"heronwick/wire"
 )
 
-// Authority says under which epoch this share commands, and what is proven
-// about other controllers.
+// Authority says under which epoch this share commands, what it owns, and what
+// is proven about other controllers.
 type Authority interface {
+	Division() (cluster.Epoch, wire.Condition)
 	Token() uint64
-	Condition() wire.Condition
 	Permitted() bool
-	Fenced() (time.Time, bool)
+	Fenced(token uint64) (time.Time, bool)
 	Raise(ctx context.Context) error
+	Owners() (mine map[string]cluster.Owner, orphans []string)
+	Home(machine string) (node string, owned bool)
+	HostOf(machine string) string
+	OwnerWrite(machine, node string, about json.RawMessage) (wire.Condition, wire.Change, bool)
+	OwnerDrop(machine string) (wire.Condition, wire.Change)
+	NoteOwner(change wire.Change, version uint64)
+	Totals() (machines, idle int, cpus, free float64)
+	Idle(node string) int
 }
 
 // Workers sends straight to workers.
@@ -46,9 +56,17 @@
 	List(ctx context.Context) ([]wire.Machine, error)
 }
 
+// Peers are the other controllers' shares.
+type Peers interface {
+	Place(ctx context.Context, node string, req *peerpb.PlaceRequest) (*peerpb.PlaceReply, error)
+	Settle(ctx context.Context, node string, req *peerpb.SettleRequest) (*peerpb.SettleReply, error)
+}
+
 // Jobs holds the jobs' records.
 type Jobs interface {
-	Listen(l job.Listener) []*job.Record
+	Listen(l job.Listener)
+	Active(id string) *job.Record
+	AllActive() []*job.Record
 	Resolve(ctx context.Context, id string) (f job.Final, over, found bool, err error)
 	ReadDone(ctx context.Context) (map[string]*job.DoneSet, map[string]job.DoneVersions, error)
 	WriteDone(ctx context.Context, r *job.Record, fence wire.Condition, chunk int, bits []byte, version uint64) (uint64, error)
@@ -70,10 +88,12 @@
 
 // Options are what a Share needs.
 type Options struct {
+	Node      string
 	Settings  *config.Settings
 	Authority Authority
 	Workers   Workers
 	Cloud     Cloud
+	Peers     Peers
 	Jobs      Jobs
 	Records   Records
 	Committer Committer
@@ -100,6 +120,8 @@
 	idleSince  time.Time
 	first      time.Time // when this share first knew of it
 	cooling    time.Time // no placements before then
+	base       uint64    // reports under older tokens do not settle its record
+	fence      uint64    // nobody else answers its worker once epochs before this are fenced; 0: nobody does
 }
 
 // jobState is a job of the share.
@@ -129,6 +151,10 @@
 	preempted time.Time // when tasks were last stopped for this job
 	told      job.Progress
 	toldAt    time.Time // when that last changed
+
+	asking  int       // tasks that another share is being asked to take
+	asked   int       // a guest: how many of its tasks its owner has no room for
+	askedAt time.Time // and when it last said so
 }
 
 // Share is one controller's part of the cluster: its jobs, its machines and
@@ -136,7 +162,6 @@
 type Share struct {
 	opts    Options
 	log     *slog.Logger
-	base    uint64 // the token under which this share began
 	started time.Time
 	types   map[string]*wire.MachineType
 	teams   map[string]config.Team
@@ -145,10 +170,19 @@
 	group   *errgroup.Group
 
 	mu       sync.Mutex
+	div      division
 	loaded   bool
+	adopted  uint64 // under this epoch, machines without an owner have been taken
+	building bool
+	begun    uint64               // version of the epoch when the share began
 	early    map[string]time.Time // reports answered before the records were read
-	jobs     map[string]*jobState
+	jobs     map[string]*jobState // the share's own
+	guests   map[string]*jobState // jobs of other shares that have, or want, tasks here
+	foreign  map[fleet.Key]*lent  // tasks of own jobs that may be on others' machines
+	barred   map[fleet.Key]time.Time
+	asking   map[string]*asking
 	machines map[string]*machine
+	moving   map[string]bool // machines whose owner is being written
 	list     placement.List
 	used     map[string]placement.Resources // by team, all that may be on machines
 	number   uint64                         // last attempt number
@@ -161,6 +195,8 @@
 	resolve  map[string]bool // jobs being looked up
 	spare    int             // idle and booting machines wanted beyond the demand
 	resigned time.Time
+	grouped  time.Time // when idle machines were last regrouped
+	cut      bool      // most workers cannot be reached
 }
 
 // New makes a share; Run starts it.
@@ -172,6 +208,8 @@
 		early: map[string]time.Time{}, jobs: map[string]*jobState{}, machines: map[string]*machine{},
 		used: map[string]placement.Resources{}, returned: map[string]time.Time{},
 		booting: map[string]*booting{}, refused: map[placement.Place]refusal{}, resolve: map[string]bool{},
+		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, barred: map[fleet.Key]time.Time{},
+		asking: map[string]*asking{}, moving: map[string]bool{},
 	}
 	for i := range opts.Types {
 		s.types[opts.Types[i].Name] = &opts.Types[i]
@@ -182,18 +220,16 @@
 	return s
 }
 
-// Run reads the records and runs the share until ctx ends.
+// Run runs the share until ctx ends.
 func (s *Share) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	s.ctx, s.group = ctx, g
-	s.base = s.opts.Authority.Token()
 	s.started = time.Now()
-	if err := s.load(ctx); err != nil {
-		return err
-	}
+	s.opts.Jobs.Listen(s)
 	defer s.opts.Jobs.Listen(nil)
 	g.Go(func() error { return s.loop(ctx) })
 	g.Go(func() error { return s.runCloud(ctx) })
+	g.Go(func() error { return s.runLent(ctx) })
 	return g.Wait()
 }
 
@@ -205,72 +241,6 @@
 	})
 }
 
-// load rebuilds the share: the records first, since nothing may be placed
-// before it is known what may be where.
-func (s *Share) load(ctx context.Context) error {
-	var items []wire.Item
-	var done map[string]*job.DoneSet
-	var versions map[string]job.DoneVersions
-	for {
-		var err error
-		items, _, err = s.opts.Records.List(ctx, state.Urgent, fleet.RecordPrefix)
-		if err == nil {
-			done, versions, err = s.opts.Jobs.ReadDone(ctx)
-		}
-		if err == nil {
-			break
-		}
-		s.log.Info("reading the records failed, trying again", "err", err)
-		if !pause(ctx, 200*time.Millisecond) {
-			return ctx.Err()
-		}
-	}
-	records := s.opts.Jobs.Listen(s)
-	s.mu.Lock()
-	now := time.Now()
-	for _, r := range records {
-		if s.jobs[r.Job.ID] == nil {
-			s.addJobLocked(r)
-		}
-	}
-	for id, set := range done {
-		if js := s.jobs[id]; js != nil {
-			js.done, js.versions = set, versions[id]
-			continue
-		}
-		s.goDo(func(ctx context.Context) { s.dropDone(ctx, id, versions[id]) })
-	}
-	for _, item := range items {
-		name := item.Key[len(fleet.RecordPrefix):]
-		fm, err := fleet.FromRecord(name, item.Value, s.base, now)
-		if err != nil {
-			s.mu.Unlock()
-			return fmt.Errorf("rebuilding the share: %w", err)
-		}
-		m := s.addMachineLocked(fm, now)
-		m.version = item.Version
-		for _, a := range m.Attempts {
-			s.adoptLocked(m, a)
-		}
-	}
-	for name, at := range s.early {
-		if m := s.machines[name]; m != nil {
-			m.LastAnswer = at
-		}
-	}
-	s.loaded = true
-	s.log.Info("share rebuilt", "token", s.base, "jobs", len(s.jobs), "machines", len(s.machines))
-	for _, m := range s.machines {
-		s.syncLocked(m)
-	}
-	for _, js := range s.jobs {
-		s.flushLocked(js)
-	}
-	s.mu.Unlock()
-	s.poke()
-	return nil
-}
-
 // syncLocked shows a worker the new token at once and takes its report: until
 // then nothing may be placed on its machine.
 func (s *Share) syncLocked(m *machine) {
@@ -298,6 +268,7 @@
 	m := &machine{Machine: fm, failedJobs: map[string]bool{}, idleSince: now, first: now}
 	m.Type = s.types[m.TypeName]
 	m.LastReport = now
+	m.base, m.fence = s.div.Token, s.div.Token
 	s.machines[m.Name] = m
 	delete(s.booting, m.Name)
 	return m
@@ -319,6 +290,7 @@
 		case <-s.wake:
 		case now := <-tick.C:
 			s.mu.Lock()
+			s.regroupLocked(now)
 			s.watchMachinesLocked(now)
 			if now.Sub(logged) > logLoadEvery {
 				logged = now
@@ -327,12 +299,17 @@
 			s.mu.Unlock()
 		}
 		s.mu.Lock()
+		s.divideLocked()
 		s.scheduleLocked(time.Now())
 		s.commitLocked()
+		s.lendLocked(time.Now())
 		s.mu.Unlock()
 	}
 }
 
+// Changed tells the share that the epoch or a machine's owner has changed.
+func (s *Share) Changed() { s.poke() }
+
 func (s *Share) poke() {
 	select {
 	case s.wake <- struct{}{}:
@@ -349,18 +326,16 @@
 	if !s.opts.Authority.Permitted() {
 		return nil
 	}
-	reply := &wire.ReportReply{Token: s.opts.Authority.Token(), Commands: []wire.Command{}}
-	if !s.loaded {
-		s.early[r.Machine] = now
-		return reply
-	}
-	if _, gone := s.returned[r.Machine]; gone {
-		return nil // sent before its machine was returned
-	}
 	m := s.machines[r.Machine]
 	if m == nil {
-		m = s.addMachineLocked(fleet.NewMachine(r.Machine), now)
-		s.log.Info("machine joined", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
+		m = s.joinLocked(r, now)
+	}
+	reply := &wire.ReportReply{Token: s.opts.Authority.Token(), Commands: []wire.Command{}}
+	if m == nil {
+		if _, early := s.early[r.Machine]; !early {
+			return nil
+		}
+		return reply // keeps its lease while its machine is being taken
 	}
 	fresh := s.applyLocked(m, r)
 	m.LastAnswer = now
@@ -408,9 +383,9 @@
 	return false
 }
 
-// synced tells whether the machine's report under this share's token has
-// come: then its records are settled.
-func (s *Share) synced(m *machine) bool { return m.Reported && m.Token >= s.base }
+// synced tells whether the machine's report under its owner's token has come:
+// then its record is settled.
+func (s *Share) synced(m *machine) bool { return m.Reported && m.Token >= m.base }
 
 // handleLocked draws the consequences of what a report or a proof told.
 func (s *Share) handleLocked(m *machine, events []fleet.Event) {
@@ -424,7 +399,7 @@
 			}
 		case fleet.Started:
 			s.log.Debug("started", "task", a.Task, "machine", m.Name, "after", time.Since(a.Placed))
-			if js := s.jobs[a.Job]; js != nil && a.Service {
+			if js := s.jobOf(a.Job); js != nil && a.Service {
 				js.succeeded = true
 			}
 		case fleet.Exited:
@@ -455,23 +430,30 @@
 // shows unexpectedly.
 func (s *Share) adoptLocked(m *machine, a *fleet.Attempt) {
 	js := s.jobs[a.Job]
-	if js == nil || a.Index >= js.rec.Job.Tasks {
-		if js != nil {
-			a.Stop = true
+	if js == nil {
+		r := s.opts.Jobs.Active(a.Job)
+		if r == nil || s.mineLocked(&r.Job) {
+			s.resolveLocked(a.Job)
 			return
 		}
-		s.resolveLocked(a.Job)
+		s.describe(a, &r.Job)
+		a.Guest = true
+		s.closeIfEmptyLocked(m)
 		return
 	}
+	a.Guest = false
+	if f := s.foreign[a.Key]; f != nil {
+		s.forgetLentLocked(f) // it was another's, and its machine is now ours
+	}
 	s.describe(a, &js.rec.Job)
 	if a.Exited() {
 		return
 	}
-	if js.done.Has(a.Index) || js.live[a.Index] > 0 {
+	if a.Index >= js.rec.Job.Tasks || js.done.Has(a.Index) || js.live[a.Index] > 0 {
 		// Its result is known, or another attempt may be elsewhere: never two.
 		a.Stop = true
 	}
-	s.countLocked(m, a)
+	s.countLocked(m.Zone, a)
 	s.closeIfEmptyLocked(m)
 }
 
@@ -515,11 +497,11 @@
 	})
 }
 
-func (s *Share) countLocked(m *machine, a *fleet.Attempt) {
+func (s *Share) countLocked(zone string, a *fleet.Attempt) {
 	if a.Counted {
 		return
 	}
-	a.Counted, a.Zone = true, m.Zone
+	a.Counted, a.Zone = true, zone
 	s.used[a.Team] = s.used[a.Team].Plus(a.Size)
 	if js := s.jobs[a.Job]; js != nil {
 		js.live[a.Index]++
@@ -549,14 +531,37 @@
 	s.poke()
 }
 
-// exitedLocked takes the end of an attempt.
+// exitedLocked takes the end of an attempt on a machine of the share.
 func (s *Share) exitedLocked(m *machine, a *fleet.Attempt) {
-	js := s.jobs[a.Job]
 	now := time.Now()
-	s.log.Debug("exited", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "why", a.Why, "ran", now.Sub(a.Running))
-	if a.Why == wire.WhyDone && js != nil && !a.Service {
-		js.succeeded = true
+	s.log.Debug("exited", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "why", a.Why, "since_placed", now.Sub(a.Placed))
+	if a.Why == wire.WhyError {
+		s.failedLocked(m, s.jobOf(a.Job), a, now)
+	}
+	if a.Why == wire.WhyDone {
 		clear(m.failedJobs)
+		if js := s.jobOf(a.Job); js != nil {
+			js.succeeded = true
+		}
+	}
+	if a.Why == wire.WhyNoRoom || a.Why == wire.WhyBusy {
+		m.cooling = now.Add(time.Second)
+	}
+	s.endedLocked(a, now)
+}
+
+// endedLocked draws the consequences of an attempt's end for its job, on
+// whoever's machine it was.
+func (s *Share) endedLocked(a *fleet.Attempt, now time.Time) {
+	js := s.jobs[a.Job]
+	if js == nil {
+		// Its owner, which asks, decides what follows; without one, nothing.
+		a.Handled = !a.Guest
+		s.uncountLocked(a)
+		return
+	}
+	if a.Why == wire.WhyDone && !a.Service {
+		js.succeeded = true
 		chunk := js.done.Add(a.Index)
 		js.dirty[chunk] = true
 		js.awaiting[chunk] = append(js.awaiting[chunk], a)
@@ -567,15 +572,10 @@
 	}
 	a.Handled = true
 	switch a.Why {
-	case wire.WhyStopped, wire.WhyDone:
-	case wire.WhyError:
-		s.failedLocked(m, js, a, now)
+	case wire.WhyStopped, wire.WhyDone, wire.WhyError:
 	default:
-		s.log.Info("start refused", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "why", a.Why)
-		m.cooling = now.Add(time.Second)
-		if js != nil && a.Why == wire.WhyUnknown {
-			js.notBefore = now.Add(2 * time.Second)
-		}
+		s.log.Info("start refused", "task", a.Task, "attempt", a.Attempt, "why", a.Why)
+		js.notBefore = now.Add(500 * time.Millisecond)
 	}
 	s.uncountLocked(a)
 }
@@ -611,7 +611,7 @@
 	}
 	evidence := 0
 	for id := range m.failedJobs {
-		if other := s.jobs[id]; other != nil && !other.mistaken() {
+		if other := s.jobOf(id); other != nil && !other.mistaken() {
 			evidence++
 		}
 	}
@@ -624,17 +624,30 @@
 // mistaken tells whether the job seems to fail everywhere.
 func (js *jobState) mistaken() bool { return len(js.failedOn) >= 2 && !js.succeeded }
 
+// jobOf returns an own job or a guest.
+func (s *Share) jobOf(id string) *jobState {
+	if js := s.jobs[id]; js != nil {
+		return js
+	}
+	return s.guests[id]
+}
+
 // JobAdded implements job.Listener.
 func (s *Share) JobAdded(r *job.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.jobs[r.Job.ID] != nil {
-		return
+	defer s.poke()
+	if s.mineLocked(&r.Job) && s.jobs[r.Job.ID] == nil {
+		if !s.loaded || r.Version <= s.div.since.Version {
+			// Accepted before the division that made it ours: its owner then
+			// may have placed it, which the records tell.
+			return
+		}
+		s.addJobLocked(r)
 	}
-	s.addJobLocked(r)
 	for _, m := range s.machines {
 		for _, a := range m.Attempts {
-			if a.Job == r.Job.ID {
+			if a.Job == r.Job.ID && !a.Sized {
 				s.adoptLocked(m, a)
 				if a.Exited() && !a.Handled {
 					s.exitedLocked(m, a)
@@ -642,10 +655,17 @@
 			}
 		}
 	}
-	s.poke()
 }
 
 func (s *Share) addJobLocked(r *job.Record) *jobState {
+	j := &r.Job
+	js := s.newJob(r)
+	s.jobs[j.ID] = js
+	s.log.Debug("job queued", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "cpus", j.CPUs, "image", j.Image, "estimate_s", j.EstimateS)
+	return js
+}
+
+func (s *Share) newJob(r *job.Record) *jobState {
 	j := &r.Job
 	js := &jobState{
 		rec: r, size: placement.Of(j), live: map[int]int{}, zones: map[string]int{},
@@ -653,8 +673,6 @@
 		failedOn: map[string]bool{}, accepted: time.UnixMilli(r.AcceptedMs), within: s.objectives(j),
 	}
 	js.share = s.dominantShare(js.size)
-	s.log.Debug("job queued", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "cpus", j.CPUs, "image", j.Image, "estimate_s", j.EstimateS)
-	s.jobs[j.ID] = js
 	return js
 }
 
@@ -713,6 +731,7 @@
 		}
 	}
 	delete(s.jobs, id)
+	delete(s.guests, id)
 	s.endTasksLocked(id, f, goneBy)
 }
 
@@ -744,7 +763,9 @@
 			a.Stop, a.GraceS, a.MustGoBy = true, 0, goneBy
 			if !a.Sized {
 				a.Team, a.Size, a.Sized = f.Team, placement.Resources{CPUs: f.CPUs, GPUs: f.GPUs, MemoryGB: f.MemoryGB}, true
-				s.countLocked(m, a)
+				if s.div.OwnerOf(f.Team, id) == s.opts.Node {
+					s.countLocked(m.Zone, a)
+				}
 			}
 			touched = true
 		}
@@ -813,6 +834,11 @@
 			}
 		}
 	}
+	for _, f := range s.foreign {
+		if f.State == wire.TaskRunning {
+			running[f.Job]++
+		}
+	}
 	changed := map[string]job.Progress{}
 	for id, js := range s.jobs {
 		p := job.Progress{Done: js.done.Count, Running: running[id]}
@@ -867,9 +893,9 @@
 	attempts := js.awaiting[chunk]
 	delete(js.awaiting, chunk)
 	version := js.versions[chunk]
+	fence := s.div.condition
 	s.mu.Unlock()
 
-	fence := s.opts.Authority.Condition()
 	var err error
 	if finished {
 		err = s.opts.Jobs.Finish(ctx, js.rec, fence)
