--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -56,13 +56,20 @@
 	Token       uint64 `json:"token"`
 	Leader      string `json:"leader"`
 	Incarnation uint64 `json:"incarnation"`
-	// Members holds the incarnation of each controller with a share.
-	Members map[string]uint64 `json:"members"`
+	// Members are the controllers with a share.
+	Members map[string]Member `json:"members"`
 	// Teams says which member owns each team. A job whose team is not listed
 	// belongs to the member that its id hashes to.
 	Teams map[string]string `json:"teams"`
 }
 
+// Member is a controller with a share. One that comes back, as the same
+// incarnation or another, has another Since and owns nothing of what it had.
+type Member struct {
+	Incarnation uint64 `json:"incarnation"`
+	Since       uint64 `json:"since"` // token of the epoch in which it joined
+}
+
 // OwnerOf returns the member that owns a job.
 func (e *Epoch) OwnerOf(team, job string) string {
 	if node, ok := e.Teams[team]; ok {
@@ -223,7 +230,7 @@
 }
 
 func (c *Cluster) memberLocked() bool {
-	return c.known && c.epoch.Members[c.opts.Node] == c.incarnation
+	return c.known && c.epoch.Members[c.opts.Node].Incarnation == c.incarnation
 }
 
 // Permitted tells whether this controller may answer workers' reports now: it
@@ -522,13 +529,13 @@
 // setEpochLocked takes a newer epoch and ends the share if this controller is
 // no member any more.
 func (c *Cluster) setEpochLocked(e Epoch, version uint64) {
-	was := c.memberLocked()
+	was, since := c.memberLocked(), c.epoch.Members[c.opts.Node].Since
 	if e.Token > c.epoch.Token {
 		// What peers said of the old epoch proves nothing about this one: a
 		// member stays permitted for what it has confirmed before, since
 		// nobody may answer its workers without its share.
 		c.fence = fence{}
-		if !was || e.Members[c.opts.Node] != c.incarnation {
+		if !was || e.Members[c.opts.Node].Since != since {
 			c.confirmed = time.Time{}
 		}
 		for _, p := range c.peers {
@@ -539,8 +546,8 @@
 	for _, p := range c.peers {
 		c.noteAckLocked(p)
 	}
-	if was && !c.memberLocked() && c.stopShare != nil {
-		c.opts.Log.Info("no longer a member", "token", e.Token, "leader", e.Leader)
+	if was && c.epoch.Members[c.opts.Node].Since != since && c.stopShare != nil {
+		c.opts.Log.Info("share ends: its membership is over", "token", e.Token, "leader", e.Leader)
 		c.stopShare()
 		c.stopShare = nil
 	}
@@ -727,7 +734,10 @@
 	}
 	next := epoch.next()
 	delete(next.Members, epoch.Leader) // it is back as a member once it answers
-	next.Leader, next.Incarnation, next.Members[c.opts.Node] = c.opts.Node, c.incarnation, c.incarnation
+	next.Leader, next.Incarnation = c.opts.Node, c.incarnation
+	if next.Members[c.opts.Node].Incarnation != c.incarnation {
+		next.Members[c.opts.Node] = Member{Incarnation: c.incarnation, Since: next.Token}
+	}
 	next.divide(c.opts.Weights())
 	value, _ := json.Marshal(next)
 	record, _ := json.Marshal(leaderRecord{Node: c.opts.Node, Incarnation: c.incarnation})
--- a/internal/cluster/division.go
+++ b/internal/cluster/division.go
@@ -12,11 +12,11 @@
 )
 
 // Owner is the member that owns a machine: it alone answers its worker and
-// places on it. It changes only by the owner's own write, or, once the owner
-// is no member of the epoch, by the leader's.
+// places on it. It changes only by the owner's own write, or by a new epoch:
+// what has no owner among the members is the leader's, without any write.
 type Owner struct {
-	Node        string `json:"node"`
-	Incarnation uint64 `json:"incarnation"`
+	Node  string `json:"node"`
+	Since uint64 `json:"since"` // of the member
 	// Machine is what the owner before knew of it, for the one after.
 	Machine json.RawMessage `json:"machine,omitempty"`
 	Version uint64          `json:"-"`
@@ -35,24 +35,25 @@
 }
 
 func (c *Cluster) validLocked(o Owner) bool {
-	return o.Incarnation != 0 && c.epoch.Members[o.Node] == o.Incarnation
+	return o.Since != 0 && c.epoch.Members[o.Node].Since == o.Since
 }
 
-// Owners returns the machines that this controller owns, and the names of
-// those whose owner is no member.
-func (c *Cluster) Owners() (mine map[string]Owner, orphans []string) {
+// Owners returns the machines that this controller owns by name, and the names
+// of those whose owner is no member. fresh is false while a write of an older
+// epoch may not have been seen yet.
+func (c *Cluster) Owners() (mine map[string]Owner, orphans []string, fresh bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	mine = map[string]Owner{}
 	for machine, o := range c.owners {
 		switch {
-		case o.Node == c.opts.Node && o.Incarnation == c.incarnation:
-			mine[machine] = o
 		case !c.validLocked(o):
 			orphans = append(orphans, machine)
+		case o.Node == c.opts.Node:
+			mine[machine] = o
 		}
 	}
-	return mine, orphans
+	return mine, orphans, c.revision >= c.version
 }
 
 // HostOf returns the member that owns a machine, or the leader, which takes
@@ -71,11 +72,11 @@
 func (c *Cluster) OwnerWrite(machine, node string, about json.RawMessage) (condition wire.Condition, change wire.Change, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	incarnation := c.epoch.Members[node]
-	if incarnation == 0 {
+	since := c.epoch.Members[node].Since
+	if since == 0 {
 		return condition, change, false
 	}
-	value, err := json.Marshal(Owner{Node: node, Incarnation: incarnation, Machine: about})
+	value, err := json.Marshal(Owner{Node: node, Since: since, Machine: about})
 	if err != nil {
 		return condition, change, false
 	}
@@ -109,7 +110,7 @@
 	n.Token++
 	n.Members, n.Teams = maps.Clone(e.Members), maps.Clone(e.Teams)
 	if n.Members == nil {
-		n.Members = map[string]uint64{}
+		n.Members = map[string]Member{}
 	}
 	if n.Teams == nil {
 		n.Teams = map[string]string{}
@@ -188,7 +189,7 @@
 	next, version := c.epoch.next(), c.version
 	changed := false
 	for node, p := range c.peers {
-		member := next.Members[node]
+		member := next.Members[node].Incarnation
 		alive := !p.lastSeen.IsZero() && now.Sub(p.lastSeen) < deadAfter
 		if alive && member != 0 && p.status.Cut && p.status.Incarnation == member && p.workersElsewhere(c) {
 			p.shunned = now.Add(shunFor)
@@ -202,14 +203,14 @@
 			fallthrough
 		case member == 0 && fit:
 			if fit {
-				next.Members[node] = p.incarnation
+				next.Members[node] = Member{Incarnation: p.incarnation, Since: next.Token}
 				changed = true
 				c.opts.Log.Info("member joins", "member", node)
 			}
 		}
 	}
 	for _, node := range next.Teams {
-		changed = changed || next.Members[node] == 0
+		changed = changed || next.Members[node].Since == 0
 	}
 	for t := range weights {
 		changed = changed || next.Teams[t] == ""
@@ -241,7 +242,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for node, p := range c.peers {
-		if c.epoch.Members[node] != 0 && p.status != nil {
+		if c.epoch.Members[node].Since != 0 && p.status != nil {
 			machines, idle = machines+int(p.status.Machines), idle+int(p.status.Idle)
 			cpus, free = cpus+p.status.Cpus, free+p.status.FreeCpus
 		}
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"sync"
 	"time"
 
 	"heronwick/internal/cluster"
@@ -57,7 +56,10 @@
 		return
 	}
 	epoch, condition := s.opts.Authority.Division()
-	mine, orphans := s.opts.Authority.Owners()
+	mine, orphans, fresh := s.opts.Authority.Owners()
+	if !fresh {
+		return // an owner's write of the epoch before may be missing; the watch brings it
+	}
 	if s.loaded && epoch.Token != s.div.Token && same(&epoch, &s.div.Epoch) {
 		// Only the token has risen.
 		if s.adopted == s.div.Token {
@@ -65,33 +67,34 @@
 		}
 		s.div.Epoch, s.div.condition = epoch, condition
 	}
-	var lost []string // machines that are ours, of whose tasks only the records tell
+	var adopt []string // machines that are ours, of whose tasks only the records tell
 	for name, o := range mine {
-		if s.machines[name] != nil || s.moving[name] || !s.returned[name].IsZero() {
-			continue
-		}
-		// Written before this share began: it may have had tasks since.
-		if o.Machine == nil || !s.loaded || o.Version <= s.begun {
-			lost = append(lost, name)
-			continue
+		switch {
+		case s.machines[name] != nil || s.moving[name] || !s.returned[name].IsZero():
+		case o.Machine == nil || !s.loaded || o.Version <= s.begun:
+			adopt = append(adopt, name) // it may have had tasks since that was written
+		default:
+			s.takeLocked(name, o)
 		}
-		s.takeLocked(name, o)
 	}
-	if epoch.Leader != s.opts.Node {
-		orphans = nil
+	if epoch.Leader == s.opts.Node {
+		for _, name := range orphans {
+			if s.machines[name] == nil && !s.moving[name] && s.returned[name].IsZero() {
+				adopt = append(adopt, name)
+			}
+		}
 	}
-	orphans = slices.DeleteFunc(append(orphans, lost...), func(name string) bool { return s.moving[name] })
 	var gained []*job.Record
 	for _, r := range s.opts.Jobs.AllActive() {
 		if epoch.OwnerOf(r.Job.Team, r.Job.ID) == s.opts.Node && s.jobs[r.Job.ID] == nil {
 			gained = append(gained, r)
 		}
 	}
-	if s.loaded && epoch.Token == s.div.Token && len(orphans) == 0 && len(gained) == 0 && s.adopted == epoch.Token {
+	if s.loaded && epoch.Token == s.div.Token && len(adopt) == 0 && len(gained) == 0 && s.adopted == epoch.Token {
 		return
 	}
 	s.building = true
-	s.goDo(func(ctx context.Context) { s.rebuild(ctx, epoch, condition, gained, orphans) })
+	s.goDo(func(ctx context.Context) { s.rebuild(ctx, epoch, condition, gained, adopt) })
 }
 
 // takeLocked takes a machine that another share has given: nothing is on it.
@@ -113,33 +116,24 @@
 // rebuild makes the share fit a new division: it lets go of jobs that are no
 // longer its own, takes machines without an owner, and reads from the records
 // what may be where, before anything of that is placed.
-func (s *Share) rebuild(ctx context.Context, epoch cluster.Epoch, condition wire.Condition, gained []*job.Record, orphans []string) {
+func (s *Share) rebuild(ctx context.Context, epoch cluster.Epoch, condition wire.Condition, gained []*job.Record, adopt []string) {
 	s.mu.Lock()
 	first := !s.loaded
+	// A new leader also has what the one before had without writing it.
+	leads := epoch.Leader == s.opts.Node && s.div.Leader != s.opts.Node
 	s.disownLocked(&epoch)
-	for _, name := range orphans {
-		s.moving[name] = true
-	}
 	s.mu.Unlock()
 
+	var r records
 	var err error
-	var adopted []string
-	var items []wire.Item
-	var done map[string]*job.DoneSet
-	var versions map[string]job.DoneVersions
-	var ended map[string]job.Final
-	if first || len(orphans) > 0 || len(gained) > 0 {
-		adopted = s.adoptOwners(ctx, orphans)
-		items, done, versions, ended, err = s.readRecords(ctx)
+	if first || leads || len(adopt) > 0 || len(gained) > 0 {
+		r, err = s.readRecords(ctx)
 	}
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.poke()
 	s.building = false
-	for _, name := range orphans {
-		delete(s.moving, name)
-	}
 	if now, _ := s.opts.Authority.Division(); err != nil || ctx.Err() != nil || now.Token != epoch.Token {
 		// The next division starts over: what was read may be outdated.
 		if err != nil {
@@ -153,26 +147,27 @@
 		s.begun = condition.Version
 	}
 	now := time.Now()
-	for _, r := range gained {
-		if s.jobs[r.Job.ID] != nil || s.opts.Jobs.Active(r.Job.ID) == nil {
+	isGained := map[string]bool{}
+	for _, record := range gained {
+		id := record.Job.ID
+		if s.jobs[id] != nil || s.opts.Jobs.Active(id) == nil {
 			continue
 		}
-		js := s.addJobLocked(r)
-		if set := done[r.Job.ID]; set != nil {
-			js.done, js.versions = set, versions[r.Job.ID]
+		isGained[id] = true
+		js := s.addJobLocked(record)
+		if set := r.done[id]; set != nil {
+			js.done, js.versions = set, r.versions[id]
 		}
 	}
-	s.placeRecordsLocked(items, adopted, ended, gained, now)
-	if len(adopted) == len(orphans) {
-		s.adopted = epoch.Token
-	}
-	if first || len(gained)+len(adopted) > 0 {
-		s.log.Info("share rebuilt", "token", epoch.Token, "jobs", len(s.jobs), "gained", len(gained), "machines", len(s.machines),
-			"adopted", len(adopted), "lent", len(s.foreign))
+	adopted := s.placeRecordsLocked(r, adopt, isGained, now)
+	s.adopted = epoch.Token
+	if first || len(gained)+adopted > 0 {
+		s.log.Info("share rebuilt", "token", epoch.Token, "jobs", len(s.jobs), "gained", len(isGained), "machines", len(s.machines),
+			"adopted", adopted, "lent", len(s.foreign))
 	}
 	s.loaded = true
 	if s.div.Leader == s.opts.Node {
-		for id, v := range versions {
+		for id, v := range r.versions {
 			if s.opts.Jobs.Active(id) == nil {
 				s.goDo(func(ctx context.Context) { s.dropDone(ctx, id, v) })
 			}
@@ -232,25 +227,6 @@
 	s.closeIfEmptyLocked(m)
 }
 
-// adoptOwners makes this share the owner of machines without one and returns
-// those for which that succeeded.
-func (s *Share) adoptOwners(ctx context.Context, machines []string) []string {
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	var adopted []string
-	for _, name := range machines {
-		wg.Go(func() {
-			if s.writeOwner(ctx, name, s.opts.Node, nil, 0) == nil {
-				mu.Lock()
-				adopted = append(adopted, name)
-				mu.Unlock()
-			}
-		})
-	}
-	wg.Wait()
-	return adopted
-}
-
 // writeOwner makes node the owner of a machine. about is what node is to know
 // of it; without it node goes by the records. A record of the version given
 // is removed with it.
@@ -274,48 +250,51 @@
 	return nil
 }
 
-// readRecords reads what may be on each machine, what is done, and which jobs
-// named there are over.
-func (s *Share) readRecords(ctx context.Context) (items []wire.Item, done map[string]*job.DoneSet, versions map[string]job.DoneVersions, ended map[string]job.Final, err error) {
-	if items, _, err = s.opts.Records.List(ctx, state.Urgent, fleet.RecordPrefix); err != nil {
-		return nil, nil, nil, nil, err
+// records is what the store holds of machines and done tasks.
+type records struct {
+	machines []wire.Item
+	done     map[string]*job.DoneSet
+	versions map[string]job.DoneVersions
+	ended    map[string]job.Final // jobs named on machines that are over
+}
+
+func (s *Share) readRecords(ctx context.Context) (r records, err error) {
+	if r.machines, _, err = s.opts.Records.List(ctx, state.Urgent, fleet.RecordPrefix); err != nil {
+		return r, err
 	}
-	if done, versions, err = s.opts.Jobs.ReadDone(ctx); err != nil {
-		return nil, nil, nil, nil, err
+	if r.done, r.versions, err = s.opts.Jobs.ReadDone(ctx); err != nil {
+		return r, err
 	}
-	ended = map[string]job.Final{}
-	for _, item := range items {
+	r.ended = map[string]job.Final{}
+	for _, item := range r.machines {
 		m, err := fleet.FromRecord(item.Key, item.Value, 1, time.Now())
 		if err != nil {
-			return nil, nil, nil, nil, err
+			return r, err
 		}
 		for _, a := range m.Attempts {
-			if _, known := ended[a.Job]; known || s.opts.Jobs.Active(a.Job) != nil {
+			if _, known := r.ended[a.Job]; known || s.opts.Jobs.Active(a.Job) != nil {
 				continue
 			}
 			f, over, _, err := s.opts.Jobs.Resolve(ctx, a.Job)
 			if err != nil {
-				return nil, nil, nil, nil, err
+				return r, err
 			}
 			if over {
-				ended[a.Job] = f
+				r.ended[a.Job] = f
 			}
 		}
 	}
-	return items, done, versions, ended, nil
+	return r, nil
 }
 
 // placeRecordsLocked takes from the records what may be on machines: on those
-// adopted, and on others' as far as own jobs are concerned.
-func (s *Share) placeRecordsLocked(items []wire.Item, adopted []string, ended map[string]job.Final, gained []*job.Record, now time.Time) {
-	isGained := map[string]bool{}
-	for _, r := range gained {
-		isGained[r.Job.ID] = true
-	}
+// that are adopted, and on others' as far as own jobs are concerned. It
+// returns how many machines were adopted.
+func (s *Share) placeRecordsLocked(r records, adopt []string, gained map[string]bool, now time.Time) int {
 	// Guests here whose jobs have become ours.
 	for _, m := range s.machines {
 		for _, a := range m.Attempts {
-			if isGained[a.Job] {
+			if gained[a.Job] {
 				s.adoptLocked(m, a)
 				if a.Exited() && !a.Handled {
 					s.exitedLocked(m, a)
@@ -323,49 +302,56 @@
 			}
 		}
 	}
-	recorded := map[string]bool{}
-	for _, item := range items {
+	adopted := 0
+	for _, item := range r.machines {
 		name := item.Key[len(fleet.RecordPrefix):]
-		recorded[name] = true
 		fm, err := fleet.FromRecord(name, item.Value, s.div.Token, now)
 		if err != nil {
 			continue // readRecords has read it
 		}
-		if slices.Contains(adopted, name) && s.machines[name] == nil {
-			m := s.addMachineLocked(fm, now)
-			m.version, m.LastAnswer = item.Version, s.early[name]
-			for _, a := range m.Attempts {
-				if f, over := ended[a.Job]; over {
-					s.endTasksLocked(a.Job, f, now.Add(2*s.opts.Settings.ReportEvery))
-					continue
+		host := s.opts.Authority.HostOf(name)
+		switch {
+		case s.machines[name] != nil || s.moving[name] || !s.returned[name].IsZero():
+		case host == s.opts.Node:
+			adopted++
+			s.adoptMachineLocked(fm, item.Version, r.ended, now)
+		default:
+			for _, a := range fm.Attempts {
+				if f, over := r.ended[a.Job]; over && s.div.OwnerOf(f.Team, a.Job) == s.opts.Node {
+					a.Team, a.Size, a.Sized = f.Team, sizeOf(f), true
+					s.lendTrackLocked(a, host, fm.Zone)
+				} else if js := s.jobs[a.Job]; js != nil && gained[a.Job] {
+					s.describe(a, &js.rec.Job)
+					s.lendTrackLocked(a, host, fm.Zone)
 				}
-				s.adoptLocked(m, a)
 			}
-			delete(s.early, name)
-			s.syncLocked(m)
-			continue
 		}
-		if s.machines[name] != nil {
-			continue
-		}
-		host := s.opts.Authority.HostOf(name)
-		for _, a := range fm.Attempts {
-			if f, over := ended[a.Job]; over && s.div.OwnerOf(f.Team, a.Job) == s.opts.Node {
-				a.Team, a.Size, a.Sized = f.Team, sizeOf(f), true
-				s.lendTrackLocked(a, host, fm.Zone)
-			} else if js := s.jobs[a.Job]; js != nil && isGained[a.Job] {
-				s.describe(a, &js.rec.Job)
-				s.lendTrackLocked(a, host, fm.Zone)
-			}
+	}
+	for _, name := range adopt {
+		if s.machines[name] == nil && !s.moving[name] && s.returned[name].IsZero() {
+			adopted++
+			s.adoptMachineLocked(fleet.NewMachine(name), 0, nil, now)
 		}
 	}
-	for _, name := range adopted {
-		if !recorded[name] && s.machines[name] == nil {
-			m := s.addMachineLocked(fleet.NewMachine(name), now)
-			m.LastAnswer = s.early[name]
-			delete(s.early, name)
+	return adopted
+}
+
+func (s *Share) adoptMachineLocked(fm *fleet.Machine, version uint64, ended map[string]job.Final, now time.Time) {
+	m := s.addMachineLocked(fm, now)
+	m.version, m.LastAnswer = version, s.early[m.Name]
+	delete(s.early, m.Name)
+	over := map[string]job.Final{}
+	for _, a := range m.Attempts {
+		if f, ok := ended[a.Job]; ok {
+			over[a.Job] = f
+			continue
 		}
+		s.adoptLocked(m, a)
 	}
+	for id, f := range over {
+		s.endTasksLocked(id, f, now.Add(2*s.opts.Settings.ReportEvery))
+	}
+	s.syncLocked(m)
 }
 
 // joinLocked decides about a worker whose machine this share does not have:
@@ -375,42 +361,19 @@
 		return nil // sent before its machine was returned
 	}
 	node, owned := s.opts.Authority.Home(r.Machine)
-	if node != s.opts.Node || s.moving[r.Machine] && owned {
+	if node != s.opts.Node || s.moving[r.Machine] {
 		return nil
 	}
-	if owned || !s.loaded || s.adopted != s.div.Token {
-		// Given a moment ago, or perhaps one whose owner has gone.
+	_, orphans, fresh := s.opts.Authority.Owners()
+	if owned || !fresh || !s.loaded || s.adopted != s.opts.Authority.Token() || slices.Contains(orphans, r.Machine) {
+		// Given a moment ago, or perhaps one with tasks whose owner has gone.
 		s.early[r.Machine] = now
 		s.poke()
 		return nil
 	}
-	s.early[r.Machine] = now
-	if s.moving[r.Machine] {
-		return nil
-	}
-	_, orphans := s.opts.Authority.Owners()
-	if slices.Contains(orphans, r.Machine) {
-		s.poke()
-		return nil
-	}
-	// A machine without owner key never had anything placed on it.
-	s.moving[r.Machine] = true
+	// A machine that the records do not name never had anything placed on it.
 	s.log.Info("machine joins", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
-	s.goDo(func(ctx context.Context) {
-		err := s.writeOwner(ctx, r.Machine, s.opts.Node, nil, 0)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.moving, r.Machine)
-		if err != nil || s.machines[r.Machine] != nil {
-			return
-		}
-		m := s.addMachineLocked(fleet.NewMachine(r.Machine), time.Now())
-		m.LastAnswer = s.early[r.Machine]
-		delete(s.early, r.Machine)
-		s.applyLocked(m, r)
-		s.poke()
-	})
-	return nil
+	return s.addMachineLocked(fleet.NewMachine(r.Machine), now)
 }
 
 // giveableLocked tells whether a machine can change to another share: idle,
@@ -438,7 +401,7 @@
 		delete(s.moving, m.Name)
 		var conflict *state.Conflict
 		if errors.As(err, &conflict) || err != nil && ctx.Err() == nil {
-			if mine, _ := s.opts.Authority.Owners(); mine[m.Name].Node != "" && s.machines[m.Name] == nil {
+			if s.opts.Authority.HostOf(m.Name) == s.opts.Node && s.machines[m.Name] == nil {
 				s.machines[m.Name] = m // not carried out: it is still ours
 			}
 		}
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -20,8 +20,8 @@
 // lent is an attempt of an own job that may be on a machine of another share.
 type lent struct {
 	*fleet.Attempt
-	host        string
-	incarnation uint64 // of the host; if that has gone, the leader has its machines
+	host  string
+	since uint64 // the host's membership; if that is over, the leader has its machines
 }
 
 // asking is what is under way with one peer.
@@ -51,7 +51,7 @@
 	if s.foreign[a.Key] != nil {
 		return
 	}
-	s.foreign[a.Key] = &lent{Attempt: a, host: host, incarnation: s.div.Members[host]}
+	s.foreign[a.Key] = &lent{Attempt: a, host: host, since: s.div.Members[host].Since}
 	s.countLocked(zone, a)
 }
 
@@ -265,7 +265,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := &peerpb.SettleReply{}
-	if !s.loaded || s.div.Token < req.Token || s.div.Leader == s.opts.Node && s.adopted < req.Token {
+	if !s.loaded || s.div.Token < req.Token || s.div.Members[s.opts.Node].Since != req.Since || s.div.Leader == s.opts.Node && s.adopted < req.Token {
 		return reply
 	}
 	reply.Ready = true
@@ -314,10 +314,10 @@
 		s.mu.Lock()
 		requests := map[string]*peerpb.SettleRequest{}
 		for key, f := range s.foreign {
-			if s.div.Members[f.host] != f.incarnation {
-				// Also when the host is back: a new incarnation knows nothing
-				// of what the one before had taken, its machines' adopter does.
-				f.host, f.incarnation = s.div.Leader, s.div.Members[s.div.Leader]
+			if s.div.Members[f.host].Since != f.since {
+				// Also when the host is back: it knows nothing of what it had
+				// taken before, its machines' adopter does.
+				f.host, f.since = s.div.Leader, s.div.Members[s.div.Leader].Since
 			}
 			if f.host == s.opts.Node {
 				if s.loaded && s.adopted == s.div.Token {
@@ -328,7 +328,7 @@
 			}
 			req := requests[f.host]
 			if req == nil {
-				req = &peerpb.SettleRequest{Node: s.opts.Node, Token: s.div.Token}
+				req = &peerpb.SettleRequest{Node: s.opts.Node, Token: s.div.Token, Since: f.since}
 				requests[f.host] = req
 			}
 			at := &peerpb.Attempt{Task: key.Task, Attempt: key.Attempt}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -409,6 +409,9 @@
 // commitLocked writes the records of machines with new placements; many
 // machines share a transaction.
 func (s *Share) commitLocked() {
+	if _, condition := s.opts.Authority.Division(); condition != s.div.condition {
+		return // would only fail, and failures cost writes too
+	}
 	for _, m := range s.machines {
 		if !m.dirty || m.committing || m.returning {
 			continue
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -32,7 +32,7 @@
 	Permitted() bool
 	Fenced(token uint64) (time.Time, bool)
 	Raise(ctx context.Context) error
-	Owners() (mine map[string]cluster.Owner, orphans []string)
+	Owners() (mine map[string]cluster.Owner, orphans []string, fresh bool)
 	Home(machine string) (node string, owned bool)
 	HostOf(machine string) string
 	OwnerWrite(machine, node string, about json.RawMessage) (wire.Condition, wire.Change, bool)
