--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -337,9 +337,9 @@
 }
 
 func (s *Share) adoptMachineLocked(fm *fleet.Machine, version uint64, ended map[string]job.Final, now time.Time) {
+	answered := s.early[fm.Name]
 	m := s.addMachineLocked(fm, now)
-	m.version, m.LastAnswer = version, s.early[m.Name]
-	delete(s.early, m.Name)
+	m.version, m.LastAnswer = version, answered
 	over := map[string]job.Final{}
 	for _, a := range m.Attempts {
 		if f, ok := ended[a.Job]; ok {
@@ -355,25 +355,25 @@
 }
 
 // joinLocked decides about a worker whose machine this share does not have:
-// one just given to it, or one that nobody owns.
-func (s *Share) joinLocked(r *wire.Report, now time.Time) *machine {
+// one just given to it, or one that nobody owns. coming tells that its machine
+// is this share's and will be taken once the records are read.
+func (s *Share) joinLocked(r *wire.Report, now time.Time) (m *machine, coming bool) {
 	if _, gone := s.returned[r.Machine]; gone {
-		return nil // sent before its machine was returned
+		return nil, false // sent before its machine was returned
 	}
 	node, owned := s.opts.Authority.Home(r.Machine)
 	if node != s.opts.Node || s.moving[r.Machine] {
-		return nil
+		return nil, false
 	}
 	_, orphans, fresh := s.opts.Authority.Owners()
 	if owned || !fresh || !s.loaded || s.adopted != s.opts.Authority.Token() || slices.Contains(orphans, r.Machine) {
 		// Given a moment ago, or perhaps one with tasks whose owner has gone.
-		s.early[r.Machine] = now
 		s.poke()
-		return nil
+		return nil, true
 	}
 	// A machine that the records do not name never had anything placed on it.
 	s.log.Info("machine joins", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "session", r.Session)
-	return s.addMachineLocked(fleet.NewMachine(r.Machine), now)
+	return s.addMachineLocked(fleet.NewMachine(r.Machine), now), false
 }
 
 // giveableLocked tells whether a machine can change to another share: idle,
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -271,6 +271,7 @@
 	m.base, m.fence = s.div.Token, s.div.Token
 	s.machines[m.Name] = m
 	delete(s.booting, m.Name)
+	delete(s.early, m.Name)
 	return m
 }
 
@@ -326,15 +327,18 @@
 	if !s.opts.Authority.Permitted() {
 		return nil
 	}
-	m := s.machines[r.Machine]
+	m, coming := s.machines[r.Machine], false
 	if m == nil {
-		m = s.joinLocked(r, now)
+		m, coming = s.joinLocked(r, now)
 	}
 	reply := &wire.ReportReply{Token: s.opts.Authority.Token(), Commands: []wire.Command{}}
 	if m == nil {
-		if _, early := s.early[r.Machine]; !early {
+		if !coming {
+			// Answering a machine that is another's would renew a lease that
+			// its owner counts as lapsed.
 			return nil
 		}
+		s.early[r.Machine] = now
 		return reply // keeps its lease while its machine is being taken
 	}
 	fresh := s.applyLocked(m, r)
