Look for room beside a service's image in the other shares first

Cause: a service without room beside its image in its own share fetched it, though another share had room. A raised token alone no longer drops guests.

--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -21,9 +21,11 @@
 type division struct {
 	cluster.Epoch
 	condition wire.Condition
-	// since is the condition when this division of the teams began; the token
-	// may have been raised since, which divides nothing.
+	// since is the condition, and from the token, when this division began; the
+	// token may have been raised since, which divides nothing.
 	since wire.Condition
+	from  uint64
+	at    time.Time // when the token last rose
 }
 
 // same tells whether two epochs divide alike.
@@ -65,7 +67,7 @@
 		if s.adopted == s.div.Token {
 			s.adopted = epoch.Token
 		}
-		s.div.Epoch, s.div.condition = epoch, condition
+		s.div.Epoch, s.div.condition, s.div.at = epoch, condition, time.Now()
 	}
 	var adopt []string // machines that are ours, of whose tasks only the records tell
 	for name, o := range mine {
@@ -180,9 +182,9 @@
 
 func (s *Share) takeDivisionLocked(epoch cluster.Epoch, condition wire.Condition) {
 	if !s.loaded || !same(&epoch, &s.div.Epoch) {
-		s.div.since = condition
+		s.div.since, s.div.from = condition, epoch.Token
 	}
-	s.div.Epoch, s.div.condition = epoch, condition
+	s.div.Epoch, s.div.condition, s.div.at = epoch, condition, time.Now()
 }
 
 // disownLocked lets go of jobs that now belong to others. Their tasks on the
@@ -215,12 +217,11 @@
 	}
 }
 
-// dropStaleGuestsLocked removes guests that were not recorded under the epoch
-// in which their owner asked: it has been told, or finds, that they are not
-// here.
+// dropStaleGuestsLocked removes guests that were not recorded under the
+// division in which their owner asked: it finds that they are not here.
 func (s *Share) dropStaleGuestsLocked(m *machine) {
 	for key, a := range m.Attempts {
-		if a.Guest && !a.Durable && a.Epoch != s.div.Token {
+		if a.Guest && !a.Durable && a.Epoch < s.div.from {
 			delete(m.Attempts, key)
 		}
 	}
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -28,6 +28,8 @@
 type asking struct {
 	busy bool
 	next time.Time // not again before then
+	// soonest: not even for a service that looks for room beside its image
+	soonest time.Time
 }
 
 const (
@@ -69,9 +71,12 @@
 		return
 	}
 	var waiting []*jobState
+	held := false
 	for _, js := range s.jobs {
-		if !js.waiting.IsZero() && js.pending() > 0 && s.withinLimit(js) && !now.Before(js.notBefore) && !js.mistaken() {
+		looks := now.Sub(js.wantsHeld) < heldPatience
+		if (looks || !js.waiting.IsZero()) && js.pending() > 0 && s.withinLimit(js) && !now.Before(js.notBefore) && !js.mistaken() {
 			waiting = append(waiting, js)
+			held = held || looks
 		}
 	}
 	if len(waiting) == 0 {
@@ -94,7 +99,7 @@
 			ask = &asking{}
 			s.asking[node] = ask
 		}
-		if ask.busy || now.Before(ask.next) {
+		if ask.busy || !held && now.Before(ask.next) || now.Before(ask.soonest) {
 			continue
 		}
 		s.askLocked(node, ask, waiting, now)
@@ -110,7 +115,8 @@
 		if asked >= maxAsked {
 			break
 		}
-		w := &peerpb.Wanted{Job: js.rec.Job.ID, Guaranteed: s.guaranteed(js), Pending: uint32(js.unplaced()), Zones: map[string]uint32{}}
+		w := &peerpb.Wanted{Job: js.rec.Job.ID, Guaranteed: s.guaranteed(js), Pending: uint32(js.unplaced()), Zones: map[string]uint32{},
+			Held: js.waiting.IsZero()}
 		for zone, n := range js.zones {
 			if n > 0 {
 				w.Zones[zone] = uint32(n)
@@ -144,7 +150,7 @@
 		defer s.mu.Unlock()
 		ask.busy = false
 		now := time.Now()
-		ask.next = now.Add(400 * time.Millisecond)
+		ask.next, ask.soonest = now.Add(400*time.Millisecond), now.Add(100*time.Millisecond)
 		if err != nil {
 			s.log.Debug("asking for room failed", "peer", node, "err", err)
 			ask.next = now.Add(time.Second)
@@ -172,7 +178,7 @@
 			}
 		}
 		if len(taken) > 0 || reply.GetGiven() > 0 {
-			ask.next = now.Add(50 * time.Millisecond)
+			ask.next, ask.soonest = now.Add(50*time.Millisecond), now
 		}
 		s.poke()
 	})
@@ -196,8 +202,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := &peerpb.PlaceReply{}
-	if !s.loaded || !s.opts.Authority.Permitted() || req.Token != s.div.Token || s.opts.Authority.Token() != req.Token {
-		return reply
+	if !s.loaded || !s.opts.Authority.Permitted() || req.Token > s.div.Token || req.Token < s.div.from || s.opts.Authority.Token() != s.div.Token {
+		return reply // not of one mind about who owns what
 	}
 	reply.Ready = true
 	now := time.Now()
@@ -231,10 +237,13 @@
 		if !ok || !s.barred[key].IsZero() {
 			continue
 		}
-		m, wait := s.findLocked(g, now, w.Guaranteed)
-		if wait {
+		m, wait := s.findHeldLocked(g, now, w.Guaranteed)
+		if wait || m == nil && w.Held {
 			break
 		}
+		if m == nil {
+			m = s.findAnyLocked(g, now)
+		}
 		if m == nil {
 			s.preemptLocked(g, now, false, w.Guaranteed)
 			break
@@ -253,7 +262,7 @@
 		reply.Taken = append(reply.Taken, &peerpb.Hosted{Attempt: at, Zone: m.Zone, Known: true})
 		s.log.Debug("placed", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "image_held", m.HoldsImage(a.Image), "for", from)
 	}
-	if left > 0 {
+	if left > 0 && !w.Held {
 		g.asked, g.askedAt = int(w.Pending)-(len(w.Attempts)-left), now
 	}
 }
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -111,7 +111,7 @@
 		s.drainLocked(m, now)
 		raise = raise || m.WantsToken(token)
 		// Leftovers alone keep an idle machine from being given or returned.
-		raise = raise || m.Live() == 0 && len(m.Attempts) > 0 && now.Sub(s.raised) > 10*time.Second && now.Sub(m.idleSince) > 2*time.Second
+		raise = raise || m.Live() == 0 && len(m.Attempts) > 0 && now.Sub(s.div.at) > 20*time.Second && now.Sub(m.idleSince) > 2*time.Second
 	}
 	if len(back) > 0 {
 		s.returnLocked(back, "lost or set aside")
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -93,7 +93,7 @@
 	for _, js := range s.jobs {
 		if js.pending() <= 0 {
 			if js.asking == 0 {
-				js.waiting = time.Time{}
+				js.waiting, js.wantsHeld = time.Time{}, time.Time{}
 			}
 			continue
 		}
@@ -159,10 +159,13 @@
 			js.waiting = time.Time{} // more machines would not help
 			return
 		}
-		m, wait := s.findLocked(js, now, s.guaranteed(js))
-		if wait {
+		m, wait := s.findHeldLocked(js, now, s.guaranteed(js))
+		if wait || m == nil && s.awaitHeldLocked(js, now) {
 			return
 		}
+		if m == nil {
+			m = s.findAnyLocked(js, now)
+		}
 		if m == nil {
 			if js.waiting.IsZero() {
 				js.waiting = now
@@ -175,58 +178,84 @@
 	}
 }
 
-// findLocked chooses a machine: the most recently used one that fits, else an
-// idle one, which it opens. Machines that hold the image come first in both:
-// a fetch takes longer than all the rest of a start. For a service, room is
-// made on one of those before another machine fetches the image; wait tells
-// that this is under way.
-func (s *Share) findLocked(js *jobState, now time.Time, guaranteed bool) (m *machine, wait bool) {
-	fits := func(name string) bool {
+func (s *Share) fitsByName(js *jobState, now time.Time) func(string) bool {
+	return func(name string) bool {
 		m := s.machines[name]
 		return m != nil && s.fitsLocked(js, m, now)
 	}
+}
+
+// findHeldLocked chooses among machines that hold the image, which come first
+// since a fetch takes longer than all the rest of a start: the most recently
+// used one that fits, else an idle one, which it opens. For a service, room is
+// made on one of those before another machine fetches the image; wait tells
+// that this is under way.
+func (s *Share) findHeldLocked(js *jobState, now time.Time, guaranteed bool) (m *machine, wait bool) {
+	fits := s.fitsByName(js, now)
 	holds := func(name string) bool {
 		return s.machines[name].HoldsImage(js.rec.Job.Image) && fits(name)
 	}
-	// Replicas stacked on one machine are all lost with it, and their images
-	// are then nowhere else: as long as another machine can take a replica,
-	// they fill half of one at most.
-	roomy := func(name string) bool { return s.belowHalfLocked(js, s.machines[name]) && fits(name) }
 	service := js.rec.Job.Kind == wire.KindService
+	first := holds
 	if service {
-		if name, ok := s.list.Walk(func(name string) bool { return roomy(name) && holds(name) }); ok {
-			return s.machines[name], false
-		}
-	} else if name, ok := s.list.Walk(holds); ok {
+		first = func(name string) bool { return s.belowHalfLocked(js, s.machines[name]) && holds(name) }
+	}
+	if name, ok := s.list.Walk(first); ok {
 		return s.machines[name], false
 	}
-	idle := s.idleLocked(js, now)
-	if idle != nil && idle.HoldsImage(js.rec.Job.Image) {
+	if idle := s.idleLocked(js, now); idle != nil && idle.HoldsImage(js.rec.Job.Image) {
 		s.list.MoveToFront(idle.Name)
 		return idle, false
 	}
-	if service {
-		if name, ok := s.list.Walk(holds); ok {
-			return s.machines[name], false
-		}
-		if s.preemptLocked(js, now, true, guaranteed) {
-			return nil, true
-		}
+	if !service {
+		return nil, false
+	}
+	if name, ok := s.list.Walk(holds); ok {
+		return s.machines[name], false
+	}
+	return nil, s.preemptLocked(js, now, true, guaranteed)
+}
+
+// findAnyLocked chooses among all machines in the same way. Replicas stacked on one machine
+// are all lost with it, and their images are then nowhere else: as long as
+// another machine can take a replica, they fill half of one at most.
+func (s *Share) findAnyLocked(js *jobState, now time.Time) *machine {
+	fits := s.fitsByName(js, now)
+	idle := s.idleLocked(js, now)
+	if js.rec.Job.Kind == wire.KindService {
+		roomy := func(name string) bool { return s.belowHalfLocked(js, s.machines[name]) && fits(name) }
 		if name, ok := s.list.Walk(roomy); ok {
-			return s.machines[name], false
+			return s.machines[name]
 		}
 		if idle != nil {
 			s.list.MoveToFront(idle.Name)
-			return idle, false
+			return idle
 		}
 	}
 	if name, ok := s.list.Walk(fits); ok {
-		return s.machines[name], false
+		return s.machines[name]
 	}
 	if idle != nil {
 		s.list.MoveToFront(idle.Name)
 	}
-	return idle, false
+	return idle
+}
+
+// heldPatience is how long a service's task waits for the other shares to say
+// whether they have room beside its image, before it goes where that must be
+// fetched.
+const heldPatience = 300 * time.Millisecond
+
+// awaitHeldLocked tells whether the other shares are still to be asked.
+func (s *Share) awaitHeldLocked(js *jobState, now time.Time) bool {
+	if js.rec.Job.Kind != wire.KindService || len(s.div.Members) < 2 {
+		return false
+	}
+	if js.wantsHeld.IsZero() {
+		js.wantsHeld = now
+		time.AfterFunc(heldPatience, s.poke)
+	}
+	return now.Sub(js.wantsHeld) < heldPatience
 }
 
 // belowHalfLocked tells whether one more replica leaves services on at most
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -148,6 +148,7 @@
 	succeeded bool
 	notBefore time.Time
 	waiting   time.Time // since when a task has found no room; zero: none waits
+	wantsHeld time.Time // since when room beside its image is looked for elsewhere
 	preempted time.Time // when tasks were last stopped for this job
 	told      job.Progress
 	toldAt    time.Time // when that last changed
