Keep room made for another share's task, and never settle a request under way

Cause: the host gave the room that it had preempted for a guest to its own queue before the guest asked again; and asking about tasks whose request was still under way barred them.

--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -22,6 +22,7 @@
 	*fleet.Attempt
 	host  string
 	since uint64 // the host's membership; if that is over, the leader has its machines
+	asked bool   // the request is under way: asking about it would bar it
 }
 
 // asking is what is under way with one peer.
@@ -131,6 +132,7 @@
 			js.asking++
 			a := s.newAttempt(js, index)
 			s.lendTrackLocked(a, node, "")
+			s.foreign[a.Key].asked = true
 			w.Attempts = append(w.Attempts, &peerpb.Attempt{Task: a.Task, Attempt: a.Attempt})
 			asked++
 		}
@@ -166,6 +168,9 @@
 					js.asking--
 				}
 				f := s.foreign[key]
+				if f != nil {
+					f.asked = false
+				}
 				if f == nil || err != nil {
 					continue // without an answer, asking what became of it settles it
 				}
@@ -177,7 +182,7 @@
 				s.forgetLentLocked(f)
 			}
 		}
-		if len(taken) > 0 || reply.GetGiven() > 0 {
+		if len(taken) > 0 || reply.GetGiven() > 0 || reply.GetMaking() {
 			ask.next, ask.soonest = now.Add(50*time.Millisecond), now
 		}
 		s.poke()
@@ -238,14 +243,13 @@
 			continue
 		}
 		m, wait := s.findHeldLocked(g, now, w.Guaranteed)
-		if wait || m == nil && w.Held {
-			break
-		}
-		if m == nil {
-			m = s.findAnyLocked(g, now)
+		if m == nil && !wait && !w.Held {
+			if m = s.findAnyLocked(g, now); m == nil {
+				wait = s.preemptLocked(g, now, false, w.Guaranteed)
+			}
 		}
 		if m == nil {
-			s.preemptLocked(g, now, false, w.Guaranteed)
+			reply.Making = reply.Making || wait
 			break
 		}
 		if s.giveableLocked(m, now) {
@@ -257,6 +261,9 @@
 		s.describe(a, &r.Job)
 		m.Add(a, now)
 		m.dirty = true
+		if m.reservedFor == w.Job {
+			m.reservedFor = ""
+		}
 		g.zones[m.Zone]++
 		left--
 		reply.Taken = append(reply.Taken, &peerpb.Hosted{Attempt: at, Zone: m.Zone, Known: true})
@@ -323,6 +330,9 @@
 		s.mu.Lock()
 		requests := map[string]*peerpb.SettleRequest{}
 		for key, f := range s.foreign {
+			if f.asked {
+				continue
+			}
 			if s.div.Members[f.host].Since != f.since {
 				// Also when the host is back: it knows nothing of what it had
 				// taken before, its machines' adopter does.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -304,10 +304,14 @@
 }
 
 func (s *Share) fitsLocked(js *jobState, m *machine, now time.Time) bool {
-	if !s.usableLocked(m, now) || !js.size.Within(m.Free()) {
+	if !s.usableLocked(m, now) {
 		return false
 	}
-	return s.allowedLocked(js, m)
+	room := m.Free()
+	if m.reservedFor != "" && m.reservedFor != js.rec.Job.ID && now.Before(m.reservedUntil) {
+		room = room.Minus(m.reserved)
+	}
+	return js.size.Within(room) && s.allowedLocked(js, m)
 }
 
 func (s *Share) allowedLocked(js *jobState, m *machine) bool {
@@ -394,6 +398,9 @@
 		return false
 	}
 	js.preempted = now
+	if s.jobs[js.rec.Job.ID] != js {
+		best.m.reservedFor, best.m.reserved, best.m.reservedUntil = js.rec.Job.ID, js.size, now.Add(reserveFor)
+	}
 	for _, a := range best.victims {
 		s.log.Info("preempting", "task", a.Task, "machine", best.m.Name, "for", js.rec.Job.ID)
 		a.Stop = true
@@ -402,6 +409,9 @@
 	return true
 }
 
+// reserveFor is how long room made for a guest waits for it.
+const reserveFor = time.Second
+
 // lossOf is what stopping an attempt loses, in seconds of work.
 func (s *Share) lossOf(a *fleet.Attempt, now time.Time) float64 {
 	if a.Running.IsZero() {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -120,8 +120,14 @@
 	idleSince  time.Time
 	first      time.Time // when this share first knew of it
 	cooling    time.Time // no placements before then
-	base       uint64    // reports under older tokens do not settle its record
-	fence      uint64    // nobody else answers its worker once epochs before this are fenced; 0: nobody does
+	// Room that was made for a guest is kept for it until it asks again: it is
+	// not in this share's queue.
+	reservedFor   string
+	reserved      placement.Resources
+	reservedUntil time.Time
+
+	base  uint64 // reports under older tokens do not settle its record
+	fence uint64 // nobody else answers its worker once epochs before this are fenced; 0: nobody does
 }
 
 // jobState is a job of the share.
