--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -97,7 +97,7 @@
 		Progress: c.progress, OnProgress: c.takeProgress, Log: log,
 	})
 	c.front = server.New(server.Options{
-		Settings: settings, Jobs: c.catalog, Types: c.offers.Types, Checkin: c.checkin, Ready: c.ready, Log: log,
+		Settings: settings, Jobs: c.catalog, Types: c.offers.Types, Checkin: c.checkin, Ready: c.ready, Gauges: c.gauges(), Log: log,
 	})
 	return c
 }
@@ -193,6 +193,29 @@
 	return &peerpb.SettleReply{}
 }
 
+// gauges are what the metrics tell of the share.
+func (c *controller) gauges() []server.Gauge {
+	of := func(value func(*peerpb.Status) float64) func() float64 {
+		return func() float64 {
+			var status peerpb.Status
+			c.status(&status)
+			return value(&status)
+		}
+	}
+	return []server.Gauge{
+		{Name: "heronwick_share_machines", Help: "Machines of this controller's share.",
+			Value: of(func(s *peerpb.Status) float64 { return float64(s.Machines) })},
+		{Name: "heronwick_share_idle_machines", Help: "Usable machines of the share without tasks.",
+			Value: of(func(s *peerpb.Status) float64 { return float64(s.Idle) })},
+		{Name: "heronwick_share_cpus", Help: "CPUs of the share's usable machines.",
+			Value: of(func(s *peerpb.Status) float64 { return s.Cpus })},
+		{Name: "heronwick_share_free_cpus", Help: "Free CPUs of the share's usable machines.",
+			Value: of(func(s *peerpb.Status) float64 { return s.FreeCpus })},
+		{Name: "heronwick_token", Help: "Token of the epoch that this controller knows.",
+			Value: func() float64 { return float64(c.members.Token()) }},
+	}
+}
+
 func (c *controller) progress() []*peerpb.Progress {
 	s := c.share.Load()
 	if s == nil {
--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -477,3 +478,109 @@
 		tc.expect(1, "POST", "/submissions/wk-000099/withdraw", nil, 200, "aborted")
 	})
 }
+
+// Whatever machines have moved between shares: at most one controller answers
+// a worker. An answer from another would renew a lease that the owner counts
+// as lapsed, and its tasks would run twice.
+func TestOneControllerAnswersEachWorker(t *testing.T) {
+	withCluster(t, 6, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 0 }
+	}, func(tc *testCluster) {
+		for id := range 8 {
+			tc.expect(id%3, "POST", "/submissions", submission(id, func(j map[string]any) {
+				j["roost"], j["gait"], j["feathers"] = []string{"red", "blue"}[id%2], "daemon", 2
+			}), 201, "")
+			time.Sleep(time.Second)
+		}
+		time.Sleep(40 * time.Second) // past a regrouping
+		owners := map[string]int{}
+		for m := 1; m <= 6; m++ {
+			machine := fmt.Sprintf("host-%06d", m)
+			answers := 0
+			for i := range tc.nodes {
+				// Older than all that was seen: it changes nothing.
+				status, _, _ := tc.call(i, "POST", "/checkin", &wire.Report{Machine: machine, Address: machine, Type: "m", Zone: "z", Session: 1, Seq: 1})
+				if status == 200 {
+					answers++
+					owners[tc.nodes[i].name]++
+				}
+			}
+			if answers != 1 {
+				t.Errorf("%d controllers answer the worker of %s", answers, machine)
+			}
+		}
+		if len(owners) < 2 {
+			t.Errorf("machines never moved between shares, so this shows little: %v", owners)
+		}
+	})
+}
+
+// Controllers end and come back, machines are cut off and commands held, the
+// state service refuses one or all, at random: no task runs twice, no limit is
+// passed, and in the end every job is done.
+func TestRandomFailures(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			withCluster(t, 6, nil, func(tc *testCluster) { randomFailures(tc, rand.New(rand.NewPCG(seed, 1))) })
+		})
+	}
+}
+
+func randomFailures(tc *testCluster, random *rand.Rand) {
+	jobs := 0
+	submit := func() {
+		for i := range tc.nodes {
+			team := []string{"red", "blue"}[jobs%2]
+			status, _, _ := tc.call(i, "POST", "/submissions", submission(jobs, func(j map[string]any) { j["roost"], j["feathers"] = team, 1+jobs%5 }))
+			if status == 201 || status == 200 {
+				jobs++
+				return
+			}
+		}
+	}
+	for range 60 {
+		submit()
+		node, machine := random.IntN(3), fmt.Sprintf("host-%06d", 1+random.IntN(6))
+		heal := func() {}
+		switch random.IntN(6) {
+		case 0:
+			tc.crash(node)
+			heal = func() { tc.start(node) }
+		case 1:
+			tc.fleet.Cut(machine, true)
+			heal = func() { tc.fleet.Cut(machine, false) }
+		case 2:
+			tc.fleet.HoldCommands(machine, true)
+			heal = func() { tc.fleet.HoldCommands(machine, false) }
+		case 3:
+			tc.state.Refuse(tc.nodes[node].name, true)
+			heal = func() { tc.state.Refuse(tc.nodes[node].name, false) }
+		case 4:
+			tc.state.LoseResponses(1 + random.IntN(5))
+		case 5:
+			tc.state.SetOutage(true)
+			heal = func() { tc.state.SetOutage(false) }
+		}
+		time.Sleep(time.Duration(random.IntN(6000)) * time.Millisecond)
+		heal()
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+	}
+	time.Sleep(4 * time.Minute)
+	if jobs < 20 {
+		tc.t.Errorf("only %d jobs were accepted", jobs)
+	}
+	for id := range jobs {
+		tc.expect(id%3, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil, 200, "done")
+	}
+}
+
+func TestMetrics(t *testing.T) {
+	withCluster(t, 1, nil, func(tc *testCluster) {
+		_, _, ctx := tc.call(tc.leader(), "GET", "/metrics", nil)
+		for _, want := range []string{"heronwick_share_machines 1", `heronwick_answers_total{request="report",status="200"}`} {
+			if !strings.Contains(string(ctx.Response.Body()), want) {
+				t.Errorf("metrics lack %q", want)
+			}
+		}
+	})
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"time"
 
@@ -34,6 +35,7 @@
 	// report, if that is known.
 	Checkin func(r *wire.Report) (reply *wire.ReportReply, redirect string)
 	Ready   func() bool
+	Gauges  []Gauge
 	Log     *slog.Logger
 }
 
@@ -49,14 +51,15 @@
 
 // Server is the HTTP interface of a controller.
 type Server struct {
-	opts  Options
-	users chan struct{}
-	teams map[string]config.Team
+	opts    Options
+	users   chan struct{}
+	teams   map[string]config.Team
+	metrics *metrics
 }
 
 // New makes a Server.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, users: make(chan struct{}, maxUserRequests), teams: map[string]config.Team{}}
+	s := &Server{opts: opts, users: make(chan struct{}, maxUserRequests), teams: map[string]config.Team{}, metrics: newMetrics(opts.Gauges)}
 	for _, t := range opts.Settings.Teams {
 		s.teams[t.Name] = t
 	}
@@ -106,21 +109,33 @@
 			s.refuse(ctx, 500, errors.New("internal error"))
 		}
 	}()
-	path := string(ctx.Path())
-	method := string(ctx.Method())
+	kind := s.route(ctx, string(ctx.Path()), string(ctx.Method()))
+	s.metrics.answers.WithLabelValues(kind, strconv.Itoa(ctx.Response.StatusCode())).Inc()
+}
+
+// route answers one request and names its kind.
+func (s *Server) route(ctx *fasthttp.RequestCtx, path, method string) (kind string) {
 	switch {
 	case path == wire.PathReport:
 		if s.allow(ctx, method, "POST") {
 			s.report(ctx)
 		}
+		return "report"
+	case path == pathMetrics:
+		if s.allow(ctx, method, "GET") {
+			s.metrics.serve(ctx)
+		}
+		return "metrics"
 	case path == wire.PathReady:
 		if s.allow(ctx, method, "GET") {
 			s.ready(ctx)
 		}
+		return "ready"
 	case path == wire.PathJobs:
 		if s.allow(ctx, method, "POST") {
 			s.user(ctx, s.submit)
 		}
+		return "submit"
 	case strings.HasPrefix(path, wire.PathJobs+"/"):
 		id, suffix, more := strings.Cut(path[len(wire.PathJobs)+1:], "/")
 		switch {
@@ -128,16 +143,16 @@
 			if s.allow(ctx, method, "GET") {
 				s.user(ctx, func(ctx *fasthttp.RequestCtx) { s.status(ctx, id) })
 			}
+			return "poll"
 		case suffix == wire.SuffixCancel:
 			if s.allow(ctx, method, "POST") {
 				s.user(ctx, func(ctx *fasthttp.RequestCtx) { s.cancel(ctx, id) })
 			}
-		default:
-			s.refuse(ctx, 404, errors.New("no such path"))
+			return "cancel"
 		}
-	default:
-		s.refuse(ctx, 404, errors.New("no such path"))
 	}
+	s.refuse(ctx, 404, errors.New("no such path"))
+	return "other"
 }
 
 func (s *Server) allow(ctx *fasthttp.RequestCtx, method, want string) bool {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -122,7 +122,9 @@
 func (f *Fleet) Cut(machine string, on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[machine].cut = on
+	if w := f.workers[machine]; w != nil {
+		w.cut = on
+	}
 }
 
 // HoldCommands holds direct commands to a machine back, without an answer;
@@ -131,6 +133,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[machine]
+	if w == nil {
+		return // returned meanwhile
+	}
 	w.hold = on
 	if !on {
 		for _, req := range w.held {
