--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -328,36 +328,7 @@
 		case <-tick.C:
 		}
 		s.mu.Lock()
-		requests := map[string]*peerpb.SettleRequest{}
-		for key, f := range s.foreign {
-			if f.asked {
-				continue
-			}
-			if s.div.Members[f.host].Since != f.since {
-				// Also when the host is back: it knows nothing of what it had
-				// taken before, its machines' adopter does.
-				f.host, f.since = s.div.Leader, s.div.Members[s.div.Leader].Since
-			}
-			if f.host == s.opts.Node {
-				if s.loaded && s.adopted == s.div.Token {
-					// Its machine was taken over here, without it.
-					s.forgetLentLocked(f)
-				}
-				continue
-			}
-			req := requests[f.host]
-			if req == nil {
-				req = &peerpb.SettleRequest{Node: s.opts.Node, Token: s.div.Token, Since: f.since}
-				requests[f.host] = req
-			}
-			at := &peerpb.Attempt{Task: key.Task, Attempt: key.Attempt}
-			switch {
-			case !f.Exited():
-				req.Attempts = append(req.Attempts, at)
-			case f.Handled || s.jobs[f.Job] == nil:
-				req.Handled = append(req.Handled, at)
-			}
-		}
+		requests := s.settleRequestsLocked()
 		s.mu.Unlock()
 		for node, req := range requests {
 			s.settle(ctx, node, req)
@@ -365,6 +336,41 @@
 	}
 }
 
+// settleRequestsLocked asks each host about the attempts that it may have.
+func (s *Share) settleRequestsLocked() map[string]*peerpb.SettleRequest {
+	requests := map[string]*peerpb.SettleRequest{}
+	for key, f := range s.foreign {
+		if f.asked {
+			continue
+		}
+		if s.div.Members[f.host].Since != f.since {
+			// Also when the host is back: it knows nothing of what it had
+			// taken before, its machines' adopter does.
+			f.host, f.since = s.div.Leader, s.div.Members[s.div.Leader].Since
+		}
+		if f.host == s.opts.Node {
+			if s.loaded && s.adopted == s.div.Token {
+				// Its machine was taken over here, without it.
+				s.forgetLentLocked(f)
+			}
+			continue
+		}
+		req := requests[f.host]
+		if req == nil {
+			req = &peerpb.SettleRequest{Node: s.opts.Node, Token: s.div.Token, Since: f.since}
+			requests[f.host] = req
+		}
+		at := &peerpb.Attempt{Task: key.Task, Attempt: key.Attempt}
+		switch {
+		case !f.Exited():
+			req.Attempts = append(req.Attempts, at)
+		case f.Handled || s.jobs[f.Job] == nil:
+			req.Handled = append(req.Handled, at)
+		}
+	}
+	return requests
+}
+
 func (s *Share) settle(ctx context.Context, node string, req *peerpb.SettleRequest) {
 	cctx, cancel := context.WithTimeout(ctx, lendTimeout)
 	reply, err := s.opts.Peers.Settle(cctx, node, req)
--- /dev/null
+++ b/internal/scheduler/share_test.go
@@ -0,0 +1,256 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"heronwick/internal/cluster"
+	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/config"
+	"heronwick/internal/fleet"
+	"heronwick/internal/job"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+// scripted stands for everything around a share.
+type scripted struct {
+	epoch  cluster.Epoch
+	fenced time.Time
+	active map[string]*job.Record
+	writes []state.Write
+}
+
+func (p *scripted) Division() (cluster.Epoch, wire.Condition) {
+	return p.epoch, wire.Condition{Key: "epoch", Version: p.epoch.Token}
+}
+func (p *scripted) Token() uint64                                      { return p.epoch.Token }
+func (p *scripted) Permitted() bool                                    { return true }
+func (p *scripted) Fenced(uint64) (time.Time, bool)                    { return p.fenced, !p.fenced.IsZero() }
+func (p *scripted) Raise(context.Context) error                        { return nil }
+func (p *scripted) Owners() (map[string]cluster.Owner, []string, bool) { return nil, nil, true }
+func (p *scripted) Home(string) (string, bool)                         { return "me", true }
+func (p *scripted) HostOf(string) string                               { return "me" }
+func (p *scripted) Totals() (int, int, float64, float64)               { return 0, 0, 0, 0 }
+func (p *scripted) Idle(string) int                                    { return 0 }
+func (p *scripted) NoteOwner(wire.Change, uint64)                      {}
+func (p *scripted) OwnerDrop(string) (wire.Condition, wire.Change) {
+	return wire.Condition{}, wire.Change{}
+}
+func (p *scripted) OwnerWrite(string, string, json.RawMessage) (wire.Condition, wire.Change, bool) {
+	return wire.Condition{}, wire.Change{}, false
+}
+func (p *scripted) Active(id string) *job.Record     { return p.active[id] }
+func (p *scripted) AllActive() []*job.Record         { return nil }
+func (p *scripted) Listen(job.Listener)              {}
+func (p *scripted) SetProgress(string, job.Progress) {}
+func (p *scripted) Resolve(context.Context, string) (job.Final, bool, bool, error) {
+	return job.Final{}, false, false, nil
+}
+func (p *scripted) ReadDone(context.Context) (map[string]*job.DoneSet, map[string]job.DoneVersions, error) {
+	return nil, nil, nil
+}
+func (p *scripted) WriteDone(context.Context, *job.Record, wire.Condition, int, []byte, uint64) (uint64, error) {
+	return 1, nil
+}
+func (p *scripted) Finish(context.Context, *job.Record, wire.Condition) error { return nil }
+func (p *scripted) DropDone(context.Context, string, job.DoneVersions) error  { return nil }
+func (p *scripted) Commit(_ context.Context, w state.Write) (uint64, error) {
+	p.writes = append(p.writes, w)
+	return 1, nil
+}
+func (p *scripted) Command(_ context.Context, _ string, req *wire.CommandRequest) (*wire.Report, error) {
+	return nil, context.DeadlineExceeded
+}
+func (p *scripted) Status(context.Context, string) (*wire.Report, error) {
+	return nil, context.DeadlineExceeded
+}
+
+// newTestShare makes a loaded share of node "me" with one machine of 8 CPUs,
+// beside a member "peer" that owns the team "theirs".
+func newTestShare(t *testing.T) (*Share, *scripted, *machine) {
+	t.Helper()
+	p := &scripted{active: map[string]*job.Record{}, epoch: cluster.Epoch{
+		Token: 5, Leader: "me",
+		Members: map[string]cluster.Member{"me": {Incarnation: 1, Since: 3}, "peer": {Incarnation: 2, Since: 4}},
+		Teams:   map[string]string{"ours": "me", "theirs": "peer"},
+	}}
+	s := New(Options{
+		Node: "me", Authority: p, Workers: p, Jobs: p, Committer: p,
+		Settings: &config.Settings{ReportEvery: time.Second, LeaseFor: 10 * time.Second, CancelIn: 20 * time.Second, ValueBytes: 16 << 10},
+		Types:    []wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 10, Zones: []string{"z"}}},
+		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	s.ctx, s.group = context.Background(), &errgroup.Group{}
+	epoch, condition := p.Division()
+	s.takeDivisionLocked(epoch, condition)
+	s.loaded, s.adopted = true, epoch.Token
+	m := s.addMachineLocked(fleet.NewMachine("m1"), time.Now())
+	if !s.applyLocked(m, &wire.Report{Machine: "m1", Address: "m1", Type: "m", Zone: "z", Session: 1, Seq: 1, Token: 5}) {
+		t.Fatal("the first report was not taken")
+	}
+	return s, p, m
+}
+
+func (p *scripted) add(id, team string, priority wire.Priority, tasks int, cpus float64) *job.Record {
+	r := &job.Record{Job: wire.Job{ID: id, Team: team, Kind: wire.KindArray, Priority: priority, Tasks: tasks, CPUs: cpus, Image: "i"}, Version: 1}
+	p.active[id] = r
+	return r
+}
+
+func wanted(id string, attempts ...uint64) *peerpb.PlaceRequest {
+	w := &peerpb.Wanted{Job: id, Pending: uint32(len(attempts))}
+	for i, a := range attempts {
+		w.Attempts = append(w.Attempts, &peerpb.Attempt{Task: wire.TaskID(id, i), Attempt: a})
+	}
+	return &peerpb.PlaceRequest{Node: "peer", Token: 5, Wanted: []*peerpb.Wanted{w}}
+}
+
+// A host that came back knows nothing of what its former membership had
+// taken: its "not known" would let tasks run twice.
+func TestSettleIsAboutOneMembership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newTestShare(t)
+		at := []*peerpb.Attempt{{Task: "wk-1/0", Attempt: 7}}
+		if s.Settle(&peerpb.SettleRequest{Node: "peer", Token: 5, Since: 2, Attempts: at}).Ready {
+			t.Error("answered for an earlier membership")
+		}
+		if s.Settle(&peerpb.SettleRequest{Node: "peer", Token: 6, Since: 3, Attempts: at}).Ready {
+			t.Error("answered for an epoch that it does not know")
+		}
+		if !s.Settle(&peerpb.SettleRequest{Node: "peer", Token: 5, Since: 3, Attempts: at}).Ready {
+			t.Error("did not answer for its own")
+		}
+	})
+}
+
+// What was denied is never taken, even if its request arrives later.
+func TestDeniedAttemptIsNeverTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestShare(t)
+		p.add("wk-1", "theirs", wire.PriorityNormal, 2, 2)
+		m.Add(&fleet.Attempt{Key: fleet.Key{Task: "wk-9/0", Attempt: 1}, Sized: true}, time.Now()) // busy, so not given away
+		s.list.Append("m1")
+		s.Settle(&peerpb.SettleRequest{Node: "peer", Token: 5, Since: 3, Attempts: []*peerpb.Attempt{{Task: "wk-1/0", Attempt: 7}}})
+		reply := s.Place(wanted("wk-1", 7, 8))
+		if len(reply.Taken) != 1 || reply.Taken[0].Attempt.Attempt != 8 {
+			t.Errorf("took %v, want only attempt 8", reply.Taken)
+		}
+	})
+}
+
+// Asking about an attempt whose request is under way would bar it.
+func TestRequestsUnderWayAreNotSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newTestShare(t)
+		js := s.addJobLocked(p.add("wk-1", "ours", wire.PriorityNormal, 1, 2))
+		a := s.newAttempt(js, 0)
+		s.lendTrackLocked(a, "peer", "")
+		s.foreign[a.Key].asked = true
+		if n := len(s.settleRequestsLocked()); n != 0 {
+			t.Errorf("%d hosts asked about a request under way", n)
+		}
+		s.foreign[a.Key].asked = false
+		if req := s.settleRequestsLocked()["peer"]; req == nil || req.Since != 4 {
+			t.Errorf("asked %v, want the membership of peer", req)
+		}
+	})
+}
+
+// A guest that was not recorded under the division in which its owner asked
+// never starts: a new owner has read the records without it.
+func TestStaleGuestIsNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestShare(t)
+		p.add("wk-1", "theirs", wire.PriorityNormal, 1, 2)
+		m.Add(&fleet.Attempt{Key: fleet.Key{Task: "wk-9/0", Attempt: 1}, Sized: true, Durable: true}, time.Now())
+		s.list.Append("m1")
+		if len(s.Place(wanted("wk-1", 7)).Taken) != 1 {
+			t.Fatal("not taken")
+		}
+		p.epoch.Token, p.epoch.Teams = 6, map[string]string{"ours": "me", "theirs": "me"}
+		epoch, condition := p.Division()
+		s.takeDivisionLocked(epoch, condition)
+		s.commitLocked()
+		if m.Attempts[fleet.Key{Task: "wk-1/0", Attempt: 7}] != nil {
+			t.Error("a guest of the division before is still to be recorded")
+		}
+	})
+}
+
+// Room that was made for a guest is not given to the host's own queue before
+// the guest asks again.
+func TestRoomMadeForGuestIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestShare(t)
+		low := s.addJobLocked(p.add("wk-1", "ours", wire.PriorityLow, 8, 4))
+		s.scheduleLocked(time.Now())
+		if m.Live() != 2 {
+			t.Fatalf("%d own tasks placed, want 2", m.Live())
+		}
+		p.add("wk-2", "theirs", wire.PriorityProd, 1, 4)
+		if reply := s.Place(wanted("wk-2", 7)); !reply.Making {
+			t.Fatalf("no room is being made: %v", reply)
+		}
+		for key, a := range m.Attempts {
+			if a.Stop {
+				delete(m.Attempts, key)
+				s.uncountLocked(a)
+			}
+		}
+		s.scheduleLocked(time.Now())
+		if m.Live() != 1 {
+			t.Errorf("the host took the room itself, with %d tasks of %s waiting", low.pending(), low.rec.Job.ID)
+		}
+		if reply := s.Place(wanted("wk-2", 8)); len(reply.Taken) != 1 {
+			t.Error("the guest does not get the room made for it")
+		}
+	})
+}
+
+// A lease counts as lapsed only from when surely nobody else answers.
+func TestLapseWaitsForTheFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestShare(t)
+		if _, ok := s.lapseLocked(m); ok {
+			t.Error("a lease counts without proof about the other controllers")
+		}
+		p.fenced = time.Now().Add(2 * time.Second)
+		if at, ok := s.lapseLocked(m); !ok || at.Before(p.fenced.Add(10*time.Second)) {
+			t.Errorf("lapse at %v, less than a lease after the fence", at)
+		}
+	})
+}
+
+// Least remaining work first among jobs that can be in time; late ones last.
+func TestQueueOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newTestShare(t)
+		now := time.Now()
+		make := func(id string, tasks int, age time.Duration, priority wire.Priority) *jobState {
+			js := s.addJobLocked(p.add(id, "ours", priority, tasks, 1))
+			js.accepted = now.Add(-age)
+			return js
+		}
+		queue := []*jobState{
+			make("wk-1", 9, 0, wire.PriorityNormal),
+			make("wk-2", 2, 0, wire.PriorityNormal),
+			make("wk-3", 1, 2*time.Minute, wire.PriorityNormal),
+			make("wk-4", 50, 0, wire.PriorityProd),
+			make("wk-5", 99, time.Hour, wire.PriorityNormal),
+		}
+		s.sortQueueLocked(queue, now)
+		for i, want := range []string{"wk-4", "wk-5", "wk-2", "wk-1", "wk-3"} {
+			if queue[i].rec.Job.ID != want {
+				t.Errorf("place %d: %s, want %s", i, queue[i].rec.Job.ID, want)
+			}
+		}
+	})
+}
