--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -394,9 +394,10 @@
 	s.list.Close(m.Name)
 	delete(s.machines, m.Name)
 	s.moving[m.Name] = true
+	record := m.version
 	s.log.Info("giving machine", "machine", m.Name, "to", node)
 	s.goDo(func(ctx context.Context) {
-		err := s.writeOwner(ctx, m.Name, node, about, m.version)
+		err := s.writeOwner(ctx, m.Name, node, about, record)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.moving, m.Name)
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -191,9 +191,10 @@
 		return
 	}
 	m.probing, m.probed = true, now
+	address := m.Address
 	s.goDo(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-		report, err := s.opts.Workers.Status(ctx, m.Address)
+		report, err := s.opts.Workers.Status(ctx, address)
 		cancel()
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -255,10 +255,11 @@
 		return
 	}
 	m.probing = true
+	address := m.Address
 	req := &wire.CommandRequest{Token: s.opts.Authority.Token(), Session: m.Session, Commands: []wire.Command{}}
 	s.goDo(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-		report, err := s.opts.Workers.Command(ctx, m.Address, req)
+		report, err := s.opts.Workers.Command(ctx, address, req)
 		cancel()
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -806,9 +807,10 @@
 		return
 	}
 	m.sending = true
+	address := m.Address
 	s.goDo(func(ctx context.Context) {
 		cctx, cancel := context.WithTimeout(ctx, commandTimeout)
-		report, err := s.opts.Workers.Command(cctx, m.Address, req)
+		report, err := s.opts.Workers.Command(cctx, address, req)
 		cancel()
 		s.mu.Lock()
 		defer s.mu.Unlock()
