Take budget first and the freshest writes then; replicas' records go first

Cause: after a full restart writes fenced by an epoch that had moved on queued for seconds and used up the write budget in conflicts. Ruled out: late images (held images start in 10 ms otherwise).

--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -20,9 +20,14 @@
 	"heronwick/wire"
 )
 
-// leaderPart is the leader's part of the state service's limits; the others
-// divide the rest: it also keeps the epoch and takes over what others leave.
-const leaderPart = 0.4
+// How the state service's limits are divided: a member besides the leader has
+// memberPart, a controller without a share, which only accepts and answers,
+// otherPart. The leader has the rest: it also keeps the epoch and takes over
+// what others leave.
+const (
+	memberPart = 0.3
+	otherPart  = 0.1
+)
 
 // peer is another controller, as the wiring uses it.
 type peer interface {
@@ -81,8 +86,7 @@
 func newController(settings *config.Settings, out outside, log *slog.Logger) *controller {
 	c := &controller{settings: settings, out: out, log: log}
 	c.route = state.NewRoute(out.state, c.statePeers)
-	requests, writes := c.rates(false)
-	c.budget = state.NewBudget(requests, writes, settings.TxnOps)
+	c.budget = state.NewBudget(settings.StateRPS*otherPart, settings.StateWriteRPS*otherPart, settings.TxnOps)
 	c.client = state.NewClient(c.route, c.budget)
 	c.committer = state.NewCommitter(c.client, settings.TxnOps)
 	c.catalog = job.NewCatalog(c.client, c.committer, log)
@@ -121,10 +125,16 @@
 }
 
 // rates is this controller's part of the state service's limits.
-func (c *controller) rates(leading bool) (requests, writes float64) {
-	part := (1 - leaderPart) / float64(max(1, len(c.settings.Peers)))
-	if leading {
-		part = leaderPart
+func (c *controller) rates() (requests, writes float64) {
+	epoch, leading, member := c.members.Current()
+	part := otherPart
+	switch {
+	case leading:
+		others := float64(max(0, len(epoch.Members)-1))
+		without := float64(len(c.settings.Peers)) - others
+		part = max(memberPart, 1-others*memberPart-without*otherPart)
+	case member:
+		part = memberPart
 	}
 	return c.settings.StateRPS * part, c.settings.StateWriteRPS * part
 }
@@ -132,8 +142,7 @@
 // changed follows the epoch: the share, and this controller's part of the
 // limits.
 func (c *controller) changed() {
-	_, leading, _ := c.members.Current()
-	requests, writes := c.rates(leading)
+	requests, writes := c.rates()
 	c.budget.SetRates(requests, writes, c.settings.TxnOps)
 	if s := c.share.Load(); s != nil {
 		s.Changed()
--- a/internal/job/done.go
+++ b/internal/job/done.go
@@ -67,7 +67,7 @@
 	}
 	key := doneKey(r.Job.ID, chunk)
 	return c.commit.Commit(ctx, state.Write{
-		Priority: state.Safety,
+		Priority: state.Background, // until then the worker keeps the result
 		If:       []wire.Condition{fence, r.Condition(), {Key: key, Version: version}},
 		Then:     []wire.Change{{Put: key, Value: value}},
 		Persist:  true,
@@ -80,7 +80,7 @@
 	for chunk, version := range versions {
 		key := doneKey(job, chunk)
 		_, err := c.commit.Commit(ctx, state.Write{
-			Priority: state.Submission,
+			Priority: state.Background,
 			If:       []wire.Condition{{Key: key, Version: version}},
 			Then:     []wire.Change{{Delete: key}},
 		})
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -280,7 +280,7 @@
 			s.mu.Unlock()
 			if !committing {
 				condition, drop := s.opts.Authority.OwnerDrop(m.Name)
-				w := state.Write{Priority: state.Submission}
+				w := state.Write{Priority: state.Background}
 				if condition.Version > 0 {
 					w.If, w.Then = append(w.If, condition), append(w.Then, drop)
 				}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -477,6 +477,7 @@
 		If:       []wire.Condition{s.div.condition, {Key: key, Version: m.version}},
 		Then:     []wire.Change{{Put: key, Value: value}},
 		Persist:  true,
+		Fresh:    s.freshLocked(),
 	}
 	var attempts []*fleet.Attempt
 	seen := map[string]bool{}
@@ -485,6 +486,9 @@
 			continue
 		}
 		attempts = append(attempts, a)
+		if a.Rank == 0 {
+			w.Priority = state.Safety // replicas are down until then
+		}
 		if js := s.jobOf(a.Job); js != nil && !seen[a.Job] {
 			seen[a.Job] = true
 			w.If = append(w.If, js.rec.Condition())
@@ -493,6 +497,16 @@
 	return w, attempts
 }
 
+// freshLocked tells of a write whether the division that it is fenced by is
+// still current.
+func (s *Share) freshLocked() func() bool {
+	fence := s.div.condition
+	return func() bool {
+		_, condition := s.opts.Authority.Division()
+		return condition == fence
+	}
+}
+
 func (s *Share) commit(ctx context.Context, m *machine, w state.Write, attempts []*fleet.Attempt) {
 	version, err := s.opts.Committer.Commit(ctx, w)
 	key := fleet.RecordKey(m.Name)
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -15,6 +15,7 @@
 	Safety                     // what workers' reports and cancellations need
 	Placement                  // placements, and answers to users
 	Submission                 // accepting new jobs
+	Background                 // what nobody waits for
 	priorities
 )
 
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"heronwick/wire"
@@ -64,12 +65,10 @@
 	return &Client{doer: doer, budget: budget}
 }
 
-func (c *Client) call(ctx context.Context, p Priority, writes int, method, target string, body any, reply any) (int, error) {
-	if err := c.budget.Acquire(ctx, p, writes); err != nil {
+func (c *Client) call(ctx context.Context, p Priority, method, target string, body any, reply any) (int, error) {
+	if err := c.budget.Acquire(ctx, p, 0); err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, RequestTimeout)
-	defer cancel()
 	return c.do(ctx, method, target, body, reply)
 }
 
@@ -81,6 +80,11 @@
 			return 0, fmt.Errorf("encoding a request to the state service: %w", err)
 		}
 	}
+	if method != "GET" || !strings.HasPrefix(target, wire.PathWatch) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, RequestTimeout)
+		defer cancel()
+	}
 	status, answer, err := c.doer.Do(ctx, method, target, text)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
@@ -110,7 +114,7 @@
 // Get reads one key; ErrNotFound if it does not exist.
 func (c *Client) Get(ctx context.Context, p Priority, key string) (wire.Item, error) {
 	var item wire.Item
-	_, err := c.call(ctx, p, 0, "GET", wire.PathKeys+"/"+key, nil, &item)
+	_, err := c.call(ctx, p, "GET", wire.PathKeys+"/"+key, nil, &item)
 	return item, err
 }
 
@@ -126,7 +130,7 @@
 			target += "&after=" + url.QueryEscape(after)
 		}
 		var list wire.ItemList
-		if _, err := c.call(ctx, p, 0, "GET", target, nil, &list); err != nil {
+		if _, err := c.call(ctx, p, "GET", target, nil, &list); err != nil {
 			return nil, 0, err
 		}
 		if page == 0 {
@@ -143,6 +147,14 @@
 // Txn carries out one transaction. The error is a *Conflict when a condition
 // did not hold.
 func (c *Client) Txn(ctx context.Context, p Priority, txn wire.Txn) (revision uint64, err error) {
+	if err := c.budget.Acquire(ctx, p, len(txn.Then)); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return c.send(ctx, txn)
+}
+
+// send sends a transaction for which there is budget.
+func (c *Client) send(ctx context.Context, txn wire.Txn) (revision uint64, err error) {
 	if txn.If == nil {
 		txn.If = []wire.Condition{}
 	}
@@ -150,7 +162,7 @@
 		txn.Then = []wire.Change{}
 	}
 	var reply wire.TxnReply
-	status, err := c.call(ctx, p, len(txn.Then), "POST", wire.PathTxn, txn, &reply)
+	status, err := c.do(ctx, "POST", wire.PathTxn, txn, &reply)
 	if err != nil {
 		return 0, err
 	}
@@ -163,13 +175,13 @@
 // Grant asks for a lease.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
 	var lease wire.Lease
-	_, err := c.call(ctx, Urgent, 0, "POST", wire.PathLeases, wire.LeaseRequest{TTLMs: ttl.Milliseconds()}, &lease)
+	_, err := c.call(ctx, Urgent, "POST", wire.PathLeases, wire.LeaseRequest{TTLMs: ttl.Milliseconds()}, &lease)
 	return lease.ID, err
 }
 
 // Renew renews a lease; ErrNotFound if it has ended.
 func (c *Client) Renew(ctx context.Context, lease uint64) error {
-	_, err := c.call(ctx, Urgent, 0, "POST", wire.PathLeases+"/"+strconv.FormatUint(lease, 10)+"/"+wire.SuffixRenew, nil, nil)
+	_, err := c.call(ctx, Urgent, "POST", wire.PathLeases+"/"+strconv.FormatUint(lease, 10)+"/"+wire.SuffixRenew, nil, nil)
 	return err
 }
 
--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	// or the context ends. Otherwise it fails with ErrUnavailable or
 	// ErrUnknown after one try.
 	Persist bool
+	// Fresh tells, right before sending, whether the write can still succeed.
+	// Without it one that cannot would use up budget that others wait for.
+	Fresh func() bool
 }
 
 type pending struct {
@@ -44,6 +48,7 @@
 	mu       sync.Mutex
 	queue    []*pending
 	inFlight int
+	waiting  bool // one is waiting for budget
 }
 
 // maxTxnBytes leaves room for the envelope below the service's 64 KiB.
@@ -76,15 +81,60 @@
 }
 
 func (c *Committer) startLocked() {
-	for c.inFlight < maxInFlight && len(c.queue) > 0 {
-		batch := c.takeLocked()
+	if c.inFlight < maxInFlight && len(c.queue) > 0 && !c.waiting {
 		c.inFlight++
-		go c.run(batch)
+		c.waiting = true
+		go c.run()
 	}
 }
 
-// takeLocked takes the writes of the next transaction, the most urgent first.
-func (c *Committer) takeLocked() []*pending {
+// next waits for budget and takes the next transaction's writes only then:
+// what is most urgent at that moment goes first.
+func (c *Committer) next() []*pending {
+	ctx := context.Background()
+	for {
+		c.mu.Lock()
+		batch := c.takeLocked(c.ops, false)
+		c.mu.Unlock()
+		if len(batch) == 0 {
+			c.mu.Lock()
+			c.waiting = false
+			c.mu.Unlock()
+			return nil
+		}
+		priority, writes := need(batch)
+		if err := c.client.budget.Acquire(ctx, priority, writes); err != nil {
+			continue // the context never ends
+		}
+		c.mu.Lock()
+		batch = c.takeLocked(writes, true)
+		c.waiting = false
+		c.startLocked()
+		c.mu.Unlock()
+		return batch
+	}
+}
+
+// need is what a transaction of the writes takes of the budget.
+func need(batch []*pending) (p Priority, writes int) {
+	p = priorities
+	for _, w := range batch {
+		p, writes = min(p, w.Priority), writes+len(w.Then)
+	}
+	return p, writes
+}
+
+// takeLocked chooses the writes of the next transaction with at most so many
+// changes, the most urgent first, and removes them from the queue if it is to.
+// Those that cannot succeed any more end here.
+func (c *Committer) takeLocked(maxOps int, remove bool) []*pending {
+	c.queue = slices.DeleteFunc(c.queue, func(w *pending) bool {
+		stale := w.Fresh != nil && !w.Fresh()
+		if stale {
+			w.done <- outcome{err: &Conflict{}}
+		}
+		return stale
+	})
 	var batch, rest []*pending
 	ops, conditions, size := 0, 0, 0
 	for p := range priorities {
@@ -97,8 +147,8 @@
 				bytes += len(change.Value) + len(change.Put) + len(change.Delete) + 64
 			}
 			bytes += 100 * len(w.If)
-			fits := ops+len(w.Then) <= c.ops && conditions+len(w.If) <= 4*c.ops && size+bytes <= maxTxnBytes
-			if len(batch) > 0 && !fits {
+			fits := ops+len(w.Then) <= maxOps && conditions+len(w.If) <= 4*c.ops && size+bytes <= maxTxnBytes
+			if !fits && (len(batch) > 0 || maxOps < c.ops) {
 				rest = append(rest, w)
 				continue
 			}
@@ -106,11 +156,14 @@
 			batch = append(batch, w)
 		}
 	}
-	c.queue = rest
+	if remove {
+		c.queue = rest
+	}
 	return batch
 }
 
-func (c *Committer) run(batch []*pending) {
+func (c *Committer) run() {
+	batch := c.next()
 	defer func() {
 		c.mu.Lock()
 		c.inFlight--
@@ -121,9 +174,7 @@
 	for len(batch) > 0 {
 		txn := wire.Txn{}
 		seen := map[wire.Condition]bool{}
-		priority := priorities
 		for _, w := range batch {
-			priority = min(priority, w.Priority)
 			for _, condition := range w.If {
 				if !seen[condition] {
 					seen[condition] = true
@@ -135,7 +186,7 @@
 		// The transaction outlives any single writer's context, but not the
 		// last one's.
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		revision, err := c.client.Txn(ctx, priority, txn)
+		revision, err := c.client.send(ctx, txn)
 		cancel()
 		var conflict *Conflict
 		switch {
@@ -166,6 +217,12 @@
 				backoff = min(2*backoff, time.Second)
 			}
 		}
+		if len(batch) > 0 {
+			priority, writes := need(batch)
+			if err := c.client.budget.Acquire(context.Background(), priority, writes); err != nil {
+				return // the context never ends
+			}
+		}
 	}
 }
 
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -100,6 +100,25 @@
 	})
 }
 
+// A write that cannot succeed any more, by the time that there is budget for
+// it, ends without using any.
+func TestStaleWriteUsesNoBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewState()
+		_, c := newCommitter(s)
+		w := put("k", 0, 1)
+		w.Fresh = func() bool { return false }
+		_, err := c.Commit(context.Background(), w)
+		var conflict *state.Conflict
+		if !errors.As(err, &conflict) || s.Requests != 0 {
+			t.Errorf("got %v after %d requests", err, s.Requests)
+		}
+		if _, err := c.Commit(context.Background(), put("k", 0, 1)); err != nil {
+			t.Errorf("the next write fails: %v", err)
+		}
+	})
+}
+
 // When the budget is short, the most urgent waits least.
 func TestBudgetServesByPriority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
