--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -138,7 +138,14 @@
 			t.Errorf("%s moved for little", team)
 		}
 	}
+	e.Leader = "b"
+	e.Members["d"] = Member{Since: 9}
+	e.divide(weights)
+	if e.Teams["red"] == "d" || e.Teams["green"] != "d" && e.Teams["blue"] != "d" {
+		t.Errorf("the newcomer should get little that runs elsewhere: %v", e.Teams)
+	}
 	delete(e.Members, "b")
+	delete(e.Members, "d")
 	e.divide(weights)
 	for team, node := range e.Teams {
 		if node != "a" {
--- a/internal/cluster/division.go
+++ b/internal/cluster/division.go
@@ -157,9 +157,16 @@
 		load[e.Teams[t]] += weights[t]
 	}
 	for _, t := range loose {
-		e.Teams[t] = least()
+		// The leader takes the machines of a member that has gone, so it takes
+		// its teams too: elsewhere all their tasks would be lent.
+		e.Teams[t] = e.Leader
+		if _, ok := load[e.Leader]; !ok {
+			e.Teams[t] = least()
+		}
 		load[e.Teams[t]] += weights[t]
 	}
+	// The smallest first: a move leaves the team's tasks on others' machines.
+	slices.Reverse(teams)
 	for _, t := range teams {
 		from, to := e.Teams[t], least()
 		// Worth it only if the receiver stays well below what the giver had.
