Let guests take their turn in the host's queue

Cause: in overload a host gave every freed place to its own queue, so jobs of shares with few machines waited for minutes. Ruled out: the division of teams, slow requests (10 ms).

--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -40,6 +40,10 @@
 	askedFor = 2 * time.Second
 	// maxAsked bounds the tasks of one request.
 	maxAsked = 48
+	// maxAskedPerJob bounds those of one job in it.
+	maxAskedPerJob = 16
+	// lendAgain is how soon a peer without room is asked again.
+	lendAgain = 400 * time.Millisecond
 	// barFor is how long an attempt that was denied can not be taken; no
 	// request is under way for longer, and none survives its epoch.
 	barFor = 10 * time.Minute
@@ -123,7 +127,7 @@
 				w.Zones[zone] = uint32(n)
 			}
 		}
-		for asked < maxAsked && len(w.Attempts) < 16 && s.withinLimit(js) {
+		for asked < maxAsked && len(w.Attempts) < maxAskedPerJob && s.withinLimit(js) {
 			index, ok := js.nextTask()
 			if !ok {
 				break
@@ -152,7 +156,7 @@
 		defer s.mu.Unlock()
 		ask.busy = false
 		now := time.Now()
-		ask.next, ask.soonest = now.Add(400*time.Millisecond), now.Add(100*time.Millisecond)
+		ask.next, ask.soonest = now.Add(lendAgain), now.Add(100*time.Millisecond)
 		if err != nil {
 			s.log.Debug("asking for room failed", "peer", node, "err", err)
 			ask.next = now.Add(time.Second)
@@ -229,8 +233,10 @@
 	g := s.guests[w.Job]
 	if g == nil {
 		g = s.newJob(r)
+		g.guest = true
 		s.guests[w.Job] = g
 	}
+	g.guestGuaranteed, g.asked = w.Guaranteed, 0
 	g.zones = map[string]int{}
 	for zone, n := range w.Zones {
 		g.zones[zone] = int(n)
@@ -261,9 +267,7 @@
 		s.describe(a, &r.Job)
 		m.Add(a, now)
 		m.dirty = true
-		if m.reservedFor == w.Job {
-			m.reservedFor = ""
-		}
+		m.useKept(w.Job)
 		g.zones[m.Zone]++
 		left--
 		reply.Taken = append(reply.Taken, &peerpb.Hosted{Attempt: at, Zone: m.Zone, Known: true})
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -79,7 +79,11 @@
 // remaining is the work left to place. The job with the least goes first:
 // that makes the most jobs end in time.
 func (js *jobState) remaining() float64 {
-	return float64(js.pending()) * js.share * max(js.rec.Job.EstimateS, 1)
+	tasks := js.pending()
+	if js.guest {
+		tasks = js.asked
+	}
+	return float64(tasks) * js.share * max(js.rec.Job.EstimateS, 1)
 }
 
 // scheduleLocked places what can be placed: by priority, then teams within
@@ -104,12 +108,67 @@
 	if len(queue) == 0 {
 		return
 	}
+	// Guests take their turn: what they want is kept free until they ask again.
+	for _, g := range s.guests {
+		if g.asked > 0 && now.Sub(g.askedAt) < keepFor {
+			queue = append(queue, g)
+		}
+	}
 	s.sortQueueLocked(queue, now)
 	for _, js := range queue {
+		if js.guest {
+			s.keepForLocked(js, now)
+			continue
+		}
 		s.placeJobLocked(js, now)
 	}
 }
 
+// keepFor is how long room kept for a guest waits for it; its owner asks again
+// every lendAgain.
+const keepFor = 2 * lendAgain
+
+// keepForLocked keeps free room for the tasks that a guest has asked for in
+// vain.
+func (s *Share) keepForLocked(g *jobState, now time.Time) {
+	id := g.rec.Job.ID
+	wants := min(g.asked, maxAskedPerJob)
+	for _, m := range s.machines {
+		for _, k := range m.kept {
+			if k.job == id && now.Before(k.until) {
+				wants--
+			}
+		}
+	}
+	for _, name := range s.list.Order() {
+		m := s.machines[name]
+		for wants > 0 && m != nil && s.fitsLocked(g, m, now) && g.size.Within(s.roomLocked(m, "", now)) {
+			m.kept = append(m.kept, keptRoom{job: id, size: g.size, until: now.Add(keepFor)})
+			wants--
+		}
+	}
+}
+
+// roomLocked is the machine's free room less what is kept for guests other
+// than the job.
+func (s *Share) roomLocked(m *machine, job string, now time.Time) placement.Resources {
+	room := m.Free()
+	m.kept = slices.DeleteFunc(m.kept, func(k keptRoom) bool { return !now.Before(k.until) })
+	for _, k := range m.kept {
+		if k.job != job {
+			room = room.Minus(k.size)
+		}
+	}
+	return room
+}
+
+// useKept ends the keeping of room for one task of the job.
+func (m *machine) useKept(job string) {
+	if i := slices.IndexFunc(m.kept, func(k keptRoom) bool { return k.job == job }); i >= 0 {
+		m.kept = slices.Delete(m.kept, i, i+1)
+	}
+}
+
 // sortQueueLocked puts jobs in the order in which they are served.
 func (s *Share) sortQueueLocked(queue []*jobState, now time.Time) {
 	slices.SortFunc(queue, func(a, b *jobState) int {
@@ -133,6 +192,9 @@
 // guaranteed tells whether one more task of the job stays within its team's
 // guarantee.
 func (s *Share) guaranteed(js *jobState) bool {
+	if js.guest {
+		return js.guestGuaranteed
+	}
 	t := s.teams[js.rec.Job.Team]
 	after := s.used[js.rec.Job.Team].Plus(js.size)
 	return after.CPUs <= t.CPUs && after.GPUs <= t.GPUs
@@ -307,11 +369,7 @@
 	if !s.usableLocked(m, now) {
 		return false
 	}
-	room := m.Free()
-	if m.reservedFor != "" && m.reservedFor != js.rec.Job.ID && now.Before(m.reservedUntil) {
-		room = room.Minus(m.reserved)
-	}
-	return js.size.Within(room) && s.allowedLocked(js, m)
+	return js.size.Within(s.roomLocked(m, js.rec.Job.ID, now)) && s.allowedLocked(js, m)
 }
 
 func (s *Share) allowedLocked(js *jobState, m *machine) bool {
@@ -398,8 +456,8 @@
 		return false
 	}
 	js.preempted = now
-	if s.jobs[js.rec.Job.ID] != js {
-		best.m.reservedFor, best.m.reserved, best.m.reservedUntil = js.rec.Job.ID, js.size, now.Add(reserveFor)
+	if js.guest {
+		best.m.kept = append(best.m.kept, keptRoom{job: js.rec.Job.ID, size: js.size, until: now.Add(keepFor)})
 	}
 	for _, a := range best.victims {
 		s.log.Info("preempting", "task", a.Task, "machine", best.m.Name, "for", js.rec.Job.ID)
@@ -409,9 +467,6 @@
 	return true
 }
 
-// reserveFor is how long room made for a guest waits for it.
-const reserveFor = time.Second
-
 // lossOf is what stopping an attempt loses, in seconds of work.
 func (s *Share) lossOf(a *fleet.Attempt, now time.Time) float64 {
 	if a.Running.IsZero() {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -120,16 +120,21 @@
 	idleSince  time.Time
 	first      time.Time // when this share first knew of it
 	cooling    time.Time // no placements before then
-	// Room that was made for a guest is kept for it until it asks again: it is
-	// not in this share's queue.
-	reservedFor   string
-	reserved      placement.Resources
-	reservedUntil time.Time
+	// Room that is kept for guests until they ask again: they are not in this
+	// share's queue.
+	kept []keptRoom
 
 	base  uint64 // reports under older tokens do not settle its record
 	fence uint64 // nobody else answers its worker once epochs before this are fenced; 0: nobody does
 }
 
+// keptRoom is room for one task of a guest.
+type keptRoom struct {
+	job   string
+	size  placement.Resources
+	until time.Time
+}
+
 // jobState is a job of the share.
 type jobState struct {
 	rec  *job.Record
@@ -159,7 +164,10 @@
 	told      job.Progress
 	toldAt    time.Time // when that last changed
 
-	asking  int       // tasks that another share is being asked to take
+	asking          int // tasks that another share is being asked to take
+	guest           bool
+	guestGuaranteed bool // a guest: its owner says that it is within its team's guarantee
+
 	asked   int       // a guest: how many of its tasks its owner has no room for
 	askedAt time.Time // and when it last said so
 }
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -254,3 +254,28 @@
 		}
 	})
 }
+
+// A guest that comes before an own job in the order gets freed room first,
+// though it is not there to take it at once.
+func TestGuestsTakeTheirTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestShare(t)
+		running := &fleet.Attempt{Key: fleet.Key{Task: "wk-9/0", Attempt: 1}, Sized: true, Durable: true}
+		running.Size.CPUs = 8
+		m.Add(running, time.Now())
+		s.list.Append("m1")
+		p.add("wk-1", "theirs", wire.PriorityNormal, 1, 8)
+		if reply := s.Place(wanted("wk-1", 7)); len(reply.Taken) != 0 {
+			t.Fatal("there is no room")
+		}
+		big := s.addJobLocked(p.add("wk-2", "ours", wire.PriorityNormal, 5, 8))
+		delete(m.Attempts, running.Key)
+		s.scheduleLocked(time.Now())
+		if m.Live() != 0 {
+			t.Errorf("%s, with more work left, took the room", big.rec.Job.ID)
+		}
+		if reply := s.Place(wanted("wk-1", 8)); len(reply.Taken)+int(reply.Given) == 0 {
+			t.Error("the guest does not get its turn")
+		}
+	})
+}
