--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -29,10 +29,10 @@
 	return p.status, nil
 }
 
-func (p *scriptedPeer) say(token uint64) {
+func (p *scriptedPeer) say(token uint64, ready bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.status = &peerpb.Status{Incarnation: 7, Token: token}
+	p.status = &peerpb.Status{Incarnation: 7, Token: token, Ready: ready}
 }
 
 // withLeader runs f with a leader of three whose peers are scripted.
@@ -73,7 +73,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			withLeader(t, func(c *Cluster, s *standin.State, b, _ *scriptedPeer) {
 				s.SetOutage(true)
-				b.say(test.token)
+				b.say(test.token, false)
 				time.Sleep(10 * time.Second)
 				if got := c.Permitted(); got != test.want {
 					t.Errorf("permitted: %v, want %v", got, test.want)
@@ -91,12 +91,12 @@
 		if _, ok := c.Fenced(1); ok {
 			t.Error("fenced without any acknowledgement")
 		}
-		b.say(0)
+		b.say(0, false)
 		time.Sleep(time.Minute)
 		if _, ok := c.Fenced(1); ok {
 			t.Error("fenced by a peer that has not read the epoch")
 		}
-		b.say(1)
+		b.say(1, false)
 		time.Sleep(2 * time.Second)
 		if _, ok := c.Fenced(1); ok {
 			t.Error("fenced before the permission of the third has ended")
@@ -114,8 +114,8 @@
 // Once all others know the epoch, no bound is waited for.
 func TestFenceByAll(t *testing.T) {
 	withLeader(t, func(c *Cluster, _ *standin.State, b, d *scriptedPeer) {
-		b.say(1)
-		d.say(1)
+		b.say(1, false)
+		d.say(1, false)
 		time.Sleep(1500 * time.Millisecond)
 		if _, ok := c.Fenced(1); !ok {
 			t.Error("not fenced though all know the epoch")
@@ -123,6 +123,23 @@
 	})
 }
 
+// A controller that was heard, but does not know the epoch, may have ended
+// since: it gets no share.
+func TestOnlyWhoKnowsTheEpochJoins(t *testing.T) {
+	withLeader(t, func(c *Cluster, _ *standin.State, b, _ *scriptedPeer) {
+		b.say(0, true)
+		time.Sleep(3 * time.Second)
+		if epoch, _, _ := c.Current(); len(epoch.Members) != 1 {
+			t.Errorf("a member that does not know the epoch: %v", epoch.Members)
+		}
+		b.say(1, true)
+		time.Sleep(3 * time.Second)
+		if epoch, _, _ := c.Current(); len(epoch.Members) != 2 {
+			t.Errorf("it does not join: %v", epoch.Members)
+		}
+	})
+}
+
 func TestDivide(t *testing.T) {
 	e := Epoch{Members: map[string]Member{"a": {Since: 1}, "b": {Since: 1}}, Teams: map[string]string{}}
 	weights := map[string]float64{"red": 5, "blue": 4, "green": 1}
--- a/internal/cluster/division.go
+++ b/internal/cluster/division.go
@@ -201,7 +201,9 @@
 		if alive && member != 0 && p.status.Cut && p.status.Incarnation == member && p.workersElsewhere(c) {
 			p.shunned = now.Add(shunFor)
 		}
-		fit := alive && p.status != nil && p.status.Ready && now.After(p.shunned)
+		// Only who knows this epoch is surely still there: the leader before,
+		// say, was heard a moment before it ended.
+		fit := alive && p.status.Ready && p.token >= c.epoch.Token && now.After(p.shunned)
 		switch {
 		case member != 0 && (!alive || p.incarnation != member || now.Before(p.shunned)):
 			delete(next.Members, node)
