--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -29,6 +29,9 @@
 	otherPart  = 0.1
 )
 
+// cutFor is how long a controller that could not reach its workers says so.
+const cutFor = 15 * time.Second
+
 // peer is another controller, as the wiring uses it.
 type peer interface {
 	cluster.Beater
@@ -60,6 +63,7 @@
 	members   *cluster.Cluster
 	front     *server.Server
 	share     atomic.Pointer[scheduler.Share]
+	cutAt     atomic.Int64 // when the share last could not reach most workers
 }
 
 // peerShares are the other controllers' shares.
@@ -173,6 +177,11 @@
 	if s := c.share.Load(); s != nil {
 		s.Status(status)
 	}
+	if status.Cut {
+		c.cutAt.Store(time.Now().UnixNano())
+	}
+	// It stays so for a while after its share has ended for it.
+	status.Cut = time.Since(time.Unix(0, c.cutAt.Load())) < cutFor
 }
 
 // weights tells how much work each team has: what it is guaranteed and what
--- a/internal/cluster/division.go
+++ b/internal/cluster/division.go
@@ -203,7 +203,7 @@
 		}
 		// Only who knows this epoch is surely still there: the leader before,
 		// say, was heard a moment before it ended.
-		fit := alive && p.status.Ready && p.token >= c.epoch.Token && now.After(p.shunned)
+		fit := alive && p.status.Ready && !p.status.Cut && p.token >= c.epoch.Token && now.After(p.shunned)
 		switch {
 		case member != 0 && (!alive || p.incarnation != member || now.Before(p.shunned)):
 			delete(next.Members, node)
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -63,9 +63,20 @@
 	return s.silentAfter()
 }
 
-// dead tells whether the worker counts as lost.
+// dead tells whether the worker counts as lost: it is silent, and most others
+// have been heard since it began to fail. A controller that loses all its
+// workers would otherwise return them one after the other.
 func (s *Share) dead(m *machine, now time.Time) bool {
-	return m.failures >= deadProbes && now.Sub(m.LastReport) > s.deadAfter()
+	if m.failures < deadProbes || now.Sub(m.LastReport) <= s.deadAfter() {
+		return false
+	}
+	heard := 0
+	for _, other := range s.machines {
+		if other != m && other.LastReport.After(m.failing) {
+			heard++
+		}
+	}
+	return heard >= len(s.machines)/2
 }
 
 // watchMachinesLocked probes silent workers, settles what leases or returns
@@ -76,7 +87,7 @@
 	}
 	silent := 0
 	for _, m := range s.machines {
-		if s.dead(m, now) {
+		if m.failures >= 2 {
 			silent++
 		}
 	}
@@ -202,12 +213,26 @@
 		if err != nil {
 			m.failures++
 			s.log.Debug("worker silent", "machine", m.Name, "failures", m.failures, "err", err)
+			if m.failures == 1 {
+				m.failing = now
+				s.sweepLocked(time.Now())
+			}
 			return
 		}
 		s.applyLocked(m, report)
 	})
 }
 
+// sweepLocked asks the workers that have not been heard for a moment: whether
+// they answer tells if one worker is lost or this controller cut off.
+func (s *Share) sweepLocked(now time.Time) {
+	for _, m := range s.machines {
+		if now.Sub(m.LastReport) > probeTimeout && now.Sub(m.probed) > probeTimeout && !m.probing {
+			s.probeLocked(m, now)
+		}
+	}
+}
+
 // drainLocked empties a machine that the cloud will take away: replicas move
 // at once, and what can save is stopped in time. The rest runs on: it may
 // finish before, and stopping it would lose it anyway.
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -113,7 +113,8 @@
 	sendAgain  bool
 	probing    bool
 	probed     time.Time
-	failures   int // probes without answer since the last sign of life
+	failures   int       // probes without answer since the last sign of life
+	failing    time.Time // when the first of them was sent
 	returning  bool
 	suspect    bool // fails what it starts: no new placements
 	failedJobs map[string]bool
