--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -123,7 +123,7 @@
 		StateRPS: 150, StateWriteRPS: 60, ValueBytes: 16 << 10, TxnOps: 16, CloudRPS: 5, ListLag: 3 * time.Second,
 		Cores: 1, MemoryBytes: 64 << 20, MaxConnections: 100,
 	}
-	out := outside{state: tc.state.Node(n.name), cloud: tc.fleet.Cloud(), workers: tc.fleet, peers: map[string]peer{}}
+	out := outside{state: tc.state.Node(n.name), cloud: tc.fleet.Cloud(), workers: tc.fleet.From(n.name), peers: map[string]peer{}}
 	for _, other := range tc.nodes {
 		if other != n {
 			settings.Peers = append(settings.Peers, config.Peer{Node: other.name})
@@ -515,6 +515,39 @@
 	})
 }
 
+// A leader that alone loses all workers must not take them for dead and return
+// them: it resigns, and who hears them takes over.
+func TestLeaderCutOffFromWorkers(t *testing.T) {
+	withCluster(t, 6, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 0 }
+	}, func(tc *testCluster) {
+		for id := range 4 {
+			tc.expect(0, "POST", "/submissions", submission(id, func(j map[string]any) { j["gait"], j["cores"] = "daemon", 3 }), 201, "")
+		}
+		time.Sleep(3 * time.Second)
+		running := len(tc.fleet.Running())
+		old := tc.leader()
+		tc.fleet.Blind(tc.nodes[old].name, true)
+		time.Sleep(20 * time.Second)
+		if n := len(tc.fleet.Returned); n != 0 {
+			t.Errorf("%d machines were returned", n)
+		}
+		if tc.leader() == old {
+			t.Error("the leader that reaches no worker still leads")
+		}
+		tc.fleet.Blind(tc.nodes[old].name, false)
+		time.Sleep(10 * time.Second)
+		if n := len(tc.fleet.Running()); n != running || n == 0 {
+			t.Errorf("%d tasks run, before it were %d", n, running)
+		}
+		for task := range tc.fleet.Running() {
+			if n := tc.fleet.Starts(task); n != 1 {
+				t.Errorf("%s started %d times", task, n)
+			}
+		}
+	})
+}
+
 // Controllers end and come back, machines are cut off and commands held, the
 // state service refuses one or all, at random: no task runs twice, no limit is
 // passed, and in the end every job is done.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -38,6 +38,7 @@
 	answered map[string][]string // rentals by request name
 	down     bool
 	running  map[string]string // task -> machine
+	blind    map[string]bool   // nodes that reach no worker, nor they them
 	broken   []string
 	Returned []string
 	starts   map[string]int
@@ -127,6 +128,51 @@
 	}
 }
 
+// Blind cuts a controller off from all workers, or heals that.
+func (f *Fleet) Blind(node string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.blind == nil {
+		f.blind = map[string]bool{}
+	}
+	f.blind[node] = on
+}
+
+// From returns the workers as one controller reaches them.
+func (f *Fleet) From(node string) *Line { return &Line{f, node} }
+
+// Line is one controller's way to the workers.
+type Line struct {
+	fleet *Fleet
+	node  string
+}
+
+func (l *Line) cut(ctx context.Context) bool {
+	l.fleet.mu.Lock()
+	blind := l.fleet.blind[l.node]
+	l.fleet.mu.Unlock()
+	if blind {
+		<-ctx.Done()
+	}
+	return blind
+}
+
+// Command sends commands to a worker.
+func (l *Line) Command(ctx context.Context, address string, req *wire.CommandRequest) (*wire.Report, error) {
+	if l.cut(ctx) {
+		return nil, errSilent
+	}
+	return l.fleet.command(ctx, address, req)
+}
+
+// Status asks a worker for its report.
+func (l *Line) Status(ctx context.Context, address string) (*wire.Report, error) {
+	if l.cut(ctx) {
+		return nil, errSilent
+	}
+	return l.fleet.status(ctx, address)
+}
+
 // HoldCommands holds direct commands to a machine back, without an answer;
 // ending that delivers them late.
 func (f *Fleet) HoldCommands(machine string, on bool) {
@@ -230,8 +276,7 @@
 
 var errSilent = errors.New("standin: worker silent")
 
-// Command sends commands to the worker at the address, which is its name.
-func (f *Fleet) Command(ctx context.Context, address string, req *wire.CommandRequest) (*wire.Report, error) {
+func (f *Fleet) command(ctx context.Context, address string, req *wire.CommandRequest) (*wire.Report, error) {
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	w := f.workers[address]
@@ -249,8 +294,7 @@
 	return w.reportLocked(), nil
 }
 
-// Status asks the worker at the address for its report.
-func (f *Fleet) Status(ctx context.Context, address string) (*wire.Report, error) {
+func (f *Fleet) status(ctx context.Context, address string) (*wire.Report, error) {
 	f.mu.Lock()
 	w := f.workers[address]
 	if w == nil || w.cut {
@@ -392,7 +436,18 @@
 
 func (w *Worker) exchange(r *wire.Report, sent time.Time) {
 	f := w.fleet
-	status, reply, redirect := f.Report(f.Nodes[w.node%len(f.Nodes)], r)
+	node := f.Nodes[w.node%len(f.Nodes)]
+	f.mu.Lock()
+	blind := f.blind[node]
+	f.mu.Unlock()
+	var status int
+	var reply *wire.ReportReply
+	var redirect string
+	if blind {
+		wait(f.ctx, 4*time.Second) // no response comes
+	} else {
+		status, reply, redirect = f.Report(node, r)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
