--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -247,7 +247,7 @@
 	if len(s.teams) > 0 {
 		t, ok := s.teams[j.Team]
 		if !ok {
-			return &wire.FieldError{Field: "roost", Reason: "no such team"}
+			return &wire.FieldError{Field: wire.FieldTeam, Reason: "no such team"}
 		}
 		n := 1.0
 		if j.Kind == wire.KindService {
@@ -255,7 +255,7 @@
 		}
 		need := placement.Of(j).Times(n)
 		if t.CPUsMax > 0 && need.CPUs > t.CPUsMax || t.GPUsMax > 0 && need.GPUs > t.GPUsMax {
-			return &wire.FieldError{Field: "feathers", Reason: "the job needs more than its team's limit"}
+			return &wire.FieldError{Field: wire.FieldTasks, Reason: "the job needs more than its team's limit"}
 		}
 	}
 	if !placement.CanEver(j, types) {
--- a/wire/user.go
+++ b/wire/user.go
@@ -17,6 +17,12 @@
 	SuffixCancel = "withdraw"
 )
 
+// Fields that refusals outside this package name.
+const (
+	FieldTeam  = "roost"
+	FieldTasks = "feathers"
+)
+
 // MaxBody is the largest request body that any interface accepts.
 const MaxBody = 64 << 10
 
