--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -433,6 +433,11 @@
 			idle = append(idle, m)
 		}
 	}
+	for _, js := range s.jobs {
+		if !js.waiting.IsZero() {
+			return // a gang may be gathering machines
+		}
+	}
 	if len(idle) <= 1 {
 		return
 	}
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -248,6 +248,15 @@
 		if !ok || !s.barred[key].IsZero() {
 			continue
 		}
+		if r.Job.Kind == wire.KindGang {
+			// A gang is placed in one walk of one share, which needs machines
+			// for it, not places.
+			if idle := s.idleLocked(g, now); idle != nil && s.giveableLocked(idle, now) {
+				s.giveLocked(idle, from)
+				reply.Given++
+			}
+			break
+		}
 		m, wait := s.findHeldLocked(g, now, w.Guaranteed)
 		if m == nil && !wait && !w.Held {
 			if m = s.findAnyLocked(g, now); m == nil {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -116,11 +116,14 @@
 	}
 	s.sortQueueLocked(queue, now)
 	for _, js := range queue {
-		if js.guest {
+		switch {
+		case js.guest:
 			s.keepForLocked(js, now)
-			continue
+		case js.rec.Job.Kind == wire.KindGang:
+			s.placeGangLocked(js, now)
+		default:
+			s.placeJobLocked(js, now)
 		}
-		s.placeJobLocked(js, now)
 	}
 }
 
@@ -202,12 +205,52 @@
 
 // withinLimit tells whether one more task of the job stays within its team's
 // limit, counting all that may still be on a machine.
-func (s *Share) withinLimit(js *jobState) bool {
+func (s *Share) withinLimit(js *jobState) bool { return s.withinLimitBy(js, 1) }
+
+func (s *Share) withinLimitBy(js *jobState, tasks int) bool {
 	t := s.teams[js.rec.Job.Team]
-	after := s.used[js.rec.Job.Team].Plus(js.size)
+	after := s.used[js.rec.Job.Team].Plus(js.size.Times(float64(tasks)))
 	return (t.CPUsMax == 0 || after.CPUs <= t.CPUsMax) && (t.GPUsMax == 0 || after.GPUs <= t.GPUsMax)
 }
 
+// placeGangLocked places all tasks of a gang in one walk, opening machines as
+// needed, or none: then its bookings are freed. While some tasks of an earlier
+// try may still run, the others wait: without peers they end by themselves.
+func (s *Share) placeGangLocked(js *jobState, now time.Time) {
+	if len(js.live) > 0 || !s.withinLimitBy(js, js.pending()) {
+		return
+	}
+	type booking struct {
+		m *machine
+		a *fleet.Attempt
+	}
+	var booked []booking
+	for {
+		index, ok := js.nextTask()
+		if !ok {
+			js.waiting = time.Time{}
+			return
+		}
+		m, _ := s.findHeldLocked(js, now, false)
+		if m == nil {
+			m = s.findAnyLocked(js, now)
+		}
+		if m == nil {
+			break
+		}
+		js.took()
+		booked = append(booked, booking{m, s.placeLocked(js, index, m, now)})
+	}
+	for _, b := range booked {
+		delete(b.m.Attempts, b.a.Key)
+		s.uncountLocked(b.a)
+		s.closeIfEmptyLocked(b.m)
+	}
+	if js.waiting.IsZero() {
+		js.waiting = now
+	}
+}
+
 func (s *Share) placeJobLocked(js *jobState, now time.Time) {
 	for {
 		index, ok := js.nextTask()
@@ -390,12 +433,13 @@
 
 // placeLocked books a task on a machine. The attempt's number rises with each
 // placement, across controllers and restarts, since tokens do.
-func (s *Share) placeLocked(js *jobState, index int, m *machine, now time.Time) {
+func (s *Share) placeLocked(js *jobState, index int, m *machine, now time.Time) *fleet.Attempt {
 	a := s.newAttempt(js, index)
 	m.Add(a, now)
 	s.countLocked(m.Zone, a)
 	m.dirty = true
 	s.log.Debug("placed", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "image_held", m.HoldsImage(a.Image))
+	return a
 }
 
 func (s *Share) newAttempt(js *jobState, index int) *fleet.Attempt {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -593,7 +593,7 @@
 	}
 	a.Handled = true
 	switch a.Why {
-	case wire.WhyStopped, wire.WhyDone, wire.WhyError:
+	case wire.WhyStopped, wire.WhyDone, wire.WhyError, wire.WhyPeers, wire.WhyAlone:
 	default:
 		s.log.Info("start refused", "task", a.Task, "attempt", a.Attempt, "why", a.Why)
 		js.notBefore = now.Add(500 * time.Millisecond)
@@ -876,7 +876,7 @@
 
 // flushLocked writes a job's done tasks, and its end when all are done.
 func (s *Share) flushLocked(js *jobState) {
-	finished := js.rec.Job.Kind == wire.KindArray && js.done.Count >= js.rec.Job.Tasks
+	finished := js.rec.Job.Kind != wire.KindService && js.done.Count >= js.rec.Job.Tasks
 	if js.flushing || len(js.dirty) == 0 && !finished {
 		return
 	}
@@ -897,7 +897,7 @@
 		s.mu.Unlock()
 		return false
 	}
-	finished := js.rec.Job.Kind == wire.KindArray && js.done.Count >= js.rec.Job.Tasks
+	finished := js.rec.Job.Kind != wire.KindService && js.done.Count >= js.rec.Job.Tasks
 	chunk, bits, found := 0, []byte(nil), false
 	if !finished {
 		for chunk = range js.dirty {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -250,7 +250,7 @@
 			return &wire.FieldError{Field: wire.FieldTeam, Reason: "no such team"}
 		}
 		n := 1.0
-		if j.Kind == wire.KindService {
+		if j.Kind != wire.KindArray {
 			n = float64(j.Tasks)
 		}
 		need := placement.Of(j).Times(n)
--- a/wire/user.go
+++ b/wire/user.go
@@ -36,6 +36,7 @@
 const (
 	KindArray   Kind = "array"
 	KindService Kind = "daemon"
+	KindGang    Kind = "ensemble" // all tasks run together or none does
 )
 
 // Priority orders jobs; see Rank.
@@ -276,8 +277,8 @@
 	j.Class = f.text("flight")
 	j.Team = f.text("roost")
 	j.Kind = Kind(f.text("gait"))
-	if f.err == nil && j.Kind != KindArray && j.Kind != KindService {
-		f.fail("gait", "must be array or daemon")
+	if f.err == nil && j.Kind != KindArray && j.Kind != KindService && j.Kind != KindGang {
+		f.fail("gait", "must be array, daemon or ensemble")
 	}
 	j.Priority = Priority(f.text("rank"))
 	if f.err == nil && j.Priority.Rank() > PriorityLow.Rank() {
--- a/wire/worker.go
+++ b/wire/worker.go
@@ -13,6 +13,7 @@
 // The states of a task.
 const (
 	TaskFetching TaskState = "fetching"
+	TaskWaiting  TaskState = "gathering" // a gang's, for its peers
 	TaskRunning  TaskState = "running"
 	TaskSaving   TaskState = "saving"
 	TaskExited   TaskState = "ended"
@@ -29,6 +30,8 @@
 	WhyNoRoom  Why = "no_room"
 	WhyBusy    Why = "busy"
 	WhyUnknown Why = "unknown"
+	WhyPeers   Why = "peers" // a gang's: a peer has gone
+	WhyAlone   Why = "alone" // a gang's: its peers did not come
 )
 
 // TaskReport is one task in a worker's report.
