--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -239,7 +239,14 @@
 			break
 		}
 		js.took()
-		booked = append(booked, booking{m, s.placeLocked(js, index, m, now)})
+		a := s.placeLocked(js, index, m, now)
+		if len(booked) > 0 {
+			// Peers find each other by the number of their attempt.
+			delete(m.Attempts, a.Key)
+			a.Attempt = booked[0].a.Attempt
+			m.Attempts[a.Key] = a
+		}
+		booked = append(booked, booking{m, a})
 	}
 	for _, b := range booked {
 		delete(b.m.Attempts, b.a.Key)
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -279,3 +279,29 @@
 		}
 	})
 }
+
+// A gang is placed as a whole under one attempt number, or not at all.
+func TestGangIsPlacedAsAWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestShare(t)
+		r := p.add("wk-1", "ours", wire.PriorityNormal, 3, 3)
+		r.Job.Kind = wire.KindGang
+		gang := s.addJobLocked(r)
+		s.scheduleLocked(time.Now())
+		if m.Live() != 0 || gang.pending() != 3 || gang.waiting.IsZero() {
+			t.Errorf("%d of 3 tasks booked where 2 fit", m.Live())
+		}
+		delete(s.jobs, "wk-1")
+		r = p.add("wk-2", "ours", wire.PriorityNormal, 2, 3)
+		r.Job.Kind = wire.KindGang
+		s.addJobLocked(r)
+		s.scheduleLocked(time.Now())
+		numbers := map[uint64]bool{}
+		for _, a := range m.Attempts {
+			numbers[a.Attempt] = true
+		}
+		if m.Live() != 2 || len(numbers) != 1 {
+			t.Errorf("%d tasks booked under %d numbers, want 2 under one", m.Live(), len(numbers))
+		}
+	})
+}
