--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -434,8 +434,8 @@
 		}
 	}
 	for _, js := range s.jobs {
-		if !js.waiting.IsZero() {
-			return // a gang may be gathering machines
+		if js.rec.Job.Kind == wire.KindGang && !js.waiting.IsZero() {
+			return // it gathers machines
 		}
 	}
 	if len(idle) <= 1 {
