--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -17,7 +17,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -30,10 +29,9 @@
 
 // Keys of the state service that this package owns.
 const (
-	prefix      = "cluster/"
-	epochKey    = prefix + "epoch"
-	leaderKey   = prefix + "leader"
-	ownerPrefix = prefix + "owner/"
+	prefix    = "cluster/"
+	epochKey  = prefix + "epoch"
+	leaderKey = prefix + "leader"
 )
 
 // leaderTTL is how long a silent leader keeps the others waiting. Renewing
@@ -154,7 +152,10 @@
 	peers         map[string]*peer
 	fence         fence
 	proven        []proof
-	owners        map[string]Owner
+	owners        map[string]Owner    // by machine
+	transfers     map[string]transfer // by key
+	written       uint64              // transfers written
+	tidied        time.Time           // when settled transfers were last removed
 	workersHeard  map[string]time.Time
 	stopShare     context.CancelFunc
 	sharing       chan struct{} // closed when the current Share has returned
@@ -184,6 +185,7 @@
 		peers:        map[string]*peer{},
 		workersHeard: map[string]time.Time{},
 		owners:       map[string]Owner{},
+		transfers:    map[string]transfer{},
 	}
 	for node, client := range opts.Peers {
 		c.peers[node] = &peer{node: node, client: client}
@@ -280,13 +282,7 @@
 func (c *Cluster) HeardWorker(machine string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	c.workersHeard[machine] = now
-	for m, at := range c.workersHeard {
-		if now.Sub(at) > 5*time.Second {
-			delete(c.workersHeard, m)
-		}
-	}
+	c.workersHeard[machine] = time.Now()
 }
 
 // WorkersElsewhere is the largest number of workers that lately came to one
@@ -363,11 +359,12 @@
 		s.Token = c.epoch.Token
 	}
 	now := time.Now()
-	for _, at := range c.workersHeard {
-		if now.Sub(at) < 5*time.Second {
-			s.WorkersHeard++
+	for machine, at := range c.workersHeard {
+		if now.Sub(at) > 5*time.Second {
+			delete(c.workersHeard, machine)
 		}
 	}
+	s.WorkersHeard = uint32(len(c.workersHeard))
 	return s
 }
 
@@ -496,6 +493,7 @@
 	c.revision, c.known = revision, true
 	c.leaderVersion, c.leader = 0, leaderRecord{}
 	clear(c.owners)
+	clear(c.transfers)
 	for _, item := range items {
 		c.takeLocked(item.Key, item.Value, item.Version)
 	}
@@ -585,7 +583,7 @@
 				} else if e.Delete == leaderKey {
 					c.leaderVersion, c.leader = 0, leaderRecord{}
 				} else {
-					delete(c.owners, strings.TrimPrefix(e.Delete, ownerPrefix))
+					c.dropOwnerLocked(e.Delete)
 				}
 			}
 		}
@@ -628,6 +626,7 @@
 		case leading:
 			c.keep(ctx)
 			c.manage(ctx)
+			c.tidy(ctx)
 		case free || mine:
 			// Whoever comes first wins; jitter makes a tie rare.
 			sleep(ctx, rand.N(100*time.Millisecond))
--- a/internal/cluster/division.go
+++ b/internal/cluster/division.go
@@ -2,108 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"slices"
-	"strings"
 	"time"
-
-	"heronwick/wire"
 )
 
-// Owner is the member that owns a machine: it alone answers its worker and
-// places on it. It changes only by the owner's own write, or by a new epoch:
-// what has no owner among the members is the leader's, without any write.
-type Owner struct {
-	Node  string `json:"node"`
-	Since uint64 `json:"since"` // of the member
-	// Machine is what the owner before knew of it, for the one after.
-	Machine json.RawMessage `json:"machine,omitempty"`
-	Version uint64          `json:"-"`
-}
-
-func (c *Cluster) takeOwnerLocked(key string, value json.RawMessage, version uint64) {
-	machine, ok := strings.CutPrefix(key, ownerPrefix)
-	if !ok {
-		return
-	}
-	var o Owner
-	if json.Unmarshal(value, &o) == nil && version > c.owners[machine].Version {
-		o.Version = version
-		c.owners[machine] = o
-	}
-}
-
-func (c *Cluster) validLocked(o Owner) bool {
-	return o.Since != 0 && c.epoch.Members[o.Node].Since == o.Since
-}
-
-// Owners returns the machines that this controller owns by name, and the names
-// of those whose owner is no member. fresh is false while a write of an older
-// epoch may not have been seen yet.
-func (c *Cluster) Owners() (mine map[string]Owner, orphans []string, fresh bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	mine = map[string]Owner{}
-	for machine, o := range c.owners {
-		switch {
-		case !c.validLocked(o):
-			orphans = append(orphans, machine)
-		case o.Node == c.opts.Node:
-			mine[machine] = o
-		}
-	}
-	return mine, orphans, c.revision >= c.version
-}
-
-// HostOf returns the member that owns a machine, or the leader, which takes
-// what has no owner.
-func (c *Cluster) HostOf(machine string) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if o, ok := c.owners[machine]; ok && c.validLocked(o) {
-		return o.Node
-	}
-	return c.epoch.Leader
-}
-
-// OwnerWrite returns the write that makes node the owner of a machine; ok is
-// false if the node is no member.
-func (c *Cluster) OwnerWrite(machine, node string, about json.RawMessage) (condition wire.Condition, change wire.Change, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	since := c.epoch.Members[node].Since
-	if since == 0 {
-		return condition, change, false
-	}
-	value, err := json.Marshal(Owner{Node: node, Since: since, Machine: about})
-	if err != nil {
-		return condition, change, false
-	}
-	key := ownerPrefix + machine
-	return wire.Condition{Key: key, Version: c.owners[machine].Version}, wire.Change{Put: key, Value: value}, true
-}
-
-// OwnerDrop returns the write that removes a machine that is gone.
-func (c *Cluster) OwnerDrop(machine string) (wire.Condition, wire.Change) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	key := ownerPrefix + machine
-	return wire.Condition{Key: key, Version: c.owners[machine].Version}, wire.Change{Delete: key}
-}
-
-// NoteOwner takes an owner's write that was carried out, before the watch
-// tells of it.
-func (c *Cluster) NoteOwner(change wire.Change, version uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if change.Put != "" {
-		c.takeOwnerLocked(change.Put, change.Value, version)
-		return
-	}
-	delete(c.owners, strings.TrimPrefix(change.Delete, ownerPrefix))
-}
-
 // next copies the epoch and raises the token.
 func (e *Epoch) next() Epoch {
 	n := *e
--- a/internal/fleet/machine_test.go
+++ b/internal/fleet/machine_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"testing"
 	"time"
 
@@ -151,11 +150,7 @@
 // the new token, not by an earlier one: an old leader's start may still come.
 func TestRecoveredSettlesUnderNewToken(t *testing.T) {
 	old, a := machineWith(t)
-	value := mustRecord(t, old)
-	m, err := FromRecord("m", value, 8, t0)
-	if err != nil {
-		t.Fatal(err)
-	}
+	m := FromRecord("m", old.Record(func(*Attempt) bool { return false }), 8, t0)
 	if events, _ := m.Apply(report(1, 2, 5), t0); len(events) != 0 || m.Live() != 1 {
 		t.Errorf("settled under the old token: %v", kinds(events))
 	}
@@ -166,12 +161,3 @@
 		t.Errorf("not settled under the new token: %v", kinds(events))
 	}
 }
-
-func mustRecord(t *testing.T, m *Machine) []byte {
-	t.Helper()
-	value, err := json.Marshal(m.Record("w"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return value
-}
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -4,16 +4,60 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"heronwick/wire"
 )
 
-// RecordPrefix is where the machines' records are.
+// RecordPrefix is where the machines' records are, those of many machines
+// under one key.
 const RecordPrefix = "machines/"
 
-// RecordKey is the key of a machine's record.
-func RecordKey(machine string) string { return RecordPrefix + machine }
+// Page is what one key holds: the records of some dozens of machines. The
+// state service limits how many changes are made, not how much one holds, so
+// that a burst over a hundred machines is a handful of changes.
+type Page struct {
+	Machines map[string]Record `json:"machines"`
+	// Write differs between any two writes, so that a read-back tells whose
+	// it was.
+	Write string `json:"write"`
+}
+
+// PageKey is the key of a member's n-th page. since is its tenure, so that no
+// two members ever name the same one.
+func PageKey(node string, since, n uint64) string {
+	return fmt.Sprintf("%s%s/%d/%d", RecordPrefix, node, since, n)
+}
+
+// PageOwner tells which member named a page. ok is false for a key of the
+// earlier form, which holds one machine and has no owner.
+func PageOwner(key string) (node string, since uint64, ok bool) {
+	parts := strings.Split(strings.TrimPrefix(key, RecordPrefix), "/")
+	if len(parts) != 3 {
+		return "", 0, false
+	}
+	since, err := strconv.ParseUint(parts[1], 10, 64)
+	return parts[0], since, err == nil
+}
+
+// ReadPage reads what a key holds, also in the earlier form: the record of
+// the one machine that the key names.
+func ReadPage(key string, value json.RawMessage) (Page, error) {
+	var page Page
+	if err := json.Unmarshal(value, &page); err != nil {
+		return Page{}, fmt.Errorf("records under %s: %w", key, err)
+	}
+	if page.Machines == nil {
+		var r Record
+		if err := json.Unmarshal(value, &r); err != nil {
+			return Page{}, fmt.Errorf("record under %s: %w", key, err)
+		}
+		page.Machines = map[string]Record{strings.TrimPrefix(key, RecordPrefix): r}
+	}
+	return page, nil
+}
 
 // Record is what the store holds of a machine: which attempts may be on it.
 // It is written before the start of any of them can be sent.
@@ -21,13 +65,12 @@
 	Address  string            `json:"address"`
 	Type     string            `json:"type"`
 	Zone     string            `json:"zone"`
-	Spot     bool              `json:"spot"`
+	Spot     bool              `json:"spot,omitempty"`
 	Session  uint64            `json:"session"`
-	Attempts map[string]uint64 `json:"attempts"`
+	Seq      uint64            `json:"seq,omitempty"`   // of the newest report, where a machine changes hands
+	Token    uint64            `json:"token,omitempty"` // that its worker has seen, likewise
+	Attempts map[string]uint64 `json:"attempts,omitempty"`
 	Images   []Image           `json:"images,omitempty"` // the most recently used first
-	// Write differs between any two writes, so that a read-back tells whose
-	// it was.
-	Write string `json:"write"`
 }
 
 // Image is an image that a machine holds.
@@ -36,14 +79,18 @@
 	GB   float64 `json:"gb"`
 }
 
-// Record returns the machine's record as of now.
-func (m *Machine) Record(write string) Record {
-	r := Record{Address: m.Address, Type: m.TypeName, Zone: m.Zone, Spot: m.Spot, Session: m.Session,
-		Attempts: map[string]uint64{}, Write: write}
+// Record returns the machine's record as of now, without the attempts that
+// are left out.
+func (m *Machine) Record(leaveOut func(*Attempt) bool) Record {
+	r := Record{Address: m.Address, Type: m.TypeName, Zone: m.Zone, Spot: m.Spot, Session: m.Session}
 	for _, a := range m.Attempts {
-		if !a.Exited() {
-			r.Attempts[a.Task] = max(r.Attempts[a.Task], a.Attempt)
+		if a.Exited() || leaveOut(a) {
+			continue
+		}
+		if r.Attempts == nil {
+			r.Attempts = make(map[string]uint64, len(m.Attempts))
 		}
+		r.Attempts[a.Task] = max(r.Attempts[a.Task], a.Attempt)
 	}
 	for name, h := range m.Images {
 		r.Images = append(r.Images, Image{Name: name, GB: h.GB})
@@ -52,27 +99,38 @@
 	return r
 }
 
+// Handover returns what the next owner of an idle machine is to know of it.
+func (m *Machine) Handover() Record {
+	r := m.Record(func(*Attempt) bool { return true })
+	r.Seq, r.Token = m.Seq, m.Token
+	return r
+}
+
 // FromRecord rebuilds a machine from its record. Everything recorded may be
 // on it until a report under token, the new epoch's, shows otherwise.
-func FromRecord(name string, value json.RawMessage, token uint64, now time.Time) (*Machine, error) {
-	var r Record
-	if err := json.Unmarshal(value, &r); err != nil {
-		return nil, fmt.Errorf("record of machine %s: %w", name, err)
-	}
+func FromRecord(name string, r Record, token uint64, now time.Time) *Machine {
 	m := NewMachine(name)
-	m.Address, m.TypeName, m.Zone, m.Spot, m.Session = r.Address, r.Type, r.Zone, r.Spot, r.Session
+	m.Address, m.TypeName, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
+	m.Session, m.Seq, m.Token = r.Session, r.Seq, r.Token
 	for i, image := range r.Images {
 		m.Images[image.Name] = Held{GB: image.GB, Used: now.Add(-time.Duration(i) * time.Second)}
 	}
+	m.Recover(r, token, now)
+	return m
+}
+
+// Recover takes in what one more record says may be on the machine: while a
+// machine changes hands, its owner before may still hold an older one.
+func (m *Machine) Recover(r Record, token uint64, now time.Time) {
+	m.Session = max(m.Session, r.Session)
 	for task, attempt := range r.Attempts {
 		job, index, ok := wire.SplitTaskID(task)
 		if !ok {
-			return nil, fmt.Errorf("record of machine %s: no task %q", name, task)
+			continue // no record of ours holds such a name
 		}
 		key := Key{task, attempt}
 		// An older leader may have sent it directly, under any older token.
 		m.Attempts[key] = &Attempt{Key: key, Job: job, Index: index, Durable: true, session: r.Session,
 			Placed: now, Recovered: true, doubt: token - 1}
 	}
-	return m, nil
 }
--- a/internal/job/catalog.go
+++ b/internal/job/catalog.go
@@ -26,7 +26,7 @@
 	prefix       = "jobs/"
 	activePrefix = prefix + "active/"
 	finalPrefix  = prefix + "final/"
-	donePrefix   = "done/"
+	donePrefix   = "done/" // many jobs to a key, see DonePage
 )
 
 // ErrNotReady says that the records have not been read yet.
@@ -363,6 +363,12 @@
 // Resolve finds out about a job that is not cached: whether it is over, or
 // not known at all. An active one is told to the listener.
 func (c *Catalog) Resolve(ctx context.Context, id string) (f Final, over, found bool, err error) {
+	c.mu.Lock()
+	f, over = c.final[id]
+	c.mu.Unlock()
+	if over {
+		return f, true, true, nil
+	}
 	if _, found, err = c.read(ctx, id); err != nil || !found {
 		return Final{}, false, false, err
 	}
--- a/internal/job/done.go
+++ b/internal/job/done.go
@@ -8,7 +8,6 @@
 	"strings"
 
 	"heronwick/internal/state"
-	"heronwick/wire"
 )
 
 // chunkTasks is how many tasks one key of done tasks covers: as a bit each
@@ -49,73 +48,93 @@
 // Chunk returns a copy of a chunk's bits.
 func (d *DoneSet) Chunk(chunk int) []byte { return append([]byte(nil), d.bits[chunk]...) }
 
-// DoneRecord is a chunk as the store holds it.
-type DoneRecord struct {
-	Bits []byte `json:"bits"`
-}
+// DonePage is what one key under done/ holds: the done tasks of many jobs, by
+// job and chunk, a bit each. Many jobs to a key make the ends of hundreds of
+// tasks one change.
+type DonePage struct {
+	Jobs map[string]map[int][]byte `json:"jobs"`
+	// Write differs between any two writes, so that a read-back tells whose
+	// it was.
+	Write string `json:"write"`
 
-func doneKey(job string, chunk int) string { return donePrefix + job + "/" + strconv.Itoa(chunk) }
+	Key     string `json:"-"`
+	Version uint64 `json:"-"`
+}
 
-// DoneVersions holds the versions of a job's done keys, by chunk.
-type DoneVersions map[int]uint64
+// DoneKey is the key of a member's n-th page. since is its tenure, so that no
+// two members ever name the same one.
+func DoneKey(node string, since, n uint64) string {
+	return fmt.Sprintf("%s%s/%d/%d", donePrefix, node, since, n)
+}
 
-// WriteDone records a chunk of done tasks and returns its key's new version.
-func (c *Catalog) WriteDone(ctx context.Context, r *Record, fence wire.Condition, chunk int, bits []byte, version uint64) (uint64, error) {
-	value, err := json.Marshal(DoneRecord{Bits: bits})
-	if err != nil {
-		return 0, fmt.Errorf("encoding done tasks of %s: %w", r.Job.ID, err)
+// DoneOwner tells which member named a page. ok is false for a key of the
+// earlier form, which holds one chunk and has no owner.
+func DoneOwner(key string) (node string, since uint64, ok bool) {
+	parts := strings.Split(strings.TrimPrefix(key, donePrefix), "/")
+	if len(parts) != 3 {
+		return "", 0, false
 	}
-	key := doneKey(r.Job.ID, chunk)
-	return c.commit.Commit(ctx, state.Write{
-		Priority: state.Background, // until then the worker keeps the result
-		If:       []wire.Condition{fence, r.Condition(), {Key: key, Version: version}},
-		Then:     []wire.Change{{Put: key, Value: value}},
-		Persist:  true,
-	})
+	since, err := strconv.ParseUint(parts[1], 10, 64)
+	return parts[0], since, err == nil
 }
 
-// DropDone removes the done keys of a job that is over. What a crash leaves
-// behind, the next leader finds and drops.
-func (c *Catalog) DropDone(ctx context.Context, job string, versions DoneVersions) error {
-	for chunk, version := range versions {
-		key := doneKey(job, chunk)
-		_, err := c.commit.Commit(ctx, state.Write{
-			Priority: state.Background,
-			If:       []wire.Condition{{Key: key, Version: version}},
-			Then:     []wire.Change{{Delete: key}},
-		})
-		if err != nil {
-			return fmt.Errorf("dropping %s: %w", key, err)
-		}
-	}
-	return nil
+// EntrySize is about what a chunk of a job with so many tasks takes of a page
+// at most.
+func EntrySize(tasks, chunk int) int {
+	bits := min(chunkTasks, tasks-chunk*chunkTasks)
+	return (bits/8+3)*4/3 + 40
 }
 
 // ReadDone reads the done tasks of all jobs.
-func (c *Catalog) ReadDone(ctx context.Context) (map[string]*DoneSet, map[string]DoneVersions, error) {
+func (c *Catalog) ReadDone(ctx context.Context) ([]DonePage, error) {
 	items, _, err := c.client.List(ctx, state.Safety, donePrefix)
 	if err != nil {
-		return nil, nil, fmt.Errorf("reading done tasks: %w", err)
+		return nil, fmt.Errorf("reading done tasks: %w", err)
 	}
-	sets, versions := map[string]*DoneSet{}, map[string]DoneVersions{}
+	var pages []DonePage
 	for _, item := range items {
-		id, number, _ := strings.Cut(strings.TrimPrefix(item.Key, donePrefix), "/")
-		chunk, err := strconv.Atoi(number)
-		var record DoneRecord
-		if err != nil || json.Unmarshal(item.Value, &record) != nil {
-			return nil, nil, fmt.Errorf("done tasks under %s are unreadable", item.Key)
-		}
-		if sets[id] == nil {
-			sets[id], versions[id] = &DoneSet{}, DoneVersions{}
+		page, err := readDonePage(item.Key, item.Value)
+		if err != nil {
+			return nil, err
 		}
-		for i, b := range record.Bits {
-			for bit := range 8 {
-				if b&(1<<bit) != 0 {
-					sets[id].Add(chunk*chunkTasks + i*8 + bit)
-				}
+		page.Version = item.Version
+		pages = append(pages, page)
+	}
+	return pages, nil
+}
+
+// readDonePage reads what a key holds, also in the earlier form: one chunk of
+// the job that the key names.
+func readDonePage(key string, value json.RawMessage) (DonePage, error) {
+	page := DonePage{Key: key}
+	if err := json.Unmarshal(value, &page); err != nil {
+		return page, fmt.Errorf("done tasks under %s: %w", key, err)
+	}
+	if _, _, ok := DoneOwner(key); ok {
+		return page, nil
+	}
+	var earlier struct {
+		Bits []byte `json:"bits"`
+	}
+	id, number, _ := strings.Cut(strings.TrimPrefix(key, donePrefix), "/")
+	chunk, err := strconv.Atoi(number)
+	if err == nil {
+		err = json.Unmarshal(value, &earlier)
+	}
+	if err != nil {
+		return page, fmt.Errorf("done tasks under %s: %w", key, err)
+	}
+	page.Jobs = map[string]map[int][]byte{id: {chunk: earlier.Bits}}
+	return page, nil
+}
+
+// AddChunk marks done what a page says of a chunk.
+func (d *DoneSet) AddChunk(chunk int, bits []byte) {
+	for i, b := range bits {
+		for bit := range 8 {
+			if b&(1<<bit) != 0 {
+				d.Add(chunk*chunkTasks + i*8 + bit)
 			}
 		}
-		versions[id][chunk] = item.Version
 	}
-	return sets, versions, nil
 }
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"heronwick/internal/cluster"
 	"heronwick/internal/fleet"
 	"heronwick/internal/job"
@@ -88,20 +91,19 @@
 	s.goDo(func(ctx context.Context) { s.rebuild(ctx, epoch, condition, gained, adopt) })
 }
 
-// takeLocked takes a machine that another share has given: nothing is on it.
+// takeLocked takes a machine that another share has given: nothing is on it,
+// and it can be used at once by what its owner before knew of it.
 func (s *Share) takeLocked(name string, o cluster.Owner) {
 	now := time.Now()
-	m, err := fleet.FromRecord(name, o.Machine, s.div.Token, now)
-	if err != nil {
+	var r fleet.Record
+	if err := json.Unmarshal(o.Machine, &r); err != nil {
 		s.log.Error("a given machine is unreadable", "machine", name, "err", err)
 		return
 	}
-	t := s.addMachineLocked(m, now)
+	t := s.addMachineLocked(fleet.FromRecord(name, r, s.div.Token, now), now)
 	// Its owner before answered its worker for the last time before it gave
 	// the machine, and under this token or an older one.
-	t.base, t.fence, t.LastAnswer = 0, 0, now
-	s.log.Info("machine taken", "machine", name)
-	s.syncLocked(t)
+	t.base, t.fence, t.LastAnswer, t.Reported = 0, 0, now, true
 }
 
 // rebuild makes the share fit a new division: it lets go of jobs that are no
@@ -146,8 +148,10 @@
 		}
 		isGained[id] = true
 		js := s.addJobLocked(record)
-		if set := r.done[id]; set != nil {
-			js.done, js.versions = set, r.versions[id]
+		for i := range r.done {
+			for chunk, bits := range r.done[i].Jobs[id] {
+				js.done.AddChunk(chunk, bits)
+			}
 		}
 	}
 	adopted := s.placeRecordsLocked(r, adopt, isGained, now)
@@ -158,14 +162,14 @@
 	}
 	s.loaded = true
 	if s.div.Leader == s.opts.Node {
-		for id, v := range r.versions {
-			if s.opts.Jobs.Active(id) == nil {
-				s.goDo(func(ctx context.Context) { s.dropDone(ctx, id, v) })
+		for i := range r.done {
+			if node, since, ok := job.DoneOwner(r.done[i].Key); !ok || s.div.Members[node].Since != since {
+				s.takeShelfLocked(&r.done[i])
 			}
 		}
 	}
 	for _, js := range s.jobs {
-		s.flushLocked(js)
+		s.finishLocked(js)
 	}
 }
 
@@ -217,23 +221,17 @@
 	s.closeIfEmptyLocked(m)
 }
 
-// writeOwner makes node the owner of a machine. about is what node is to know
-// of it; without it node goes by the records. A record of the version given
-// is removed with it.
-func (s *Share) writeOwner(ctx context.Context, machine, node string, about json.RawMessage, record uint64) error {
+// transfer makes node the owner of machines, or, with no node, tells that they
+// are gone for good.
+func (s *Share) transfer(ctx context.Context, node string, machines map[string]json.RawMessage, priority state.Priority) error {
 	_, fence := s.opts.Authority.Division()
-	condition, change, ok := s.opts.Authority.OwnerWrite(machine, node, about)
+	condition, change, ok := s.opts.Authority.TransferWrite(node, machines)
 	if !ok {
 		return fmt.Errorf("%s is no member", node)
 	}
-	w := state.Write{Priority: state.Safety, If: []wire.Condition{fence, condition}, Then: []wire.Change{change}, Persist: true}
-	if record > 0 {
-		key := fleet.RecordKey(machine)
-		w.If, w.Then = append(w.If, wire.Condition{Key: key, Version: record}), append(w.Then, wire.Change{Delete: key})
-	}
-	version, err := s.opts.Committer.Commit(ctx, w)
+	version, err := s.opts.Committer.Commit(ctx, state.Write{Priority: priority, If: []wire.Condition{fence, condition},
+		Then: []wire.Change{change}, Persist: true, Fresh: s.freshLocked()})
 	if err != nil {
-		s.log.Info("changing a machine's owner failed", "machine", machine, "to", node, "err", err)
 		return err
 	}
 	s.opts.Authority.NoteOwner(change, version)
@@ -242,39 +240,76 @@
 
 // records is what the store holds of machines and done tasks.
 type records struct {
-	machines []wire.Item
-	done     map[string]*job.DoneSet
-	versions map[string]job.DoneVersions
-	ended    map[string]job.Final // jobs named on machines that are over
+	pages []recordPage
+	done  []job.DonePage
+	ended map[string]job.Final // jobs named on machines that are over
 }
 
+// recordPage is a key with machines' records, as read.
+type recordPage struct {
+	fleet.Page
+	key     string
+	version uint64
+	size    int
+}
+
+// resolvers is how many jobs are looked up at once.
+const resolvers = 8
+
 func (s *Share) readRecords(ctx context.Context) (r records, err error) {
-	if r.machines, _, err = s.opts.Records.List(ctx, state.Urgent, fleet.RecordPrefix); err != nil {
-		return r, err
-	}
-	if r.done, r.versions, err = s.opts.Jobs.ReadDone(ctx); err != nil {
+	items, _, err := s.opts.Records.List(ctx, state.Urgent, fleet.RecordPrefix)
+	if err != nil {
 		return r, err
 	}
-	r.ended = map[string]job.Final{}
-	for _, item := range r.machines {
-		m, err := fleet.FromRecord(item.Key, item.Value, 1, time.Now())
+	newest := map[string]uint64{}
+	for _, item := range items {
+		page, err := fleet.ReadPage(item.Key, item.Value)
 		if err != nil {
 			return r, err
 		}
-		for _, a := range m.Attempts {
-			if _, known := r.ended[a.Job]; known || s.opts.Jobs.Active(a.Job) != nil {
-				continue
+		r.pages = append(r.pages, recordPage{Page: page, key: item.Key, version: item.Version, size: len(item.Value)})
+		for _, record := range page.Machines {
+			for task, attempt := range record.Attempts {
+				newest[task] = max(newest[task], attempt)
 			}
-			f, over, _, err := s.opts.Jobs.Resolve(ctx, a.Job)
-			if err != nil {
-				return r, err
+		}
+	}
+	if r.done, err = s.opts.Jobs.ReadDone(ctx); err != nil {
+		return r, err
+	}
+	r.ended = map[string]job.Final{}
+	unknown := map[string]bool{}
+	for _, page := range r.pages {
+		for _, record := range page.Machines {
+			for task, attempt := range record.Attempts {
+				// A newer attempt was recorded, which is done only once the
+				// older one has surely gone. A page that was not written
+				// since still names it.
+				if attempt < newest[task] {
+					delete(record.Attempts, task)
+					continue
+				}
+				if id, _, ok := wire.SplitTaskID(task); ok && s.opts.Jobs.Active(id) == nil {
+					unknown[id] = true
+				}
 			}
+		}
+	}
+	var mu sync.Mutex
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(resolvers)
+	for id := range unknown {
+		g.Go(func() error {
+			f, over, _, err := s.opts.Jobs.Resolve(ctx, id)
 			if over {
-				r.ended[a.Job] = f
+				mu.Lock()
+				r.ended[id] = f
+				mu.Unlock()
 			}
-		}
+			return err
+		})
 	}
-	return r, nil
+	return r, g.Wait()
 }
 
 // placeRecordsLocked takes from the records what may be on machines: on those
@@ -292,44 +327,85 @@
 			}
 		}
 	}
-	adopted := 0
-	for _, item := range r.machines {
-		name := item.Key[len(fleet.RecordPrefix):]
-		fm, err := fleet.FromRecord(name, item.Value, s.div.Token, now)
-		if err != nil {
-			continue // readRecords has read it
-		}
-		host := s.opts.Authority.HostOf(name)
-		switch {
-		case s.machines[name] != nil || s.moving[name] || !s.returned[name].IsZero():
-		case host == s.opts.Node:
-			adopted++
-			s.adoptMachineLocked(fm, item.Version, r.ended, now)
-		default:
-			for _, a := range fm.Attempts {
-				if f, over := r.ended[a.Job]; over && s.div.OwnerOf(f.Team, a.Job) == s.opts.Node {
-					a.Team, a.Size, a.Sized = f.Team, sizeOf(f), true
-					s.lendTrackLocked(a, host, fm.Zone)
-				} else if js := s.jobs[a.Job]; js != nil && gained[a.Job] {
-					s.describe(a, &js.rec.Job)
-					s.lendTrackLocked(a, host, fm.Zone)
+	found := map[string]*fleet.Machine{}
+	on := map[string]*page{}
+	for _, rp := range r.pages {
+		p := s.takePageLocked(rp)
+		for name, record := range rp.Machines {
+			host := s.opts.Authority.HostOf(name)
+			switch {
+			case s.machines[name] != nil || s.moving[name] || s.isGoneLocked(name):
+			case host == s.opts.Node:
+				if m := found[name]; m != nil {
+					m.Recover(record, s.div.Token, now)
+				} else {
+					found[name] = fleet.FromRecord(name, record, s.div.Token, now)
+				}
+				if p != nil && on[name] == nil {
+					on[name] = p
 				}
+			default:
+				s.lendRecordLocked(fleet.FromRecord(name, record, s.div.Token, now), host, r.ended, gained)
 			}
 		}
 	}
 	for _, name := range adopt {
-		if s.machines[name] == nil && !s.moving[name] && s.returned[name].IsZero() {
-			adopted++
-			s.adoptMachineLocked(fleet.NewMachine(name), 0, nil, now)
+		if found[name] == nil && s.machines[name] == nil && !s.moving[name] && !s.isGoneLocked(name) {
+			found[name] = fleet.NewMachine(name)
+		}
+	}
+	for name, fm := range found {
+		s.adoptMachineLocked(fm, on[name], r.ended, now)
+	}
+	return len(found)
+}
+
+// takePageLocked takes over a page whose owner's tenure is over: the leader
+// does, as it does with the machines. It returns nil for another's page.
+func (s *Share) takePageLocked(rp recordPage) *page {
+	if p := s.pages[rp.key]; p != nil {
+		return p
+	}
+	node, since, ok := fleet.PageOwner(rp.key)
+	if s.div.Leader != s.opts.Node || ok && s.div.Members[node].Since == since {
+		return nil
+	}
+	p := &page{key: rp.key, version: rp.version, size: rp.size, machines: map[string]bool{}, untidy: true}
+	s.pages[p.key] = p
+	return p
+}
+
+// lendRecordLocked takes in what another's machine may hold of own jobs.
+func (s *Share) lendRecordLocked(fm *fleet.Machine, host string, ended map[string]job.Final, gained map[string]bool) {
+	for _, a := range fm.Attempts {
+		if f, over := ended[a.Job]; over && s.div.OwnerOf(f.Team, a.Job) == s.opts.Node {
+			a.Team, a.Size, a.Sized = f.Team, sizeOf(f), true
+			s.lendTrackLocked(a, host, fm.Zone)
+		} else if js := s.jobs[a.Job]; js != nil && gained[a.Job] {
+			s.describe(a, &js.rec.Job)
+			s.lendTrackLocked(a, host, fm.Zone)
 		}
 	}
-	return adopted
 }
 
-func (s *Share) adoptMachineLocked(fm *fleet.Machine, version uint64, ended map[string]job.Final, now time.Time) {
+// isGoneLocked tells whether a machine was surely given back to the cloud, by
+// this share or by another.
+func (s *Share) isGoneLocked(name string) bool {
+	if !s.returned[name].IsZero() {
+		return true
+	}
+	o, _, _ := s.opts.Authority.OwnerOf(name)
+	return o.Gone()
+}
+
+func (s *Share) adoptMachineLocked(fm *fleet.Machine, p *page, ended map[string]job.Final, now time.Time) {
 	answered := s.early[fm.Name]
 	m := s.addMachineLocked(fm, now)
-	m.version, m.LastAnswer = version, answered
+	m.LastAnswer = answered
+	if p != nil {
+		m.page = p
+		p.machines[m.Name] = true
+	}
 	over := map[string]job.Final{}
 	for _, a := range m.Attempts {
 		if f, ok := ended[a.Job]; ok {
@@ -348,15 +424,15 @@
 // one just given to it, or one that nobody owns. coming tells that its machine
 // is this share's and will be taken once the records are read.
 func (s *Share) joinLocked(r *wire.Report, now time.Time) (m *machine, coming bool) {
-	if _, gone := s.returned[r.Machine]; gone {
+	if s.isGoneLocked(r.Machine) {
 		return nil, false // sent before its machine was returned
 	}
 	node, owned := s.opts.Authority.Home(r.Machine)
 	if node != s.opts.Node || s.moving[r.Machine] {
 		return nil, false
 	}
-	_, orphans, fresh := s.opts.Authority.Owners()
-	if owned || !fresh || !s.loaded || s.adopted != s.opts.Authority.Token() || slices.Contains(orphans, r.Machine) {
+	_, _, named := s.opts.Authority.OwnerOf(r.Machine)
+	if owned || named || !s.opts.Authority.Fresh() || !s.loaded || s.adopted != s.opts.Authority.Token() {
 		// Given a moment ago, or perhaps one with tasks whose owner has gone.
 		s.poke()
 		return nil, true
@@ -369,35 +445,56 @@
 // giveableLocked tells whether a machine can change to another share: idle,
 // and nothing that this share has sent can still come to it.
 func (s *Share) giveableLocked(m *machine, now time.Time) bool {
-	return s.usableLocked(m, now) && m.Quiet() && !m.dirty && !m.committing && !m.sending && !m.probing
+	return s.usableLocked(m, now) && m.Quiet() && !m.dirty && !m.sending && !m.probing
 }
 
-// giveLocked gives an idle machine to another share. This share answers its
-// worker no more before the write goes out.
-func (s *Share) giveLocked(m *machine, node string) {
-	about, err := json.Marshal(m.Record(""))
-	if err != nil {
-		s.log.Error("encoding a machine", "machine", m.Name, "err", err)
-		return
-	}
-	s.list.Close(m.Name)
-	delete(s.machines, m.Name)
-	s.moving[m.Name] = true
-	record := m.version
-	s.log.Info("giving machine", "machine", m.Name, "to", node)
-	s.goDo(func(ctx context.Context) {
-		err := s.writeOwner(ctx, m.Name, node, about, record)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.moving, m.Name)
-		var conflict *state.Conflict
-		if errors.As(err, &conflict) || err != nil && ctx.Err() == nil {
-			if s.opts.Authority.HostOf(m.Name) == s.opts.Node && s.machines[m.Name] == nil {
-				s.machines[m.Name] = m // not carried out: it is still ours
+// giveLocked gives idle machines to another share. This share answers their
+// workers no more before the write goes out.
+func (s *Share) giveLocked(machines []*machine, node string) {
+	for len(machines) > 0 {
+		batch, about, size := []*machine{}, map[string]json.RawMessage{}, 0
+		for len(machines) > 0 {
+			m := machines[0]
+			value, err := json.Marshal(m.Handover())
+			if err != nil {
+				s.log.Error("encoding a machine", "machine", m.Name, "err", err)
+				machines = machines[1:]
+				continue
 			}
+			size += len(value) + len(m.Name) + 8
+			if len(batch) > 0 && size > s.opts.Settings.ValueBytes-valueSlack {
+				break
+			}
+			machines = machines[1:]
+			about[m.Name] = value
+			batch = append(batch, m)
+			s.list.Close(m.Name)
+			s.leavePageLocked(m)
+			delete(s.machines, m.Name)
+			s.moving[m.Name] = true
 		}
-		s.poke()
-	})
+		if len(batch) == 0 {
+			return
+		}
+		s.log.Info("giving machines", "to", node, "count", len(batch), "first", batch[0].Name)
+		s.goDo(func(ctx context.Context) {
+			err := s.transfer(ctx, node, about, state.Safety)
+			if err != nil {
+				s.log.Info("giving machines failed", "to", node, "err", err)
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, m := range batch {
+				delete(s.moving, m.Name)
+				var conflict *state.Conflict
+				if (errors.As(err, &conflict) || err != nil && ctx.Err() == nil) &&
+					s.opts.Authority.HostOf(m.Name) == s.opts.Node && s.machines[m.Name] == nil {
+					s.machines[m.Name] = m // not carried out: it is still ours
+				}
+			}
+			s.poke()
+		})
+	}
 }
 
 // regroupEvery is how often idle machines are regrouped among the shares.
@@ -431,18 +528,28 @@
 		return
 	}
 	slices.SortFunc(idle, func(a, b *machine) int { return a.idleSince.Compare(b.idleSince) })
+	// So many stay at hand: what a share has in use tells what it will need.
+	keep := max(1, (len(s.machines)-len(idle))/4)
+	if len(idle) <= keep {
+		return
+	}
 	if s.div.Leader != s.opts.Node {
-		for _, m := range idle[1:] {
-			s.giveLocked(m, s.div.Leader)
-		}
+		s.giveLocked(idle[keep:], s.div.Leader)
 		return
 	}
+	var poor []string
 	for node := range s.div.Members {
-		if node != s.opts.Node && s.opts.Authority.Idle(node) == 0 && len(idle) > 1 && s.hasTeam(node) {
-			s.giveLocked(idle[0], node)
-			idle = idle[1:]
+		if node != s.opts.Node && s.opts.Authority.Idle(node) == 0 && s.hasTeam(node) {
+			poor = append(poor, node)
 		}
 	}
+	each := (len(idle) - keep) / (len(poor) + 1)
+	if len(poor) == 0 || each == 0 {
+		return
+	}
+	for i, node := range poor {
+		s.giveLocked(idle[i*each:(i+1)*each], node)
+	}
 }
 
 // hasTeam tells whether the member has jobs to place.
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -252,7 +253,7 @@
 			// A gang is placed in one walk of one share, which needs machines
 			// for it, not places.
 			if idle := s.idleLocked(g, now); idle != nil && s.giveableLocked(idle, now) {
-				s.giveLocked(idle, from)
+				s.giveLocked([]*machine{idle}, from)
 				reply.Given++
 			}
 			break
@@ -268,9 +269,9 @@
 			break
 		}
 		if s.giveableLocked(m, now) {
-			s.giveLocked(m, from)
-			reply.Given++
-			break // the asking share places there itself
+			// The asking share places there itself.
+			reply.Given += uint32(s.giveForLocked(g, m, from, int(w.Pending)-(len(w.Attempts)-left), now))
+			break
 		}
 		a := &fleet.Attempt{Key: key, Job: w.Job, Index: index, Guest: true, Epoch: s.div.Token}
 		s.describe(a, &r.Job)
@@ -287,6 +288,27 @@
 	}
 }
 
+// giveForLocked gives a share that starves the first machine and as many more
+// idle ones as the job's pending tasks need, but leaves as many as it gives:
+// the next to ask may need them as much. It returns how many it gave.
+func (s *Share) giveForLocked(js *jobState, first *machine, node string, pending int, now time.Time) int {
+	fit := max(1, int(1/max(js.share, 1e-3)))
+	want := (pending + fit - 1) / fit
+	giving := []*machine{first}
+	var idle []*machine
+	if want > 1 {
+		for _, m := range s.machines {
+			if m != first && !s.list.Has(m.Name) && s.giveableLocked(m, now) && s.fitsLocked(js, m, now) {
+				idle = append(idle, m)
+			}
+		}
+		slices.SortFunc(idle, func(a, b *machine) int { return cmp.Compare(a.Name, b.Name) })
+		giving = append(giving, idle[:min(want-1, len(idle)/2)]...)
+	}
+	s.giveLocked(giving, node)
+	return len(giving)
+}
+
 // Settle tells what became of attempts that this share may have taken, and
 // lets go of those whose end is recorded. What is not known here never will
 // be: a request that is still under way must not bring it later.
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -292,42 +293,43 @@
 	})
 }
 
-// goneLocked drops a machine that was returned, and its record.
+// goneLocked drops a machine that was returned.
 func (s *Share) goneLocked(m *machine) {
 	s.handleLocked(m, m.Gone())
 	s.list.Close(m.Name)
+	s.leavePageLocked(m)
 	delete(s.machines, m.Name)
+	if _, _, named := s.opts.Authority.OwnerOf(m.Name); named {
+		// Whoever takes over what is ours must not take it for a machine.
+		s.gone = append(s.gone, m.Name)
+	}
+}
+
+// maxGone bounds the machines of one message that they are gone.
+const maxGone = 500
+
+// tellGoneLocked tells the other controllers which machines are gone, many in
+// one write.
+func (s *Share) tellGoneLocked() {
+	if s.telling || len(s.gone) == 0 || !s.loaded {
+		return
+	}
+	s.telling = true
+	names := s.gone[:min(len(s.gone), maxGone)]
+	machines := map[string]json.RawMessage{}
+	for _, name := range names {
+		machines[name] = json.RawMessage("null")
+	}
 	s.goDo(func(ctx context.Context) {
-		key := fleet.RecordKey(m.Name)
-		for {
-			s.mu.Lock()
-			committing, version := m.committing, m.version
-			s.mu.Unlock()
-			if !committing {
-				condition, drop := s.opts.Authority.OwnerDrop(m.Name)
-				w := state.Write{Priority: state.Background}
-				if condition.Version > 0 {
-					w.If, w.Then = append(w.If, condition), append(w.Then, drop)
-				}
-				if version > 0 {
-					w.If, w.Then = append(w.If, wire.Condition{Key: key, Version: version}), append(w.Then, wire.Change{Delete: key})
-				}
-				if len(w.Then) == 0 {
-					return
-				}
-				if at, err := s.opts.Committer.Commit(ctx, w); err == nil {
-					s.opts.Authority.NoteOwner(drop, at)
-					return
-				}
-				if item, err := s.opts.Records.Get(ctx, state.Submission, key); err == nil || errors.Is(err, state.ErrNotFound) {
-					s.mu.Lock()
-					m.version = item.Version
-					s.mu.Unlock()
-				}
-			}
-			if !pause(ctx, 500*time.Millisecond) {
-				return
-			}
+		err := s.transfer(ctx, "", machines, state.Background)
+		if err != nil {
+			pause(ctx, 500*time.Millisecond)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.telling = false
+		if err == nil {
+			s.gone = s.gone[len(names):]
 		}
 	})
 }
@@ -372,7 +374,7 @@
 	defer s.mu.Unlock()
 	var failed, stuck []string
 	for _, lm := range machines {
-		if _, gone := s.returned[lm.ID]; gone {
+		if s.isGoneLocked(lm.ID) {
 			continue
 		}
 		if node, owned := s.opts.Authority.Home(lm.ID); owned && node != s.opts.Node {
@@ -458,7 +460,7 @@
 	}
 	var idle []*machine
 	for _, m := range s.machines {
-		if m.returning || m.Live() > 0 || len(m.Attempts) > 0 || m.dirty || m.committing || !s.synced(m) {
+		if m.returning || m.Live() > 0 || len(m.Attempts) > 0 || m.dirty || m.writing() || !s.synced(m) {
 			continue
 		}
 		idle = append(idle, m)
@@ -552,11 +554,11 @@
 	}
 	var requests []wire.RentRequest
 	for place, n := range counts {
-		s.rentals++
+		s.serial++
 		requests = append(requests, wire.RentRequest{
 			// Tokens are used once and the count only rises under one, so no
 			// request name ever comes again.
-			Request: fmt.Sprintf("heronwick-%s-%d-%d", s.opts.Node, s.div.Token, s.rentals),
+			Request: fmt.Sprintf("heronwick-%s-%d-%d", s.opts.Node, s.div.Token, s.serial),
 			Type:    place.Type, Zone: place.Zone, Spot: place.Spot, Count: min(n, wire.MaxRent),
 		})
 	}
--- /dev/null
+++ b/internal/scheduler/pages.go
@@ -0,0 +1,305 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"heronwick/internal/fleet"
+	"heronwick/internal/job"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+// page is one key of the store with the records of some dozens of the share's
+// machines. Only this share writes it, and only one write of it is under way
+// at a time.
+type page struct {
+	key        string
+	version    uint64
+	size       int             // bytes of what it holds
+	machines   map[string]bool // whose records belong on it
+	committing bool
+	untidy     bool // what the store holds names machines that are no longer here
+}
+
+// valueSlack is left free of what a value may hold.
+const valueSlack = 256
+
+// pageLocked returns the page for a machine that has none: the fullest with
+// room for another record, so that few pages change.
+func (s *Share) pageLocked() *page {
+	limit := s.opts.Settings.ValueBytes * 3 / 4
+	var best *page
+	for _, p := range s.pages {
+		// What is booked since the last write is not in its size yet.
+		each := max(p.size/max(len(p.machines), 1), 512)
+		if each*(len(p.machines)+1) <= limit && (best == nil || len(p.machines) > len(best.machines) ||
+			len(p.machines) == len(best.machines) && p.key < best.key) {
+			best = p
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return s.newPageLocked()
+}
+
+func (s *Share) newPageLocked() *page {
+	s.paged++
+	p := &page{key: fleet.PageKey(s.opts.Node, s.div.Members[s.opts.Node].Since, s.paged), machines: map[string]bool{}}
+	s.pages[p.key] = p
+	return p
+}
+
+// leavePageLocked takes a machine that is no longer the share's off its page.
+// Until the page is written again its record there is outdated, which is safe:
+// whoever reads it asks the machine's owner or its worker.
+func (s *Share) leavePageLocked(m *machine) {
+	if m.page != nil {
+		delete(m.page.machines, m.Name)
+		m.page.untidy = m.page.untidy || m.page.version > 0
+		m.page = nil
+	}
+}
+
+// writing tells whether a record of the machine is on its way.
+func (m *machine) writing() bool { return m.page != nil && m.page.committing }
+
+// commitLocked writes the pages of machines with new placements; all that has
+// gathered while a page was being written goes with its next write.
+func (s *Share) commitLocked() {
+	if _, condition := s.opts.Authority.Division(); condition != s.div.condition {
+		return // would only fail, and failures cost writes too
+	}
+	due := map[*page]bool{}
+	for _, m := range s.machines {
+		if !m.dirty || m.returning || m.writing() {
+			continue
+		}
+		s.dropStaleGuestsLocked(m)
+		if m.page == nil {
+			m.page = s.pageLocked()
+			m.page.machines[m.Name] = true
+		}
+		if !m.page.committing {
+			due[m.page] = true
+		}
+	}
+	for p := range due {
+		s.writePageLocked(p, state.Placement)
+	}
+}
+
+// tidyEvery is how often pages are tidied: nobody waits for it.
+const tidyEvery = 10 * time.Second
+
+// tidyLocked writes the pages that name machines which are no longer here,
+// and removes those that name none that are.
+func (s *Share) tidyLocked() {
+	if _, condition := s.opts.Authority.Division(); !s.loaded || condition != s.div.condition {
+		return
+	}
+	for _, p := range s.pages {
+		if p.untidy && !p.committing {
+			s.writePageLocked(p, state.Background)
+		}
+	}
+}
+
+// pageWrite is one write of a page, and of those that it was split into.
+type pageWrite struct {
+	write    state.Write
+	pages    []*page
+	sizes    []int
+	attempts map[*machine][]*fleet.Attempt // that it records for the first time
+}
+
+// writePageLocked writes a page. The write is fenced by the epoch, by the
+// page's own version, and by each job that it records an attempt of being
+// active, so that nothing is placed for a job cancelled a moment ago.
+func (s *Share) writePageLocked(p *page, priority state.Priority) {
+	pw := &pageWrite{attempts: map[*machine][]*fleet.Attempt{}}
+	pw.write = state.Write{Priority: priority, If: []wire.Condition{s.div.condition}, Persist: true, Fresh: s.freshLocked()}
+	// Half of the conditions that a transaction takes: the rest is for others'
+	// writes beside this one. What finds no place goes with the next write.
+	most := max(1, 2*s.opts.Settings.TxnOps)
+	jobs := map[string]bool{}
+	leaveOut := func(a *fleet.Attempt) bool {
+		if a.Durable || jobs[a.Job] {
+			return false
+		}
+		js := s.jobOf(a.Job)
+		if js == nil {
+			return false
+		}
+		if len(jobs) >= most {
+			return true
+		}
+		jobs[a.Job] = true
+		pw.write.If = append(pw.write.If, js.rec.Condition())
+		return false
+	}
+	if len(p.machines) == 0 {
+		delete(s.pages, p.key)
+		if p.version == 0 {
+			return
+		}
+		pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
+		pw.write.Then = append(pw.write.Then, wire.Change{Delete: p.key})
+	}
+	for todo := []*page{p}; len(todo) > 0; {
+		p := todo[0]
+		todo = todo[1:]
+		if len(p.machines) == 0 {
+			continue
+		}
+		value := s.encodeLocked(p, leaveOut)
+		if len(value) > s.opts.Settings.ValueBytes-valueSlack && len(p.machines) > 1 {
+			half := s.newPageLocked()
+			names := slices.Sorted(maps.Keys(p.machines))
+			for _, name := range names[len(names)/2:] {
+				delete(p.machines, name)
+				half.machines[name] = true
+				s.machines[name].page = half
+			}
+			todo = append(todo, p, half)
+			continue
+		}
+		p.committing, p.untidy = true, false
+		pw.pages, pw.sizes = append(pw.pages, p), append(pw.sizes, len(value))
+		pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
+		pw.write.Then = append(pw.write.Then, wire.Change{Put: p.key, Value: value})
+	}
+	for _, p := range pw.pages {
+		for name := range p.machines {
+			m := s.machines[name]
+			m.dirty = false
+			for _, a := range m.Attempts {
+				if a.Durable || a.Exited() {
+					continue
+				}
+				if leaveOut(a) {
+					m.dirty = true
+					continue
+				}
+				pw.attempts[m] = append(pw.attempts[m], a)
+				if a.Rank == 0 {
+					pw.write.Priority = state.Safety // replicas are down until then
+				}
+			}
+		}
+	}
+	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
+}
+
+func (s *Share) encodeLocked(p *page, leaveOut func(*fleet.Attempt) bool) json.RawMessage {
+	s.serial++ // any number that never comes again under this token
+	content := fleet.Page{Machines: make(map[string]fleet.Record, len(p.machines)),
+		Write: fmt.Sprintf("%s-%d-%d", s.opts.Node, s.div.Token, s.serial)}
+	for name := range p.machines {
+		content.Machines[name] = s.machines[name].Record(leaveOut)
+	}
+	value, err := json.Marshal(content)
+	if err != nil {
+		s.log.Error("encoding machines' records", "key", p.key, "err", err)
+	}
+	return value
+}
+
+// freshLocked tells of a write whether the division that it is fenced by is
+// still current.
+func (s *Share) freshLocked() func() bool {
+	fence := s.div.condition
+	return func() bool {
+		_, condition := s.opts.Authority.Division()
+		return condition == fence
+	}
+}
+
+func (s *Share) commit(ctx context.Context, pw *pageWrite) {
+	version, err := s.opts.Committer.Commit(ctx, pw.write)
+	var conflict *state.Conflict
+	reread := map[*page]uint64{}
+	if err != nil && ctx.Err() == nil {
+		for _, p := range pw.pages {
+			if errors.As(err, &conflict) && !conflict.Has(p.key) {
+				continue
+			}
+			// Only this share writes the page, so what is there now is an
+			// earlier write of its own, or of an earlier epoch.
+			item, gerr := s.opts.Records.Get(ctx, state.Placement, p.key)
+			if gerr == nil || errors.Is(gerr, state.ErrNotFound) {
+				reread[p] = item.Version
+			}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, p := range pw.pages {
+		p.committing = false
+		if err == nil {
+			p.version, p.size = version, pw.sizes[i]
+		} else if v, ok := reread[p]; ok {
+			p.version = v
+		}
+		p.untidy = p.untidy || err != nil
+	}
+	again := false
+	for m, attempts := range pw.attempts {
+		if err != nil {
+			m.dirty = true
+			continue
+		}
+		for _, a := range attempts {
+			a.Durable = true
+		}
+		if s.machines[m.Name] == m {
+			s.sendLocked(m)
+		}
+	}
+	for _, p := range pw.pages {
+		for name := range p.machines {
+			again = again || s.machines[name].dirty
+		}
+	}
+	if err == nil {
+		if again {
+			s.poke()
+		}
+		return
+	}
+	s.log.Debug("recording placements failed", "err", err)
+	if conflict != nil {
+		for _, failed := range conflict.Failed {
+			if id, ok := job.IsActive(failed); ok {
+				s.dropUnsentLocked(pw, id)
+			}
+		}
+	}
+	if ctx.Err() == nil {
+		time.AfterFunc(100*time.Millisecond, s.poke)
+	}
+}
+
+// dropUnsentLocked drops the placements of a job that is over, none of which
+// was sent.
+func (s *Share) dropUnsentLocked(pw *pageWrite, id string) {
+	for m := range pw.attempts {
+		for k, a := range m.Attempts {
+			if a.Job == id && a.Unsent() {
+				delete(m.Attempts, k)
+				s.uncountLocked(a)
+			}
+		}
+		s.closeIfEmptyLocked(m)
+	}
+	if js := s.jobOf(id); js != nil {
+		js.notBefore = time.Now().Add(time.Second)
+	}
+	s.resolveLocked(id)
+}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -2,17 +2,11 @@
 
 import (
 	"cmp"
-	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"slices"
 	"time"
 
 	"heronwick/internal/fleet"
-	"heronwick/internal/job"
 	"heronwick/internal/placement"
-	"heronwick/internal/state"
 	"heronwick/wire"
 )
 
@@ -555,125 +549,3 @@
 	t, used := s.teams[victim.Team], s.used[victim.Team]
 	return used.CPUs > t.CPUs && (t.CPUs > 0 || t.CPUsMax > 0)
 }
-
-// commitLocked writes the records of machines with new placements; many
-// machines share a transaction.
-func (s *Share) commitLocked() {
-	if _, condition := s.opts.Authority.Division(); condition != s.div.condition {
-		return // would only fail, and failures cost writes too
-	}
-	for _, m := range s.machines {
-		if !m.dirty || m.committing || m.returning {
-			continue
-		}
-		s.dropStaleGuestsLocked(m)
-		m.dirty, m.committing = false, true
-		w, attempts := s.recordLocked(m)
-		s.goDo(func(ctx context.Context) { s.commit(ctx, m, w, attempts) })
-	}
-}
-
-// recordLocked builds the write of a machine's record: fenced by the epoch,
-// by the record's own version, and by each job still being active, so that
-// nothing is placed for a job cancelled a moment ago.
-func (s *Share) recordLocked(m *machine) (state.Write, []*fleet.Attempt) {
-	s.rentals++ // any number that never comes again under this token
-	value, err := json.Marshal(m.Record(fmt.Sprintf("%s-%d-%d", s.opts.Node, s.div.Token, s.rentals)))
-	if err != nil {
-		s.log.Error("encoding a machine's record", "machine", m.Name, "err", err)
-	}
-	key := fleet.RecordKey(m.Name)
-	w := state.Write{
-		Priority: state.Placement,
-		If:       []wire.Condition{s.div.condition, {Key: key, Version: m.version}},
-		Then:     []wire.Change{{Put: key, Value: value}},
-		Persist:  true,
-		Fresh:    s.freshLocked(),
-	}
-	var attempts []*fleet.Attempt
-	seen := map[string]bool{}
-	for _, a := range m.Attempts {
-		if a.Durable || a.Exited() {
-			continue
-		}
-		attempts = append(attempts, a)
-		if a.Rank == 0 {
-			w.Priority = state.Safety // replicas are down until then
-		}
-		if js := s.jobOf(a.Job); js != nil && !seen[a.Job] {
-			seen[a.Job] = true
-			w.If = append(w.If, js.rec.Condition())
-		}
-	}
-	return w, attempts
-}
-
-// freshLocked tells of a write whether the division that it is fenced by is
-// still current.
-func (s *Share) freshLocked() func() bool {
-	fence := s.div.condition
-	return func() bool {
-		_, condition := s.opts.Authority.Division()
-		return condition == fence
-	}
-}
-
-func (s *Share) commit(ctx context.Context, m *machine, w state.Write, attempts []*fleet.Attempt) {
-	version, err := s.opts.Committer.Commit(ctx, w)
-	key := fleet.RecordKey(m.Name)
-	var conflict *state.Conflict
-	reread := err != nil && (!errors.As(err, &conflict) || conflict.Has(key))
-	if reread && ctx.Err() == nil {
-		// Only this share writes the record, so what is there now is an
-		// earlier write of its own, or of an earlier epoch.
-		item, gerr := s.opts.Records.Get(ctx, state.Placement, key)
-		switch {
-		case gerr == nil:
-			version = item.Version
-		case errors.Is(gerr, state.ErrNotFound):
-			version = 0
-		default:
-			reread = false
-		}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m.committing = false
-	if err == nil {
-		m.version = version
-		for _, a := range attempts {
-			a.Durable = true
-		}
-		s.sendLocked(m)
-		if m.dirty {
-			s.poke()
-		}
-		return
-	}
-	s.log.Debug("recording placements failed", "machine", m.Name, "err", err)
-	if reread {
-		m.version = version
-	}
-	m.dirty = true
-	if conflict != nil {
-		for _, failed := range conflict.Failed {
-			if id, ok := job.IsActive(failed); ok {
-				// The job is over: drop its placements, none of which was sent.
-				for k, a := range m.Attempts {
-					if a.Job == id && a.Unsent() {
-						delete(m.Attempts, k)
-						s.uncountLocked(a)
-					}
-				}
-				if js := s.jobOf(id); js != nil {
-					js.notBefore = time.Now().Add(time.Second)
-				}
-				s.resolveLocked(id)
-			}
-		}
-		s.closeIfEmptyLocked(m)
-	}
-	if ctx.Err() == nil {
-		time.AfterFunc(100*time.Millisecond, s.poke)
-	}
-}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -35,8 +34,9 @@
 	Owners() (mine map[string]cluster.Owner, orphans []string, fresh bool)
 	Home(machine string) (node string, owned bool)
 	HostOf(machine string) string
-	OwnerWrite(machine, node string, about json.RawMessage) (wire.Condition, wire.Change, bool)
-	OwnerDrop(machine string) (wire.Condition, wire.Change)
+	OwnerOf(machine string) (o cluster.Owner, valid, named bool)
+	Fresh() bool
+	TransferWrite(node string, machines map[string]json.RawMessage) (wire.Condition, wire.Change, bool)
 	NoteOwner(change wire.Change, version uint64)
 	Totals() (machines, idle int, cpus, free float64)
 	Idle(node string) int
@@ -68,10 +68,8 @@
 	Active(id string) *job.Record
 	AllActive() []*job.Record
 	Resolve(ctx context.Context, id string) (f job.Final, over, found bool, err error)
-	ReadDone(ctx context.Context) (map[string]*job.DoneSet, map[string]job.DoneVersions, error)
-	WriteDone(ctx context.Context, r *job.Record, fence wire.Condition, chunk int, bits []byte, version uint64) (uint64, error)
+	ReadDone(ctx context.Context) ([]job.DonePage, error)
 	Finish(ctx context.Context, r *job.Record, fence wire.Condition) error
-	DropDone(ctx context.Context, id string, versions job.DoneVersions) error
 	SetProgress(id string, p job.Progress)
 }
 
@@ -106,10 +104,9 @@
 // machine is a machine of the share, with what the share decides about it.
 type machine struct {
 	*fleet.Machine
-	version    uint64 // of its record; 0: none
-	dirty      bool   // its record must be written
-	committing bool
-	sending    bool // a direct command is under way
+	page       *page // where its record is; nil: it has none
+	dirty      bool  // its record must be written
+	sending    bool  // a direct command is under way
 	sendAgain  bool
 	probing    bool
 	probed     time.Time
@@ -149,11 +146,11 @@
 	live  map[int]int
 	zones map[string]int
 
-	done     *job.DoneSet
-	versions job.DoneVersions
-	dirty    map[int]bool             // chunks to write
-	awaiting map[int][]*fleet.Attempt // by chunk: done, not yet in the store
-	flushing bool
+	done      *job.DoneSet
+	dirty     map[int]bool             // chunks to write
+	awaiting  map[int][]*fleet.Attempt // by chunk: done, not yet in the store
+	shelves   map[int]*shelf           // by chunk, where it is written
+	finishing bool                     // the job's end is being written
 
 	failedOn  map[string]bool
 	succeeded bool
@@ -196,14 +193,21 @@
 	barred   map[fleet.Key]time.Time
 	asking   map[string]*asking
 	machines map[string]*machine
-	moving   map[string]bool // machines whose owner is being written
+	pages    map[string]*page  // the keys that hold the machines' records
+	paged    uint64            // pages named so far
+	shelves  map[string]*shelf // the keys that hold done tasks
+	shelved  uint64            // shelves named so far
+	flushed  time.Time         // when done tasks were last written
+	gone     []string          // machines that are gone, which the others are still to be told
+	telling  bool              // they are being told
+	moving   map[string]bool   // machines whose owner is being written
 	list     placement.List
 	used     map[string]placement.Resources // by team, all that may be on machines
 	number   uint64                         // last attempt number
 	returned map[string]time.Time           // machines that are surely gone
 	booting  map[string]*booting
 	refused  map[placement.Place]refusal
-	rentals  uint64
+	serial   uint64 // numbers what must never be named alike under one token
 	raising  bool
 	raised   time.Time
 	resolve  map[string]bool // jobs being looked up
@@ -223,7 +227,7 @@
 		used: map[string]placement.Resources{}, returned: map[string]time.Time{},
 		booting: map[string]*booting{}, refused: map[placement.Place]refusal{}, resolve: map[string]bool{},
 		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, barred: map[fleet.Key]time.Time{},
-		asking: map[string]*asking{}, moving: map[string]bool{},
+		asking: map[string]*asking{}, moving: map[string]bool{}, pages: map[string]*page{}, shelves: map[string]*shelf{},
 	}
 	for i := range opts.Types {
 		s.types[opts.Types[i].Name] = &opts.Types[i]
@@ -297,7 +301,7 @@
 func (s *Share) loop(ctx context.Context) error {
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
-	var logged time.Time
+	var logged, tidied time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -307,6 +311,12 @@
 			s.mu.Lock()
 			s.regroupLocked(now)
 			s.watchMachinesLocked(now)
+			s.flushLocked(now)
+			s.tellGoneLocked()
+			if now.Sub(tidied) > tidyEvery {
+				tidied = now
+				s.tidyLocked()
+			}
 			if now.Sub(logged) > logLoadEvery {
 				logged = now
 				s.logLoadLocked(now)
@@ -590,7 +600,7 @@
 		js.awaiting[chunk] = append(js.awaiting[chunk], a)
 		s.uncountLocked(a)
 		s.stopOthersLocked(a)
-		s.flushLocked(js)
+		s.finishLocked(js)
 		return
 	}
 	a.Handled = true
@@ -692,7 +702,7 @@
 	j := &r.Job
 	js := &jobState{
 		rec: r, size: placement.Of(j), live: map[int]int{}, zones: map[string]int{},
-		done: &job.DoneSet{}, versions: job.DoneVersions{}, dirty: map[int]bool{}, awaiting: map[int][]*fleet.Attempt{},
+		done: &job.DoneSet{}, dirty: map[int]bool{}, awaiting: map[int][]*fleet.Attempt{}, shelves: map[int]*shelf{},
 		failedOn: map[string]bool{}, accepted: time.UnixMilli(r.AcceptedMs), within: s.objectives(j),
 	}
 	js.share = s.dominantShare(js.size)
@@ -749,21 +759,13 @@
 				a.Handled = true
 			}
 		}
-		if len(js.versions) > 0 {
-			s.goDo(func(ctx context.Context) { s.dropDone(ctx, id, js.versions) })
-		}
 	}
+	s.unshelveLocked(id)
 	delete(s.jobs, id)
 	delete(s.guests, id)
 	s.endTasksLocked(id, f, goneBy)
 }
 
-func (s *Share) dropDone(ctx context.Context, id string, versions job.DoneVersions) {
-	if err := s.opts.Jobs.DropDone(ctx, id, versions); err != nil {
-		s.log.Debug("dropping done tasks failed", "job", id, "err", err)
-	}
-}
-
 // endTasksLocked stops every task of a job that is over, also those whose
 // start may still be under way.
 func (s *Share) endTasksLocked(id string, f job.Final, goneBy time.Time) {
@@ -876,88 +878,6 @@
 	return changed
 }
 
-// flushLocked writes a job's done tasks, and its end when all are done.
-func (s *Share) flushLocked(js *jobState) {
-	finished := js.rec.Job.Kind != wire.KindService && js.done.Count >= js.rec.Job.Tasks
-	if js.flushing || len(js.dirty) == 0 && !finished {
-		return
-	}
-	js.flushing = true
-	s.goDo(func(ctx context.Context) {
-		for s.flushOnce(ctx, js) {
-		}
-	})
-}
-
-// flushOnce writes one chunk, or the end of the job. It returns false when
-// nothing is left to write.
-func (s *Share) flushOnce(ctx context.Context, js *jobState) bool {
-	s.mu.Lock()
-	id := js.rec.Job.ID
-	if s.jobs[id] != js || ctx.Err() != nil {
-		js.flushing = false
-		s.mu.Unlock()
-		return false
-	}
-	finished := js.rec.Job.Kind != wire.KindService && js.done.Count >= js.rec.Job.Tasks
-	chunk, bits, found := 0, []byte(nil), false
-	if !finished {
-		for chunk = range js.dirty {
-			found = true
-			break
-		}
-		if !found {
-			js.flushing = false
-			s.mu.Unlock()
-			return false
-		}
-		bits = js.done.Chunk(chunk)
-		delete(js.dirty, chunk)
-	}
-	attempts := js.awaiting[chunk]
-	delete(js.awaiting, chunk)
-	version := js.versions[chunk]
-	fence := s.div.condition
-	s.mu.Unlock()
-
-	var err error
-	if finished {
-		err = s.opts.Jobs.Finish(ctx, js.rec, fence)
-	} else {
-		version, err = s.opts.Jobs.WriteDone(ctx, js.rec, fence, chunk, bits, version)
-	}
-
-	s.mu.Lock()
-	var conflict *state.Conflict
-	switch {
-	case err == nil:
-		if !finished {
-			js.versions[chunk] = version
-		}
-		for _, a := range attempts {
-			a.Handled = true
-		}
-	default:
-		js.awaiting[chunk] = append(js.awaiting[chunk], attempts...)
-		if !finished {
-			js.dirty[chunk] = true
-		}
-		if errors.As(err, &conflict) {
-			s.log.Debug("writing done tasks failed", "job", id, "err", err)
-			for _, key := range conflict.Failed {
-				if ended, ok := job.IsActive(key); ok {
-					s.resolveLocked(ended)
-				}
-			}
-		}
-	}
-	s.mu.Unlock()
-	if err != nil && !pause(ctx, 300*time.Millisecond) {
-		return false
-	}
-	return true
-}
-
 // pause waits, or returns false when ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -41,10 +41,11 @@
 func (p *scripted) Totals() (int, int, float64, float64)               { return 0, 0, 0, 0 }
 func (p *scripted) Idle(string) int                                    { return 0 }
 func (p *scripted) NoteOwner(wire.Change, uint64)                      {}
-func (p *scripted) OwnerDrop(string) (wire.Condition, wire.Change) {
-	return wire.Condition{}, wire.Change{}
+func (p *scripted) Fresh() bool                                        { return true }
+func (p *scripted) OwnerOf(string) (cluster.Owner, bool, bool) {
+	return cluster.Owner{}, false, false
 }
-func (p *scripted) OwnerWrite(string, string, json.RawMessage) (wire.Condition, wire.Change, bool) {
+func (p *scripted) TransferWrite(string, map[string]json.RawMessage) (wire.Condition, wire.Change, bool) {
 	return wire.Condition{}, wire.Change{}, false
 }
 func (p *scripted) Active(id string) *job.Record     { return p.active[id] }
@@ -54,14 +55,8 @@
 func (p *scripted) Resolve(context.Context, string) (job.Final, bool, bool, error) {
 	return job.Final{}, false, false, nil
 }
-func (p *scripted) ReadDone(context.Context) (map[string]*job.DoneSet, map[string]job.DoneVersions, error) {
-	return nil, nil, nil
-}
-func (p *scripted) WriteDone(context.Context, *job.Record, wire.Condition, int, []byte, uint64) (uint64, error) {
-	return 1, nil
-}
+func (p *scripted) ReadDone(context.Context) ([]job.DonePage, error)          { return nil, nil }
 func (p *scripted) Finish(context.Context, *job.Record, wire.Condition) error { return nil }
-func (p *scripted) DropDone(context.Context, string, job.DoneVersions) error  { return nil }
 func (p *scripted) Commit(_ context.Context, w state.Write) (uint64, error) {
 	p.writes = append(p.writes, w)
 	return 1, nil
@@ -84,7 +79,7 @@
 	}}
 	s := New(Options{
 		Node: "me", Authority: p, Workers: p, Jobs: p, Committer: p,
-		Settings: &config.Settings{ReportEvery: time.Second, LeaseFor: 10 * time.Second, CancelIn: 20 * time.Second, ValueBytes: 16 << 10},
+		Settings: &config.Settings{ReportEvery: time.Second, LeaseFor: 10 * time.Second, CancelIn: 20 * time.Second, ValueBytes: 16 << 10, TxnOps: 16},
 		Types:    []wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 10, Zones: []string{"z"}}},
 		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
