--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -116,9 +116,32 @@
 	g.Go(func() error { return c.members.Run(ctx) })
 	g.Go(func() error { return c.catalog.Run(ctx) })
 	g.Go(func() error { return c.offers.Run(ctx) })
+	g.Go(func() error { return c.logUsage(ctx) })
 	return g.Wait()
 }
 
+// logUsageEvery is how often the use of the state service is logged.
+const logUsageEvery = 10 * time.Second
+
+// logUsage tells an operator which work waits for the state service's limits.
+func (c *controller) logUsage(ctx context.Context) error {
+	tick := time.NewTicker(logUsageEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		for p, u := range c.budget.Usage() {
+			if u.Requests > 0 {
+				c.log.Info("state use", "work", state.Priority(p), "requests", u.Requests, "writes", u.Writes,
+					"mean_wait", u.Waited/time.Duration(u.Requests), "longest_wait", u.Longest)
+			}
+		}
+	}
+}
+
 // statePeers returns the peers through which the state service can be reached.
 func (c *controller) statePeers() []state.Doer {
 	var doers []state.Doer
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 )
@@ -9,6 +10,11 @@
 // Priority orders the requests of one controller to the state service.
 type Priority int
 
+// String names a priority for logs and metrics.
+func (p Priority) String() string {
+	return [...]string{"urgent", "safety", "placement", "submission", "background"}[p]
+}
+
 // The priorities, most important first.
 const (
 	Urgent     Priority = iota // lease renewals, the epoch
@@ -31,6 +37,22 @@
 	waiting  [priorities][]*waiter
 	timer    *time.Timer
 	pausedTo time.Time
+	usage    [priorities]Usage
+}
+
+// Usage is what was asked of the budget under one priority.
+type Usage struct {
+	Requests, Writes int
+	Waited, Longest  time.Duration // for the budget, all together and at most
+}
+
+// Usage returns what was used under each priority since it was last asked.
+func (b *Budget) Usage() [priorities]Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	usage := b.usage
+	b.usage = [priorities]Usage{}
+	return usage
 }
 
 type bucket struct {
@@ -53,8 +75,10 @@
 }
 
 type waiter struct {
-	writes float64
-	ready  chan struct{}
+	since       time.Time
+	least, most float64 // writes
+	granted     float64
+	ready       chan struct{}
 }
 
 // NewBudget makes a budget of so many requests and writes a second. largest
@@ -89,14 +113,22 @@
 
 // Acquire waits for one request with so many writes.
 func (b *Budget) Acquire(ctx context.Context, p Priority, writes int) error {
-	w := &waiter{writes: float64(writes), ready: make(chan struct{})}
+	_, err := b.AcquireUpTo(ctx, p, writes, writes)
+	return err
+}
+
+// AcquireUpTo waits for one request with at least so many writes, and takes as
+// many more as there are at that moment, up to most. Waiting for a full
+// transaction would hold the first of its writes up for the last.
+func (b *Budget) AcquireUpTo(ctx context.Context, p Priority, least, most int) (writes int, err error) {
+	w := &waiter{since: time.Now(), least: float64(least), most: float64(most), ready: make(chan struct{})}
 	b.mu.Lock()
 	b.waiting[p] = append(b.waiting[p], w)
 	b.serveLocked()
 	b.mu.Unlock()
 	select {
 	case <-w.ready:
-		return nil
+		return int(w.granted), nil
 	case <-ctx.Done():
 	}
 	b.mu.Lock()
@@ -104,10 +136,10 @@
 	for i, other := range b.waiting[p] {
 		if other == w {
 			b.waiting[p] = append(b.waiting[p][:i], b.waiting[p][i+1:]...)
-			return ctx.Err()
+			return 0, ctx.Err()
 		}
 	}
-	return nil // served at the last moment
+	return int(w.granted), nil // served at the last moment
 }
 
 // serveLocked lets in whom the buckets allow and sets the timer for the next.
@@ -123,9 +155,14 @@
 				b.wakeIn(wait)
 				return // nobody of lower priority passes
 			}
+			w.granted = max(w.least, min(w.most, math.Floor(b.writes.level)))
 			b.requests.level--
-			b.writes.level -= w.writes
+			b.writes.level -= w.granted
 			b.waiting[p] = b.waiting[p][1:]
+			waited := now.Sub(w.since)
+			u := &b.usage[p]
+			u.Requests, u.Writes = u.Requests+1, u.Writes+int(w.granted)
+			u.Waited, u.Longest = u.Waited+waited, max(u.Longest, waited)
 			close(w.ready)
 		}
 	}
@@ -136,7 +173,7 @@
 	if lack := 1 - b.requests.level; lack > 0 {
 		wait = max(wait, time.Duration(lack/b.requests.rate*float64(time.Second))+time.Millisecond)
 	}
-	if lack := w.writes - b.writes.level; w.writes > 0 && lack > 0 {
+	if lack := w.least - b.writes.level; w.least > 0 && lack > 0 {
 		wait = max(wait, time.Duration(lack/b.writes.rate*float64(time.Second))+time.Millisecond)
 	}
 	return wait
--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -103,7 +103,8 @@
 			return nil
 		}
 		priority, writes := need(batch)
-		if err := c.client.budget.Acquire(ctx, priority, writes); err != nil {
+		writes, err := c.client.budget.AcquireUpTo(ctx, priority, len(batch[0].Then), writes)
+		if err != nil {
 			continue // the context never ends
 		}
 		c.mu.Lock()
@@ -129,11 +130,17 @@
 // Those that cannot succeed any more end here.
 func (c *Committer) takeLocked(maxOps int, remove bool) []*pending {
 	c.queue = slices.DeleteFunc(c.queue, func(w *pending) bool {
-		stale := w.Fresh != nil && !w.Fresh()
-		if stale {
+		switch {
+		case w.Fresh != nil && !w.Fresh():
 			w.done <- outcome{err: &Conflict{}}
+			return true
+		case w.ctx.Err() != nil:
+			// Whoever asked has given up, and asks again: what nobody waits
+			// for must not use up what others do.
+			w.done <- outcome{err: errors.Join(ErrUnavailable, w.ctx.Err())}
+			return true
 		}
-		return stale
+		return false
 	})
 	var batch, rest []*pending
 	ops, conditions, size := 0, 0, 0
@@ -148,7 +155,7 @@
 			}
 			bytes += 100 * len(w.If)
 			fits := ops+len(w.Then) <= maxOps && conditions+len(w.If) <= 4*c.ops && size+bytes <= maxTxnBytes
-			if !fits && (len(batch) > 0 || maxOps < c.ops) {
+			if !fits && (len(batch) > 0 || remove) {
 				rest = append(rest, w)
 				continue
 			}
