--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -101,6 +101,7 @@
 // first.
 type List struct {
 	machines []string
+	open     map[string]bool
 }
 
 // Walk calls fits from the front on and returns the first machine that fits,
@@ -117,10 +118,11 @@
 
 // MoveToFront puts a machine first; one that is not listed is opened so.
 func (l *List) MoveToFront(machine string) {
-	at := slices.Index(l.machines, machine)
-	if at < 0 {
-		l.machines = append(l.machines, "")
-		at = len(l.machines) - 1
+	at := len(l.machines)
+	if l.Has(machine) {
+		at = slices.Index(l.machines, machine)
+	} else {
+		l.Append(machine)
 	}
 	copy(l.machines[1:at+1], l.machines[:at])
 	l.machines[0] = machine
@@ -128,20 +130,28 @@
 
 // Append adds a machine at the end, when a list is rebuilt.
 func (l *List) Append(machine string) {
-	if !l.Has(machine) {
-		l.machines = append(l.machines, machine)
+	if l.Has(machine) {
+		return
+	}
+	if l.open == nil {
+		l.open = map[string]bool{}
 	}
+	l.open[machine] = true
+	l.machines = append(l.machines, machine)
 }
 
 // Close removes a machine whose last task has ended.
 func (l *List) Close(machine string) {
-	if at := slices.Index(l.machines, machine); at >= 0 {
-		l.machines = slices.Delete(l.machines, at, at+1)
+	if !l.Has(machine) {
+		return
 	}
+	delete(l.open, machine)
+	at := slices.Index(l.machines, machine)
+	l.machines = slices.Delete(l.machines, at, at+1)
 }
 
 // Has tells whether the machine is open.
-func (l *List) Has(machine string) bool { return slices.Contains(l.machines, machine) }
+func (l *List) Has(machine string) bool { return l.open[machine] }
 
 // Order returns the machines, front first.
 func (l *List) Order() []string { return slices.Clone(l.machines) }
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -125,7 +125,7 @@
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	defer s.poke()
+	defer s.redivide()
 	s.building = false
 	if now, _ := s.opts.Authority.Division(); err != nil || ctx.Err() != nil || now.Token != epoch.Token {
 		// The next division starts over: what was read may be outdated.
@@ -434,7 +434,7 @@
 	_, _, named := s.opts.Authority.OwnerOf(r.Machine)
 	if owned || named || !s.opts.Authority.Fresh() || !s.loaded || s.adopted != s.opts.Authority.Token() {
 		// Given a moment ago, or perhaps one with tasks whose owner has gone.
-		s.poke()
+		s.redivide()
 		return nil, true
 	}
 	// A machine that the records do not name never had anything placed on it.
@@ -492,7 +492,7 @@
 					s.machines[m.Name] = m // not carried out: it is still ours
 				}
 			}
-			s.poke()
+			s.redivide()
 		})
 	}
 }
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -217,6 +217,7 @@
 	}
 	reply.Ready = true
 	now := time.Now()
+	s.beginPassLocked()
 	for _, w := range req.Wanted {
 		s.placeWantedLocked(req.Node, w, reply, now)
 	}
@@ -276,6 +277,7 @@
 		a := &fleet.Attempt{Key: key, Job: w.Job, Index: index, Guest: true, Epoch: s.div.Token}
 		s.describe(a, &r.Job)
 		m.Add(a, now)
+		m.looked = 0
 		m.dirty = true
 		m.useKept(w.Job)
 		g.zones[m.Zone]++
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -109,6 +109,7 @@
 		}
 	}
 	s.sortQueueLocked(queue, now)
+	s.beginPassLocked()
 	for _, js := range queue {
 		switch {
 		case js.guest:
@@ -137,6 +138,9 @@
 			}
 		}
 	}
+	if wants <= 0 {
+		return
+	}
 	for _, name := range s.list.Order() {
 		m := s.machines[name]
 		for wants > 0 && m != nil && s.fitsLocked(g, m, now) && g.size.Within(s.roomLocked(m, "", now)) {
@@ -149,7 +153,8 @@
 // roomLocked is the machine's free room less what is kept for guests other
 // than the job.
 func (s *Share) roomLocked(m *machine, job string, now time.Time) placement.Resources {
-	room := m.Free()
+	s.lookLocked(m, now)
+	room := m.free
 	m.kept = slices.DeleteFunc(m.kept, func(k keptRoom) bool { return !now.Before(k.until) })
 	for _, k := range m.kept {
 		if k.job != job {
@@ -248,6 +253,7 @@
 	// next try at once, for as long as the gang waits.
 	for _, b := range slices.Backward(booked) {
 		delete(b.m.Attempts, b.a.Key)
+		b.m.looked = 0
 		b.m.dirty = b.dirty
 		s.releaseLocked(b.a)
 		s.closeIfEmptyLocked(b.m)
@@ -270,14 +276,22 @@
 			js.waiting = time.Time{} // more machines would not help
 			return
 		}
-		m, wait := s.findHeldLocked(js, now, s.guaranteed(js))
-		if wait || m == nil && s.awaitHeldLocked(js, now) {
-			return
-		}
-		if m == nil {
-			m = s.findAnyLocked(js, now)
+		var m *machine
+		sh, plain := js.shapeOf()
+		if full := plain && s.pass.full[sh]; !full || js.service() {
+			var wait bool
+			m, wait = s.findHeldLocked(js, now, s.guaranteed(js))
+			if wait || m == nil && s.awaitHeldLocked(js, now) {
+				return
+			}
+			if m == nil && !full {
+				m = s.findAnyLocked(js, now)
+			}
 		}
 		if m == nil {
+			if plain {
+				s.pass.full[sh] = true
+			}
 			if js.waiting.IsZero() {
 				js.waiting = now
 			}
@@ -384,29 +398,6 @@
 	return sum.Within(placement.Capacity(m.Type).Times(0.5))
 }
 
-// idleLocked returns the idle machine to open for the job: one that holds its
-// image before others, then spot before ordinary, which other jobs may need,
-// then by name.
-func (s *Share) idleLocked(js *jobState, now time.Time) *machine {
-	var best *machine
-	better := func(a, b *machine) bool {
-		return cmp.Or(
-			-cmp.Compare(boolInt(a.HoldsImage(js.rec.Job.Image)), boolInt(b.HoldsImage(js.rec.Job.Image))),
-			-cmp.Compare(boolInt(a.Spot), boolInt(b.Spot)),
-			cmp.Compare(a.Name, b.Name),
-		) < 0
-	}
-	for _, m := range s.machines {
-		if s.list.Has(m.Name) || !s.fitsLocked(js, m, now) {
-			continue
-		}
-		if best == nil || better(m, best) {
-			best = m
-		}
-	}
-	return best
-}
-
 // usableLocked tells whether new tasks may go to the machine at all.
 func (s *Share) usableLocked(m *machine, now time.Time) bool {
 	return s.synced(m) && m.Type != nil && !m.returning && !m.suspect && m.failures == 0 &&
@@ -415,10 +406,10 @@
 }
 
 func (s *Share) fitsLocked(js *jobState, m *machine, now time.Time) bool {
-	if !s.usableLocked(m, now) {
+	if s.lookLocked(m, now); !m.usable || !js.size.Within(m.free) {
 		return false
 	}
-	return js.size.Within(s.roomLocked(m, js.rec.Job.ID, now)) && s.allowedLocked(js, m)
+	return (len(m.kept) == 0 || js.size.Within(s.roomLocked(m, js.rec.Job.ID, now))) && s.allowedLocked(js, m)
 }
 
 func (s *Share) allowedLocked(js *jobState, m *machine) bool {
@@ -442,6 +433,7 @@
 func (s *Share) placeLocked(js *jobState, index int, m *machine, now time.Time) *fleet.Attempt {
 	a := s.newAttempt(js, index)
 	m.Add(a, now)
+	m.looked = 0
 	s.countLocked(m.Zone, a)
 	m.dirty = true
 	s.log.Debug("placed", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "image_held", m.HoldsImage(a.Image))
@@ -461,6 +453,9 @@
 // so asked, only on machines that hold the job's image. It tells whether room
 // is being made.
 func (s *Share) preemptLocked(js *jobState, now time.Time, held, guaranteed bool) bool {
+	if !s.mayPreemptAnyLocked(js, guaranteed) {
+		return false
+	}
 	// What was stopped a moment ago has not made its room yet.
 	if now.Sub(js.preempted) < 2*time.Second && s.stoppingLocked() {
 		return true
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -108,6 +109,9 @@
 	dirty      bool  // its record must be written
 	sending    bool  // a direct command is under way
 	sendAgain  bool
+	looked     uint64 // the pass that found the next two
+	usable     bool
+	free       placement.Resources
 	probing    bool
 	probed     time.Time
 	failures   int       // probes without answer since the last sign of life
@@ -177,8 +181,11 @@
 	types map[string]*wire.MachineType
 	teams map[string]config.Team
 	wake  chan struct{}
-	ctx   context.Context
-	group *errgroup.Group
+	// divided is cleared when the epoch, an owner or a job may ask for another
+	// division: looking for that takes as long as the fleet is large.
+	divided atomic.Bool
+	ctx     context.Context
+	group   *errgroup.Group
 
 	mu       sync.Mutex
 	div      division
@@ -202,6 +209,7 @@
 	telling  bool              // they are being told
 	moving   map[string]bool   // machines whose owner is being written
 	list     placement.List
+	pass     pass
 	used     map[string]placement.Resources // by team, all that may be on machines
 	number   uint64                         // last attempt number
 	returned map[string]time.Time           // machines that are surely gone
@@ -308,6 +316,7 @@
 			return nil
 		case <-s.wake:
 		case now := <-tick.C:
+			s.divided.Store(false) // in case that a change went unnoticed
 			s.mu.Lock()
 			s.regroupLocked(now)
 			s.watchMachinesLocked(now)
@@ -324,16 +333,32 @@
 			s.mu.Unlock()
 		}
 		s.mu.Lock()
-		s.divideLocked()
+		if !s.divided.Swap(true) {
+			s.divideLocked()
+		}
 		s.scheduleLocked(time.Now())
 		s.commitLocked()
 		s.lendLocked(time.Now())
 		s.mu.Unlock()
+		if !pause(ctx, passEvery) {
+			return nil
+		}
 	}
 }
 
+// passEvery is how long a pass waits after the one before. What comes
+// meanwhile is served together: under load a pass for each report would take
+// more than the share of a processor.
+const passEvery = 10 * time.Millisecond
+
 // Changed tells the share that the epoch or a machine's owner has changed.
-func (s *Share) Changed() { s.poke() }
+func (s *Share) Changed() { s.redivide() }
+
+// redivide has the next pass look at who owns what.
+func (s *Share) redivide() {
+	s.divided.Store(false)
+	s.poke()
+}
 
 func (s *Share) poke() {
 	select {
@@ -674,6 +699,7 @@
 		if !s.loaded || r.Version <= s.div.since.Version {
 			// Accepted before the division that made it ours: its owner then
 			// may have placed it, which the records tell.
+			s.divided.Store(false)
 			return
 		}
 		s.addJobLocked(r)
