--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -155,7 +155,6 @@
 	owners        map[string]Owner    // by machine
 	transfers     map[string]transfer // by key
 	written       uint64              // transfers written
-	tidied        time.Time           // when settled transfers were last removed
 	workersHeard  map[string]time.Time
 	stopShare     context.CancelFunc
 	sharing       chan struct{} // closed when the current Share has returned
@@ -198,6 +197,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.watch(ctx) })
 	g.Go(func() error { return c.stand(ctx) })
+	g.Go(func() error { return c.tidyUp(ctx) })
 	for _, p := range c.peers {
 		g.Go(func() error { return c.beat(ctx, p) })
 	}
@@ -626,7 +626,6 @@
 		case leading:
 			c.keep(ctx)
 			c.manage(ctx)
-			c.tidy(ctx)
 		case free || mine:
 			// Whoever comes first wins; jitter makes a tie rare.
 			sleep(ctx, rand.N(100*time.Millisecond))
--- a/internal/cluster/owners.go
+++ b/internal/cluster/owners.go
@@ -164,6 +164,16 @@
 // tidyEvery is how often the leader looks for transfers to remove.
 const tidyEvery = 10 * time.Second
 
+// tidyUp tidies now and then, apart from what keeps the leader's lease: it
+// waits behind everything else for the state service's limits.
+func (c *Cluster) tidyUp(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, tidyEvery)
+		c.tidy(ctx)
+	}
+	return nil
+}
+
 // tidy removes transfers that decide nothing any more: newer ones name all
 // their machines, or the owner's tenure is over and none older names them. A
 // late copy of a transfer would bring it back as the newest one, so one is
@@ -171,11 +181,10 @@
 func (c *Cluster) tidy(ctx context.Context) {
 	const most = 8 // changes; it need not be quick
 	c.mu.Lock()
-	if !c.leadsLocked() || c.revision < c.version || time.Since(c.tidied) < tidyEvery {
+	if !c.leadsLocked() || c.revision < c.version {
 		c.mu.Unlock()
 		return
 	}
-	c.tidied = time.Now()
 	txn := wire.Txn{If: []wire.Condition{{Key: epochKey, Version: c.version}}}
 	oldest := map[string]uint64{} // by machine, the oldest transfer that names it
 	for _, t := range c.transfers {
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -328,7 +328,7 @@
 		}
 	}
 	found := map[string]*fleet.Machine{}
-	on := map[string]*page{}
+	on := map[string][]*page{}
 	for _, rp := range r.pages {
 		p := s.takePageLocked(rp)
 		for name, record := range rp.Machines {
@@ -341,8 +341,11 @@
 				} else {
 					found[name] = fleet.FromRecord(name, record, s.div.Token, now)
 				}
-				if p != nil && on[name] == nil {
-					on[name] = p
+				if p != nil {
+					if len(on[name]) > 0 {
+						p.leftover[name] = record
+					}
+					on[name] = append(on[name], p)
 				}
 			default:
 				s.lendRecordLocked(fleet.FromRecord(name, record, s.div.Token, now), host, r.ended, gained)
@@ -370,7 +373,7 @@
 	if s.div.Leader != s.opts.Node || ok && s.div.Members[node].Since == since {
 		return nil
 	}
-	p := &page{key: rp.key, version: rp.version, size: rp.size, machines: map[string]bool{}, untidy: true}
+	p := &page{key: rp.key, version: rp.version, size: rp.size, machines: map[string]bool{}, untidy: true, leftover: map[string]fleet.Record{}}
 	s.pages[p.key] = p
 	return p
 }
@@ -398,13 +401,16 @@
 	return o.Gone()
 }
 
-func (s *Share) adoptMachineLocked(fm *fleet.Machine, p *page, ended map[string]job.Final, now time.Time) {
+// adoptMachineLocked takes a machine with what the records say may be on it.
+// on are the pages that hold those: the first is its own from now on.
+func (s *Share) adoptMachineLocked(fm *fleet.Machine, on []*page, ended map[string]job.Final, now time.Time) {
 	answered := s.early[fm.Name]
 	m := s.addMachineLocked(fm, now)
 	m.LastAnswer = answered
-	if p != nil {
-		m.page = p
-		p.machines[m.Name] = true
+	if len(on) > 0 {
+		m.page, m.elsewhere = on[0], on[1:]
+		m.page.machines[m.Name] = true
+		m.dirty = len(m.elsewhere) > 0
 	}
 	over := map[string]job.Final{}
 	for _, a := range m.Attempts {
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -25,6 +25,10 @@
 	machines   map[string]bool // whose records belong on it
 	committing bool
 	untidy     bool // what the store holds names machines that are no longer here
+	// leftover holds, by machine, what the page says of machines that now
+	// belong on another one, until that one has been written: a page written
+	// without it before would leave no record of what may be on the machine.
+	leftover map[string]fleet.Record
 }
 
 // valueSlack is left free of what a value may hold.
@@ -65,6 +69,17 @@
 		m.page.untidy = m.page.untidy || m.page.version > 0
 		m.page = nil
 	}
+	m.dropLeftovers()
+}
+
+// dropLeftovers ends the keeping of the machine's records on other pages: its
+// own page holds what may be on it, or nothing is.
+func (m *machine) dropLeftovers() {
+	for _, p := range m.elsewhere {
+		delete(p.leftover, m.Name)
+		p.untidy = true
+	}
+	m.elsewhere = nil
 }
 
 // writing tells whether a record of the machine is on its way.
@@ -81,7 +96,6 @@
 		if !m.dirty || m.returning || m.writing() {
 			continue
 		}
-		s.dropStaleGuestsLocked(m)
 		if m.page == nil {
 			m.page = s.pageLocked()
 			m.page.machines[m.Name] = true
@@ -117,6 +131,7 @@
 	pages    []*page
 	sizes    []int
 	attempts map[*machine][]*fleet.Attempt // that it records for the first time
+	recorded []*machine                    // with records left over on other pages
 }
 
 // writePageLocked writes a page. The write is fenced by the epoch, by the
@@ -144,7 +159,10 @@
 		pw.write.If = append(pw.write.If, js.rec.Condition())
 		return false
 	}
-	if len(p.machines) == 0 {
+	for name := range p.machines {
+		s.dropStaleGuestsLocked(s.machines[name])
+	}
+	if len(p.machines)+len(p.leftover) == 0 {
 		delete(s.pages, p.key)
 		if p.version == 0 {
 			return
@@ -155,7 +173,7 @@
 	for todo := []*page{p}; len(todo) > 0; {
 		p := todo[0]
 		todo = todo[1:]
-		if len(p.machines) == 0 {
+		if len(p.machines)+len(p.leftover) == 0 {
 			continue
 		}
 		value := s.encodeLocked(p, leaveOut)
@@ -179,6 +197,9 @@
 		for name := range p.machines {
 			m := s.machines[name]
 			m.dirty = false
+			if len(m.elsewhere) > 0 {
+				pw.recorded = append(pw.recorded, m)
+			}
 			for _, a := range m.Attempts {
 				if a.Durable || a.Exited() {
 					continue
@@ -201,6 +222,7 @@
 	s.serial++ // any number that never comes again under this token
 	content := fleet.Page{Machines: make(map[string]fleet.Record, len(p.machines)),
 		Write: fmt.Sprintf("%s-%d-%d", s.opts.Node, s.div.Token, s.serial)}
+	maps.Copy(content.Machines, p.leftover)
 	for name := range p.machines {
 		content.Machines[name] = s.machines[name].Record(leaveOut)
 	}
@@ -244,6 +266,11 @@
 		p.committing = false
 		if err == nil {
 			p.version, p.size = version, pw.sizes[i]
+			for _, m := range pw.recorded {
+				if m.page == p {
+					m.dropLeftovers()
+				}
+			}
 		} else if v, ok := reread[p]; ok {
 			p.version = v
 		}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -105,9 +105,10 @@
 // machine is a machine of the share, with what the share decides about it.
 type machine struct {
 	*fleet.Machine
-	page       *page // where its record is; nil: it has none
-	dirty      bool  // its record must be written
-	sending    bool  // a direct command is under way
+	page       *page   // where its record is; nil: it has none
+	elsewhere  []*page // that still hold a record of it
+	dirty      bool    // its record must be written
+	sending    bool    // a direct command is under way
 	sendAgain  bool
 	looked     uint64 // the pass that found the next two
 	usable     bool
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -307,3 +307,55 @@
 		}
 	})
 }
+
+// A machine whose record is on two pages, as after it has changed hands, keeps
+// the newer one until its own page holds it: whatever is written first, the
+// store always names what may be on the machine.
+func TestRecordOutlivesItsPage(t *testing.T) {
+	for _, current := range []string{"machines/old/1/1", "machines/old/1/2"} {
+		synctest.Test(t, func(t *testing.T) {
+			s, p, _ := newTestShare(t)
+			p.add("wk-1", "ours", wire.PriorityNormal, 1, 1)
+			s.addJobLocked(p.active["wk-1"])
+			stored := map[string]fleet.Page{}
+			r := records{}
+			for _, key := range []string{"machines/old/1/1", "machines/old/1/2"} {
+				page := fleet.Page{Machines: map[string]fleet.Record{"m2": {Address: "m2", Type: "m", Zone: "z", Session: 1}}}
+				if key == current {
+					page.Machines["m2"] = fleet.Record{Address: "m2", Type: "m", Zone: "z", Session: 1, Attempts: map[string]uint64{"wk-1/0": 9}}
+				}
+				stored[key] = page
+				r.pages = append(r.pages, recordPage{Page: page, key: key, version: 3, size: 100})
+			}
+			s.placeRecordsLocked(r, nil, map[string]bool{"wk-1": true}, time.Now())
+			for range 3 {
+				s.tidyLocked()
+				s.commitLocked()
+				synctest.Wait()
+				for _, w := range p.writes {
+					for _, change := range w.Then {
+						delete(stored, change.Delete)
+						if change.Put != "" {
+							page, err := fleet.ReadPage(change.Put, change.Value)
+							if err != nil {
+								t.Fatal(err)
+							}
+							stored[change.Put] = page
+						}
+					}
+					found := false
+					for _, page := range stored {
+						found = found || page.Machines["m2"].Attempts["wk-1/0"] == 9
+					}
+					if !found {
+						t.Fatalf("current on %s: the store forgot what may be on the machine", current)
+					}
+				}
+				p.writes = nil
+			}
+			if len(stored) != 1 {
+				t.Errorf("current on %s: %d pages name the machine in the end, want 1", current, len(stored))
+			}
+		})
+	}
+}
