--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -31,6 +31,13 @@
 	return fmt.Sprintf("%s%s/%d/%d", RecordPrefix, node, since, n)
 }
 
+// JournalKey is the key of a member's journal: a page that holds, of all its
+// machines, the attempts that their own pages do not hold yet.
+func JournalKey(node string, since uint64) string { return PageKey(node, since, 0) }
+
+// IsJournal tells whether a key is a journal's.
+func IsJournal(key string) bool { return strings.HasSuffix(key, "/0") }
+
 // PageOwner tells which member named a page. ok is false for a key of the
 // earlier form, which holds one machine and has no owner.
 func PageOwner(key string) (node string, since uint64, ok bool) {
@@ -62,9 +69,9 @@
 // Record is what the store holds of a machine: which attempts may be on it.
 // It is written before the start of any of them can be sent.
 type Record struct {
-	Address  string            `json:"address"`
-	Type     string            `json:"type"`
-	Zone     string            `json:"zone"`
+	Address  string            `json:"address,omitempty"`
+	Type     string            `json:"type,omitempty"`
+	Zone     string            `json:"zone,omitempty"`
 	Spot     bool              `json:"spot,omitempty"`
 	Session  uint64            `json:"session"`
 	Seq      uint64            `json:"seq,omitempty"`   // of the newest report, where a machine changes hands
@@ -99,6 +106,26 @@
 	return r
 }
 
+// Extract returns the part of the machine's record that holds its loose
+// attempts, and whether there are any. The rest is on the machine's page, if
+// it has one.
+func (m *Machine) Extract(paged bool) (r Record, ok bool) {
+	r.Session = m.Session
+	if !paged {
+		r.Address, r.Type, r.Zone, r.Spot = m.Address, m.TypeName, m.Zone, m.Spot
+	}
+	for _, a := range m.Attempts {
+		if !a.Loose || a.Exited() {
+			continue
+		}
+		if r.Attempts == nil {
+			r.Attempts = map[string]uint64{}
+		}
+		r.Attempts[a.Task] = max(r.Attempts[a.Task], a.Attempt)
+	}
+	return r, r.Attempts != nil
+}
+
 // Handover returns what the next owner of an idle machine is to know of it.
 func (m *Machine) Handover() Record {
 	r := m.Record(func(*Attempt) bool { return true })
@@ -110,11 +137,7 @@
 // on it until a report under token, the new epoch's, shows otherwise.
 func FromRecord(name string, r Record, token uint64, now time.Time) *Machine {
 	m := NewMachine(name)
-	m.Address, m.TypeName, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
-	m.Session, m.Seq, m.Token = r.Session, r.Seq, r.Token
-	for i, image := range r.Images {
-		m.Images[image.Name] = Held{GB: image.GB, Used: now.Add(-time.Duration(i) * time.Second)}
-	}
+	m.Seq, m.Token = r.Seq, r.Token
 	m.Recover(r, token, now)
 	return m
 }
@@ -123,6 +146,14 @@
 // machine changes hands, its owner before may still hold an older one.
 func (m *Machine) Recover(r Record, token uint64, now time.Time) {
 	m.Session = max(m.Session, r.Session)
+	if m.Address == "" {
+		m.Address, m.TypeName, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
+	}
+	if len(m.Images) == 0 {
+		for i, image := range r.Images {
+			m.Images[image.Name] = Held{GB: image.GB, Used: now.Add(-time.Duration(i) * time.Second)}
+		}
+	}
 	for task, attempt := range r.Attempts {
 		job, index, ok := wire.SplitTaskID(task)
 		if !ok {
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -342,10 +342,10 @@
 					found[name] = fleet.FromRecord(name, record, s.div.Token, now)
 				}
 				if p != nil {
-					if len(on[name]) > 0 {
+					on[name] = append(on[name], p)
+					if len(on[name]) > 1 || fleet.IsJournal(p.key) {
 						p.leftover[name] = record
 					}
-					on[name] = append(on[name], p)
 				}
 			default:
 				s.lendRecordLocked(fleet.FromRecord(name, record, s.div.Token, now), host, r.ended, gained)
@@ -407,11 +407,12 @@
 	answered := s.early[fm.Name]
 	m := s.addMachineLocked(fm, now)
 	m.LastAnswer = answered
-	if len(on) > 0 {
-		m.page, m.elsewhere = on[0], on[1:]
+	if len(on) > 0 && !fleet.IsJournal(on[0].key) {
+		m.page, on = on[0], on[1:]
 		m.page.machines[m.Name] = true
-		m.dirty = len(m.elsewhere) > 0
 	}
+	m.elsewhere = on
+	m.due = len(m.elsewhere) > 0
 	over := map[string]job.Final{}
 	for _, a := range m.Attempts {
 		if f, ok := ended[a.Job]; ok {
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -40,6 +40,9 @@
 	limit := s.opts.Settings.ValueBytes * 3 / 4
 	var best *page
 	for _, p := range s.pages {
+		if fleet.IsJournal(p.key) {
+			continue
+		}
 		// What is booked since the last write is not in its size yet.
 		each := max(p.size/max(len(p.machines), 1), 512)
 		if each*(len(p.machines)+1) <= limit && (best == nil || len(p.machines) > len(best.machines) ||
@@ -85,28 +88,38 @@
 // writing tells whether a record of the machine is on its way.
 func (m *machine) writing() bool { return m.page != nil && m.page.committing }
 
-// commitLocked writes the pages of machines with new placements; all that has
-// gathered while a page was being written goes with its next write.
+// commitLocked records new placements: all that have gathered while the
+// journal was being written go with its next write. So a burst over all
+// machines is one change at a time, however many pages there are; those are
+// written when the journal fills.
 func (s *Share) commitLocked() {
 	if _, condition := s.opts.Authority.Division(); condition != s.div.condition {
 		return // would only fail, and failures cost writes too
 	}
 	due := map[*page]bool{}
+	var dirty []*machine
 	for _, m := range s.machines {
-		if !m.dirty || m.returning || m.writing() {
+		if m.returning || !m.due && !m.dirty {
 			continue
 		}
-		if m.page == nil {
+		if m.due && m.page == nil {
 			m.page = s.pageLocked()
 			m.page.machines[m.Name] = true
 		}
-		if !m.page.committing {
+		switch {
+		case m.due && !m.page.committing:
 			due[m.page] = true
+		case m.dirty:
+			dirty = append(dirty, m)
 		}
 	}
 	for p := range due {
 		s.writePageLocked(p, state.Placement)
 	}
+	dirty = slices.DeleteFunc(dirty, func(m *machine) bool { return !m.dirty }) // on a page just written
+	if len(dirty) > 0 {
+		s.writeJournalLocked(dirty)
+	}
 }
 
 // tidyEvery is how often pages are tidied: nobody waits for it.
@@ -119,49 +132,149 @@
 		return
 	}
 	for _, p := range s.pages {
-		if p.untidy && !p.committing {
+		if p.untidy && !p.committing && p != s.journal {
 			s.writePageLocked(p, state.Background)
 		}
 	}
 }
 
-// pageWrite is one write of a page, and of those that it was split into.
+// pageWrite is one write of the journal, or of a page and those that it was
+// split into.
 type pageWrite struct {
 	write    state.Write
+	journal  bool
 	pages    []*page
 	sizes    []int
+	jobs     map[string]bool               // whose being active it is conditional on
 	attempts map[*machine][]*fleet.Attempt // that it records for the first time
+	moved    []*fleet.Attempt              // that only the journal held
 	recorded []*machine                    // with records left over on other pages
 }
 
-// writePageLocked writes a page. The write is fenced by the epoch, by the
-// page's own version, and by each job that it records an attempt of being
-// active, so that nothing is placed for a job cancelled a moment ago.
-func (s *Share) writePageLocked(p *page, priority state.Priority) {
-	pw := &pageWrite{attempts: map[*machine][]*fleet.Attempt{}}
-	pw.write = state.Write{Priority: priority, If: []wire.Condition{s.div.condition}, Persist: true, Fresh: s.freshLocked()}
-	// Half of the conditions that a transaction takes: the rest is for others'
-	// writes beside this one. What finds no place goes with the next write.
-	most := max(1, 2*s.opts.Settings.TxnOps)
-	jobs := map[string]bool{}
-	leaveOut := func(a *fleet.Attempt) bool {
-		if a.Durable || jobs[a.Job] {
-			return false
+func (s *Share) newPageWriteLocked(priority state.Priority) *pageWrite {
+	return &pageWrite{attempts: map[*machine][]*fleet.Attempt{}, jobs: map[string]bool{}, write: state.Write{
+		Priority: priority, If: []wire.Condition{s.div.condition}, Persist: true, Fresh: s.freshLocked()}}
+}
+
+// admitsLocked tells whether the write can record an attempt, and makes it
+// conditional on the attempt's job being active, so that nothing is placed for
+// one cancelled a moment ago. A write takes half of the conditions that a
+// transaction can have: the rest is for others' writes beside it. What finds
+// no place goes with the next write.
+func (s *Share) admitsLocked(pw *pageWrite, a *fleet.Attempt) bool {
+	if a.Durable || pw.jobs[a.Job] {
+		return true
+	}
+	js := s.jobOf(a.Job)
+	if js == nil {
+		return true
+	}
+	if len(pw.jobs) >= max(1, 2*s.opts.Settings.TxnOps) {
+		return false
+	}
+	pw.jobs[a.Job] = true
+	pw.write.If = append(pw.write.If, js.rec.Condition())
+	return true
+}
+
+// records notes that the write records an attempt for the first time.
+func (pw *pageWrite) records(m *machine, a *fleet.Attempt) {
+	pw.attempts[m] = append(pw.attempts[m], a)
+	if a.Rank == 0 {
+		pw.write.Priority = state.Safety // replicas are down until then
+	}
+}
+
+// put adds a page to the write.
+func (pw *pageWrite) put(p *page, value json.RawMessage) {
+	p.committing, p.untidy = true, false
+	pw.pages, pw.sizes = append(pw.pages, p), append(pw.sizes, len(value))
+	pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
+	pw.write.Then = append(pw.write.Then, wire.Change{Put: p.key, Value: value})
+}
+
+// About what a record and an attempt in it take of the journal; the names are
+// the cloud's and the users', so some are left room for.
+const (
+	recordSize  = 80
+	attemptSize = 48
+)
+
+// writeJournalLocked writes the journal: the attempts that are on no record,
+// and those that it alone holds. When it is three quarters full, the pages of
+// its machines are due.
+func (s *Share) writeJournalLocked(dirty []*machine) {
+	if s.journal == nil {
+		s.journal = &page{key: fleet.JournalKey(s.opts.Node, s.div.Members[s.opts.Node].Since)}
+		s.pages[s.journal.key] = s.journal
+	}
+	if s.journal.committing {
+		return
+	}
+	pw := s.newPageWriteLocked(state.Placement)
+	pw.journal = true
+	content := fleet.Page{Machines: map[string]fleet.Record{}, Write: s.markLocked()}
+	size, limit := 0, s.opts.Settings.ValueBytes-valueSlack
+	add := func(m *machine, r fleet.Record) {
+		content.Machines[m.Name] = r
+		size += recordSize + len(m.Name) + len(r.Address) + len(r.Type) + len(r.Zone) + attemptSize*len(r.Attempts)
+	}
+	paged := func(m *machine) bool { return m.page != nil && m.page.version > 0 }
+	for _, m := range s.machines {
+		if r, ok := m.Extract(paged(m)); ok {
+			add(m, r)
 		}
-		js := s.jobOf(a.Job)
-		if js == nil {
-			return false
+	}
+	for _, m := range dirty {
+		s.dropStaleGuestsLocked(m)
+		m.dirty = false
+		for _, a := range m.Attempts {
+			if a.Durable || a.Exited() {
+				continue
+			}
+			if size > limit-2*recordSize-attemptSize || !s.admitsLocked(pw, a) {
+				m.dirty = true
+				continue
+			}
+			if _, ok := content.Machines[m.Name]; !ok {
+				r, _ := m.Extract(paged(m))
+				r.Attempts = map[string]uint64{}
+				add(m, r)
+			}
+			content.Machines[m.Name].Attempts[a.Task] = a.Attempt
+			size += attemptSize
+			pw.records(m, a)
 		}
-		if len(jobs) >= most {
-			return true
+	}
+	if size > limit*3/4 {
+		for name := range content.Machines {
+			s.machines[name].due = true
 		}
-		jobs[a.Job] = true
-		pw.write.If = append(pw.write.If, js.rec.Condition())
-		return false
+		s.poke()
+	}
+	if len(pw.attempts) == 0 {
+		return
 	}
+	value, err := json.Marshal(content)
+	if err != nil {
+		s.log.Error("encoding the journal", "err", err)
+	}
+	pw.put(s.journal, value)
+	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
+}
+
+// markLocked returns what no other write bears.
+func (s *Share) markLocked() string {
+	s.serial++ // any number that never comes again under this token
+	return fmt.Sprintf("%s-%d-%d", s.opts.Node, s.div.Token, s.serial)
+}
+
+// writePageLocked writes a page, fenced by the epoch and by its own version.
+func (s *Share) writePageLocked(p *page, priority state.Priority) {
 	for name := range p.machines {
 		s.dropStaleGuestsLocked(s.machines[name])
 	}
+	pw := s.newPageWriteLocked(priority)
 	if len(p.machines)+len(p.leftover) == 0 {
 		delete(s.pages, p.key)
 		if p.version == 0 {
@@ -176,7 +289,7 @@
 		if len(p.machines)+len(p.leftover) == 0 {
 			continue
 		}
-		value := s.encodeLocked(p, leaveOut)
+		value := s.encodeLocked(p, pw)
 		if len(value) > s.opts.Settings.ValueBytes-valueSlack && len(p.machines) > 1 {
 			half := s.newPageLocked()
 			names := slices.Sorted(maps.Keys(p.machines))
@@ -188,29 +301,26 @@
 			todo = append(todo, p, half)
 			continue
 		}
-		p.committing, p.untidy = true, false
-		pw.pages, pw.sizes = append(pw.pages, p), append(pw.sizes, len(value))
-		pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
-		pw.write.Then = append(pw.write.Then, wire.Change{Put: p.key, Value: value})
+		pw.put(p, value)
 	}
 	for _, p := range pw.pages {
 		for name := range p.machines {
 			m := s.machines[name]
-			m.dirty = false
+			m.dirty, m.due = false, false
 			if len(m.elsewhere) > 0 {
 				pw.recorded = append(pw.recorded, m)
 			}
 			for _, a := range m.Attempts {
-				if a.Durable || a.Exited() {
-					continue
-				}
-				if leaveOut(a) {
+				switch {
+				case a.Exited():
+				case a.Durable:
+					if a.Loose {
+						pw.moved = append(pw.moved, a)
+					}
+				case s.admitsLocked(pw, a):
+					pw.records(m, a)
+				default:
 					m.dirty = true
-					continue
-				}
-				pw.attempts[m] = append(pw.attempts[m], a)
-				if a.Rank == 0 {
-					pw.write.Priority = state.Safety // replicas are down until then
 				}
 			}
 		}
@@ -218,13 +328,11 @@
 	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
 }
 
-func (s *Share) encodeLocked(p *page, leaveOut func(*fleet.Attempt) bool) json.RawMessage {
-	s.serial++ // any number that never comes again under this token
-	content := fleet.Page{Machines: make(map[string]fleet.Record, len(p.machines)),
-		Write: fmt.Sprintf("%s-%d-%d", s.opts.Node, s.div.Token, s.serial)}
+func (s *Share) encodeLocked(p *page, pw *pageWrite) json.RawMessage {
+	content := fleet.Page{Machines: make(map[string]fleet.Record, len(p.machines)), Write: s.markLocked()}
 	maps.Copy(content.Machines, p.leftover)
 	for name := range p.machines {
-		content.Machines[name] = s.machines[name].Record(leaveOut)
+		content.Machines[name] = s.machines[name].Record(func(a *fleet.Attempt) bool { return !s.admitsLocked(pw, a) })
 	}
 	value, err := json.Marshal(content)
 	if err != nil {
@@ -276,30 +384,29 @@
 		}
 		p.untidy = p.untidy || err != nil
 	}
-	again := false
 	for m, attempts := range pw.attempts {
 		if err != nil {
 			m.dirty = true
 			continue
 		}
 		for _, a := range attempts {
-			a.Durable = true
+			a.Durable, a.Paged = true, a.Paged || !pw.journal
+			a.Loose = !a.Paged
 		}
 		if s.machines[m.Name] == m {
 			s.sendLocked(m)
 		}
 	}
-	for _, p := range pw.pages {
-		for name := range p.machines {
-			again = again || s.machines[name].dirty
-		}
-	}
 	if err == nil {
-		if again {
-			s.poke()
+		for _, a := range pw.moved {
+			a.Loose, a.Paged = false, true
 		}
+		s.poke() // for what has gathered meanwhile
 		return
 	}
+	for _, m := range pw.recorded {
+		m.due = true
+	}
 	s.log.Debug("recording placements failed", "err", err)
 	if conflict != nil {
 		for _, failed := range conflict.Failed {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -107,7 +107,8 @@
 	*fleet.Machine
 	page       *page   // where its record is; nil: it has none
 	elsewhere  []*page // that still hold a record of it
-	dirty      bool    // its record must be written
+	dirty      bool    // it has attempts that are on no record yet
+	due        bool    // its page must be written
 	sending    bool    // a direct command is under way
 	sendAgain  bool
 	looked     uint64 // the pass that found the next two
@@ -202,6 +203,7 @@
 	asking   map[string]*asking
 	machines map[string]*machine
 	pages    map[string]*page  // the keys that hold the machines' records
+	journal  *page             // holds what the pages do not hold yet
 	paged    uint64            // pages named so far
 	shelves  map[string]*shelf // the keys that hold done tasks
 	shelved  uint64            // shelves named so far
