--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -323,26 +323,27 @@
 	}
 	reply.Ready = true
 	now := time.Now()
-	find := func(at *peerpb.Attempt) (*machine, *fleet.Attempt) {
-		key := fleet.Key{Task: at.Task, Attempt: at.Attempt}
-		for _, m := range s.machines {
-			if a := m.Attempts[key]; a != nil {
-				return m, a
-			}
+	// A peer asks about hundreds at once.
+	here := map[fleet.Key]*machine{}
+	for _, m := range s.machines {
+		for key := range m.Attempts {
+			here[key] = m
 		}
-		return nil, nil
 	}
 	for _, at := range req.Handled {
-		if _, a := find(at); a != nil && a.Exited() {
-			a.Handled = true
+		key := fleet.Key{Task: at.Task, Attempt: at.Attempt}
+		if m := here[key]; m != nil && m.Attempts[key].Exited() {
+			m.Attempts[key].Handled = true
 		}
 	}
 	for _, at := range req.Attempts {
 		h := &peerpb.Hosted{Attempt: at}
-		if m, a := find(at); a != nil {
+		key := fleet.Key{Task: at.Task, Attempt: at.Attempt}
+		if m := here[key]; m != nil {
+			a := m.Attempts[key]
 			h.Known, h.Zone, h.State, h.Why = true, m.Zone, string(a.State), string(a.Why)
 		} else {
-			s.barred[fleet.Key{Task: at.Task, Attempt: at.Attempt}] = now
+			s.barred[key] = now
 		}
 		reply.Hosted = append(reply.Hosted, h)
 	}
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -201,8 +201,8 @@
 )
 
 // writeJournalLocked writes the journal: the attempts that are on no record,
-// and those that it alone holds. When it is three quarters full, the pages of
-// its machines are due.
+// and those that it alone holds. When it is half full, the pages of its machines
+// are due.
 func (s *Share) writeJournalLocked(dirty []*machine) {
 	if s.journal == nil {
 		s.journal = &page{key: fleet.JournalKey(s.opts.Node, s.div.Members[s.opts.Node].Since)}
@@ -246,7 +246,7 @@
 			pw.records(m, a)
 		}
 	}
-	if size > limit*3/4 {
+	if size > limit/2 && !s.checkpointingLocked() {
 		for name := range content.Machines {
 			s.machines[name].due = true
 		}
@@ -263,6 +263,22 @@
 	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
 }
 
+// checkpointingLocked tells whether pages are still due since the journal last
+// filled: what it gains meanwhile goes with the next round of them.
+func (s *Share) checkpointingLocked() bool {
+	for _, p := range s.pages {
+		if p.committing && p != s.journal {
+			return true
+		}
+	}
+	for _, m := range s.machines {
+		if m.due && !m.returning {
+			return true
+		}
+	}
+	return false
+}
+
 // markLocked returns what no other write bears.
 func (s *Share) markLocked() string {
 	s.serial++ // any number that never comes again under this token
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -171,17 +171,29 @@
 	}
 }
 
+// turn is what decides when a job is served; the lower goes first.
+type turn struct {
+	js         *jobState
+	rank       int
+	guaranteed int
+	urgency    int
+	remaining  float64
+}
+
 // sortQueueLocked puts jobs in the order in which they are served.
 func (s *Share) sortQueueLocked(queue []*jobState, now time.Time) {
-	slices.SortFunc(queue, func(a, b *jobState) int {
-		return cmp.Or(
-			cmp.Compare(a.rec.Job.Priority.Rank(), b.rec.Job.Priority.Rank()),
-			-cmp.Compare(boolInt(s.guaranteed(a)), boolInt(s.guaranteed(b))),
-			cmp.Compare(a.urgency(now), b.urgency(now)),
-			cmp.Compare(a.remaining(), b.remaining()),
-			cmp.Compare(a.rec.Job.ID, b.rec.Job.ID),
-		)
+	turns := make([]turn, len(queue))
+	for i, js := range queue {
+		turns[i] = turn{js: js, rank: js.rec.Job.Priority.Rank(), guaranteed: -boolInt(s.guaranteed(js)),
+			urgency: js.urgency(now), remaining: js.remaining()}
+	}
+	slices.SortFunc(turns, func(a, b turn) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.guaranteed, b.guaranteed), cmp.Compare(a.urgency, b.urgency),
+			cmp.Compare(a.remaining, b.remaining), cmp.Compare(a.js.rec.Job.ID, b.js.rec.Job.ID))
 	})
+	for i := range turns {
+		queue[i] = turns[i].js
+	}
 }
 
 func boolInt(b bool) int {
