--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -104,18 +104,26 @@
 	open     map[string]bool
 }
 
-// Walk calls fits from the front on and returns the first machine that fits,
-// which it moves to the front.
-func (l *List) Walk(fits func(machine string) bool) (machine string, ok bool) {
+// Find returns the first machine that fits and leaves the list as it is.
+func (l *List) Find(fits func(machine string) bool) (machine string, ok bool) {
 	for _, m := range l.machines {
 		if fits(m) {
-			l.MoveToFront(m)
 			return m, true
 		}
 	}
 	return "", false
 }
 
+// Walk calls fits from the front on and returns the first machine that fits,
+// which it moves to the front.
+func (l *List) Walk(fits func(machine string) bool) (machine string, ok bool) {
+	machine, ok = l.Find(fits)
+	if ok {
+		l.MoveToFront(machine)
+	}
+	return machine, ok
+}
+
 // MoveToFront puts a machine first; one that is not listed is opened so.
 func (l *List) MoveToFront(machine string) {
 	at := len(l.machines)
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -108,27 +108,72 @@
 			queue = append(queue, g)
 		}
 	}
-	s.sortQueueLocked(queue, now)
+	turns := s.sortQueueLocked(queue, now)
 	s.beginPassLocked()
-	for _, js := range queue {
-		switch {
-		case js.guest:
-			s.keepForLocked(js, now)
-		case js.rec.Job.Kind == wire.KindGang:
-			s.placeGangLocked(js, now)
-		default:
-			s.placeJobLocked(js, now)
+	// Among those whose turn is alike but for the work they have left, freed
+	// room first goes to whom it saves a fetch; then to any, in order.
+	for len(turns) > 0 {
+		n := 1
+		for n < len(turns) && turns[n].alike(turns[0]) {
+			n++
 		}
+		for _, t := range turns[:n] {
+			s.serveLocked(t.js, now, true)
+		}
+		for _, t := range turns[:n] {
+			s.serveLocked(t.js, now, false)
+		}
+		turns = turns[n:]
+	}
+}
+
+// serveLocked gives a job what there is for it. With held, an array goes only
+// where its image is.
+func (s *Share) serveLocked(js *jobState, now time.Time, held bool) {
+	switch {
+	case js.guest:
+		s.keepForLocked(js, now, held)
+	case js.rec.Job.Kind == wire.KindArray:
+		s.placeJobLocked(js, now, held)
+	case !held:
+	case js.rec.Job.Kind == wire.KindGang:
+		s.placeGangLocked(js, now)
+	default:
+		s.placeJobLocked(js, now, false)
 	}
 }
 
+// passesUpLocked tells whether a job leaves a machine that would have to fetch
+// its image to others whose image it holds: for as long as the fetch would
+// take, since then waiting has cost as much.
+func (s *Share) passesUpLocked(js *jobState, now time.Time) bool {
+	if js.passedUp.IsZero() {
+		js.passedUp = now
+	}
+	return now.Sub(js.passedUp) <= js.fetch
+}
+
+// longestFetch bounds what is taken for the time of a fetch.
+const longestFetch = 10 * time.Second
+
+// fetchTime is about how long a machine takes to fetch a job's image.
+func (s *Share) fetchTime(j *wire.Job) time.Duration {
+	longest := time.Duration(0)
+	for _, t := range s.types {
+		if t.FetchGBPerS > 0 {
+			longest = max(longest, time.Duration(j.ImageGB/t.FetchGBPerS*float64(time.Second)))
+		}
+	}
+	return min(longest, longestFetch)
+}
+
 // keepFor is how long room kept for a guest waits for it; its owner asks again
 // every lendAgain.
 const keepFor = 2 * lendAgain
 
 // keepForLocked keeps free room for the tasks that a guest has asked for in
 // vain.
-func (s *Share) keepForLocked(g *jobState, now time.Time) {
+func (s *Share) keepForLocked(g *jobState, now time.Time, held bool) {
 	id := g.rec.Job.ID
 	wants := min(g.asked, maxAskedPerJob)
 	for _, m := range s.machines {
@@ -143,7 +188,7 @@
 	}
 	for _, name := range s.list.Order() {
 		m := s.machines[name]
-		for wants > 0 && m != nil && s.fitsLocked(g, m, now) && g.size.Within(s.roomLocked(m, "", now)) {
+		for wants > 0 && m != nil && (!held || m.HoldsImage(g.rec.Job.Image)) && s.fitsLocked(g, m, now) && g.size.Within(s.roomLocked(m, "", now)) {
 			m.kept = append(m.kept, keptRoom{job: id, size: g.size, until: now.Add(keepFor)})
 			wants--
 		}
@@ -180,8 +225,13 @@
 	remaining  float64
 }
 
+// alike tells whether two jobs differ only in the work that is left.
+func (t turn) alike(o turn) bool {
+	return t.rank == o.rank && t.guaranteed == o.guaranteed && t.urgency == o.urgency
+}
+
 // sortQueueLocked puts jobs in the order in which they are served.
-func (s *Share) sortQueueLocked(queue []*jobState, now time.Time) {
+func (s *Share) sortQueueLocked(queue []*jobState, now time.Time) []turn {
 	turns := make([]turn, len(queue))
 	for i, js := range queue {
 		turns[i] = turn{js: js, rank: js.rec.Job.Priority.Rank(), guaranteed: -boolInt(s.guaranteed(js)),
@@ -194,6 +244,7 @@
 	for i := range turns {
 		queue[i] = turns[i].js
 	}
+	return turns
 }
 
 func boolInt(b bool) int {
@@ -275,7 +326,10 @@
 	}
 }
 
-func (s *Share) placeJobLocked(js *jobState, now time.Time) {
+// placeJobLocked places a job's tasks as far as there is room. With held, they
+// go where the job's image is, and elsewhere only once the job has passed up
+// enough.
+func (s *Share) placeJobLocked(js *jobState, now time.Time, held bool) {
 	for {
 		index, ok := js.nextTask()
 		if !ok {
@@ -296,7 +350,13 @@
 			if wait || m == nil && s.awaitHeldLocked(js, now) {
 				return
 			}
-			if m == nil && !full {
+			switch {
+			case m != nil:
+				js.passedUp = time.Time{}
+			case full:
+			case held && s.hasRoomLocked(js, now) && s.passesUpLocked(js, now):
+				return
+			default:
 				m = s.findAnyLocked(js, now)
 			}
 		}
@@ -378,6 +438,15 @@
 	return idle
 }
 
+// hasRoomLocked tells whether any machine takes a task of the job.
+func (s *Share) hasRoomLocked(js *jobState, now time.Time) bool {
+	if s.idleLocked(js, now) != nil {
+		return true
+	}
+	_, ok := s.list.Find(s.fitsByName(js, now))
+	return ok
+}
+
 // heldPatience is how long a service's task waits for the other shares to say
 // whether they have room beside its image, before it goes where that must be
 // fetched.
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -161,9 +161,11 @@
 	failedOn  map[string]bool
 	succeeded bool
 	notBefore time.Time
-	waiting   time.Time // since when a task has found no room; zero: none waits
-	wantsHeld time.Time // since when room beside its image is looked for elsewhere
-	preempted time.Time // when tasks were last stopped for this job
+	waiting   time.Time     // since when a task has found no room; zero: none waits
+	fetch     time.Duration // about how long its image takes to fetch
+	passedUp  time.Time     // since when it leaves room where its image is not to others; zero: it does not
+	wantsHeld time.Time     // since when room beside its image is looked for elsewhere
+	preempted time.Time     // when tasks were last stopped for this job
 	told      job.Progress
 	toldAt    time.Time // when that last changed
 
@@ -734,7 +736,7 @@
 		done: &job.DoneSet{}, dirty: map[int]bool{}, awaiting: map[int][]*fleet.Attempt{}, shelves: map[int]*shelf{},
 		failedOn: map[string]bool{}, accepted: time.UnixMilli(r.AcceptedMs), within: s.objectives(j),
 	}
-	js.share = s.dominantShare(js.size)
+	js.share, js.fetch = s.dominantShare(js.size), s.fetchTime(j)
 	return js
 }
 
