--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -63,6 +63,7 @@
 	members   *cluster.Cluster
 	front     *server.Server
 	share     atomic.Pointer[scheduler.Share]
+	spare     atomic.Pointer[spare]
 	cutAt     atomic.Int64 // when the share last could not reach most workers
 }
 
@@ -117,6 +118,7 @@
 	g.Go(func() error { return c.catalog.Run(ctx) })
 	g.Go(func() error { return c.offers.Run(ctx) })
 	g.Go(func() error { return c.logUsage(ctx) })
+	g.Go(func() error { return c.balance(ctx) })
 	return g.Wait()
 }
 
@@ -166,16 +168,72 @@
 	return c.settings.StateRPS * part, c.settings.StateWriteRPS * part
 }
 
-// changed follows the epoch: the share, and this controller's part of the
-// limits.
+// changed follows the epoch.
 func (c *controller) changed() {
-	requests, writes := c.rates()
-	c.budget.SetRates(requests, writes, c.settings.TxnOps)
+	c.setRates()
 	if s := c.share.Load(); s != nil {
 		s.Changed()
 	}
 }
 
+const (
+	// balanceEvery is how often the controllers even out what they use of the
+	// state service's limits; the peers hear of it with the next beat.
+	balanceEvery = time.Second
+	// shortAfter is how long something must have waited for the limits.
+	shortAfter = 40 * time.Millisecond
+	// headroom is what a controller keeps beyond what it uses.
+	headroom = 1.3
+)
+
+// spare is what this controller leaves of its part.
+type spare struct {
+	requests, writes float64
+	short            bool
+}
+
+// balance works out again and again what this controller leaves to the others
+// and what they leave to it: the work is where the machines and the teams are,
+// which is not as the parts are.
+func (c *controller) balance(ctx context.Context) error {
+	tick := time.NewTicker(balanceEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		requests, writes := c.rates()
+		w := c.budget.Window()
+		perSecond := headroom / balanceEvery.Seconds()
+		c.spare.Store(&spare{
+			requests: max(0, requests-perSecond*float64(w.Requests)-1), writes: max(0, writes-perSecond*float64(w.Writes)-1),
+			short: w.Longest > shortAfter,
+		})
+		c.setRates()
+	}
+}
+
+// setRates sets this controller's budget: its part, and while it is short what
+// the others leave, divided among those who are.
+func (c *controller) setRates() {
+	requests, writes := c.rates()
+	if mine := c.spare.Load(); mine != nil && mine.short {
+		peers := c.members.Peers()
+		for _, p := range peers {
+			sharers := 1.0
+			for _, other := range peers {
+				if other != p && other.Short {
+					sharers++
+				}
+			}
+			requests, writes = requests+p.SpareRequests/sharers, writes+p.SpareWrites/sharers
+		}
+	}
+	c.budget.SetRates(requests, writes, c.settings.TxnOps)
+}
+
 // runShare runs the share while this controller is a member.
 func (c *controller) runShare(ctx context.Context) error {
 	if err := c.offers.Wait(ctx); err != nil {
@@ -200,6 +258,9 @@
 	if s := c.share.Load(); s != nil {
 		s.Status(status)
 	}
+	if mine := c.spare.Load(); mine != nil {
+		status.SpareRequests, status.SpareWrites, status.Short = mine.requests, mine.writes, mine.short
+	}
 	if status.Cut {
 		c.cutAt.Store(time.Now().UnixNano())
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -325,6 +325,19 @@
 	return n
 }
 
+// Peers returns what the peers that were heard from lately say of themselves.
+func (c *Cluster) Peers() []*peerpb.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []*peerpb.Status
+	for _, p := range c.peers {
+		if time.Since(p.lastSeen) < peerOKFor {
+			all = append(all, p.status)
+		}
+	}
+	return all
+}
+
 // HandleBeat answers a peer's beat.
 func (c *Cluster) HandleBeat(theirs *peerpb.Status) *peerpb.Status {
 	c.mu.Lock()
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -38,9 +38,26 @@
 	timer    *time.Timer
 	pausedTo time.Time
 	usage    [priorities]Usage
+	window   Usage // since Window was last called
 }
 
-// Usage is what was asked of the budget under one priority.
+// Window returns what was used since it was last called, of all priorities.
+// What still waits counts as having waited until now.
+func (b *Budget) Window() Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	w := b.window
+	b.window = Usage{}
+	for p := range b.waiting {
+		for _, waiter := range b.waiting[p] {
+			w.Longest = max(w.Longest, now.Sub(waiter.since))
+		}
+	}
+	return w
+}
+
+// Usage is what was asked of the budget.
 type Usage struct {
 	Requests, Writes int
 	Waited, Longest  time.Duration // for the budget, all together and at most
@@ -160,9 +177,10 @@
 			b.writes.level -= w.granted
 			b.waiting[p] = b.waiting[p][1:]
 			waited := now.Sub(w.since)
-			u := &b.usage[p]
-			u.Requests, u.Writes = u.Requests+1, u.Writes+int(w.granted)
-			u.Waited, u.Longest = u.Waited+waited, max(u.Longest, waited)
+			for _, u := range []*Usage{&b.usage[p], &b.window} {
+				u.Requests, u.Writes = u.Requests+1, u.Writes+int(w.granted)
+				u.Waited, u.Longest = u.Waited+waited, max(u.Longest, waited)
+			}
 			close(w.ready)
 		}
 	}
