--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -65,21 +65,49 @@
 }
 
 // dead tells whether the worker counts as lost: it is silent, and most others
-// have been heard since it began to fail. A controller that loses all its
-// workers would otherwise return them one after the other.
+// that were asked or have reported since it began to fail have been heard. A
+// controller that loses all its workers would otherwise return them one after
+// the other. Where most of a zone is silent and the others are not, the zone
+// is cut off: its machines are as they were when that ends, their images
+// included, so they are kept for as long as new ones would take to serve.
 func (s *Share) dead(m *machine, now time.Time) bool {
 	if m.failures < deadProbes || now.Sub(m.LastReport) <= s.deadAfter() {
 		return false
 	}
-	heard := 0
+	heard, failed := map[string]int{}, map[string]int{}
+	allHeard, allFailed := 0, 0
 	for _, other := range s.machines {
-		if other != m && other.LastReport.After(m.failing) {
-			heard++
+		switch {
+		case other == m:
+		case other.LastReport.After(m.failing):
+			heard[other.Zone]++
+			allHeard++
+		case other.failures > 0:
+			failed[other.Zone]++
+			allFailed++
 		}
 	}
-	return heard >= len(s.machines)/2
+	if allHeard < min(len(s.machines)/2, 2*sampled) || allHeard < allFailed {
+		return false
+	}
+	cut := failed[m.Zone] > heard[m.Zone] && allHeard-heard[m.Zone] > allFailed-failed[m.Zone]
+	return !cut || now.Sub(m.LastReport) > s.cutPatience(m)
 }
 
+// cutPatience is how long a machine in a zone that is cut off is kept: its
+// tasks are gone once its lease has lapsed, and a new one takes a boot or two.
+func (s *Share) cutPatience(m *machine) time.Duration {
+	patience := 2 * s.opts.Settings.LeaseFor
+	if m.Type != nil {
+		patience += time.Duration(2 * m.Type.BootS * float64(time.Second))
+	}
+	return patience
+}
+
+// sampled is how many other workers of each zone are asked when one fails to
+// answer: enough to tell a cut, and no more work for a large fleet.
+const sampled = 12
+
 // watchMachinesLocked probes silent workers, settles what leases or returns
 // prove, drains what is noticed, and raises the token where only that helps.
 func (s *Share) watchMachinesLocked(now time.Time) {
@@ -224,11 +252,14 @@
 	})
 }
 
-// sweepLocked asks the workers that have not been heard for a moment: whether
-// they answer tells if one worker is lost or this controller cut off.
+// sweepLocked asks some workers of each zone that have not been heard for a
+// moment: whether they answer tells if one worker is lost, a zone cut off, or
+// this controller.
 func (s *Share) sweepLocked(now time.Time) {
+	asked := map[string]int{}
 	for _, m := range s.machines {
-		if now.Sub(m.LastReport) > probeTimeout && now.Sub(m.probed) > probeTimeout && !m.probing {
+		if now.Sub(m.LastReport) > probeTimeout && now.Sub(m.probed) > probeTimeout && !m.probing && asked[m.Zone] < sampled {
+			asked[m.Zone]++
 			s.probeLocked(m, now)
 		}
 	}
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"testing"
@@ -359,3 +360,86 @@
 		})
 	}
 }
+
+// The machines of a zone that is cut off are kept for a while; one that alone
+// is silent is lost at once.
+func TestZoneCutOffKeepsItsMachines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, m := newTestShare(t)
+		m.Type.BootS = 10
+		zone := map[string][]*machine{"z": {m}}
+		for i := range 11 {
+			other := s.addMachineLocked(fleet.NewMachine(fmt.Sprint("n", i)), time.Now())
+			other.Zone, other.Type = []string{"y", "z"}[i%2], m.Type
+			zone[other.Zone] = append(zone[other.Zone], other)
+		}
+		silence := func(m *machine) { m.failures, m.failing = deadProbes, time.Now() }
+		silence(zone["y"][0])
+		time.Sleep(3 * time.Second)
+		for _, other := range s.machines {
+			if other.failures == 0 {
+				other.LastReport = time.Now()
+			}
+		}
+		if !s.dead(zone["y"][0], time.Now()) {
+			t.Error("a machine that alone is silent does not count as lost")
+		}
+		for _, other := range zone["y"] {
+			silence(other)
+		}
+		time.Sleep(3 * time.Second)
+		for _, other := range zone["z"] {
+			other.LastReport = time.Now()
+		}
+		if s.dead(zone["y"][0], time.Now()) {
+			t.Error("a machine of a zone that is cut off counts as lost at once")
+		}
+		time.Sleep(2*s.opts.Settings.LeaseFor + 25*time.Second)
+		for _, other := range zone["z"] {
+			other.LastReport = time.Now()
+		}
+		if !s.dead(zone["y"][0], time.Now()) {
+			t.Error("a machine of a zone that is cut off is kept for ever")
+		}
+	})
+}
+
+// Among jobs of like turn, freed room goes first to one whose image is there;
+// one that passes it up gets the next in time, and nothing stays free.
+func TestFreedRoomGoesWhereTheImageIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestShare(t)
+		m.Type.FetchGBPerS = 1
+		m.Images["here"] = fleet.Held{GB: 1}
+		add := func(id, image string, tasks int) *jobState {
+			r := p.add(id, "ours", wire.PriorityNormal, tasks, 8)
+			r.Job.Image, r.Job.ImageGB = image, 3
+			return s.addJobLocked(r)
+		}
+		small, big := add("wk-1", "elsewhere", 1), add("wk-2", "here", 9)
+		free := func() {
+			for key, a := range m.Attempts {
+				delete(m.Attempts, key)
+				s.releaseLocked(a)
+			}
+			m.LastReport = time.Now()
+		}
+		s.scheduleLocked(time.Now())
+		if len(big.live) != 1 || len(small.live) != 0 {
+			t.Errorf("the room went to a job that must fetch its image first")
+		}
+		time.Sleep(4 * time.Second) // longer than the fetch
+		free()
+		s.scheduleLocked(time.Now())
+		if len(small.live) != 1 {
+			t.Error("a job passes up room for longer than it would fetch its image")
+		}
+		free()
+		delete(s.jobs, "wk-2")
+		small.passedUp = time.Time{}
+		s.scheduleLocked(time.Now())
+		if len(small.live) != 1 {
+			t.Error("room stays free though nobody else wants it")
+		}
+	})
+}
