--- a/internal/job/catalog.go
+++ b/internal/job/catalog.go
@@ -333,7 +333,7 @@
 // a job that ends between the two reads is found by reading them once more.
 func (c *Catalog) read(ctx context.Context, id string) (status wire.JobStatus, found bool, err error) {
 	for range 2 {
-		item, err := c.client.Get(ctx, state.Placement, finalPrefix+id)
+		item, err := c.client.Get(ctx, state.Safety, finalPrefix+id)
 		if err == nil {
 			c.apply(wire.Event{Put: item.Key, Value: item.Value, Version: item.Version})
 			status, _, _ := c.cached(id)
@@ -342,7 +342,7 @@
 		if !errors.Is(err, state.ErrNotFound) {
 			return wire.JobStatus{}, false, err
 		}
-		item, err = c.client.Get(ctx, state.Placement, activePrefix+id)
+		item, err = c.client.Get(ctx, state.Safety, activePrefix+id)
 		if err == nil {
 			c.apply(wire.Event{Put: item.Key, Value: item.Value, Version: item.Version})
 			status, _, _ := c.cached(id)
@@ -389,7 +389,7 @@
 	if r != nil {
 		conditions = []wire.Condition{r.Condition()}
 	}
-	_, err = c.commit.Commit(ctx, state.Write{Priority: state.Placement, If: conditions})
+	_, err = c.commit.Commit(ctx, state.Write{Priority: state.Safety, If: conditions})
 	var conflict *state.Conflict
 	switch {
 	case err == nil:
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -485,7 +485,7 @@
 		}
 		s.log.Info("giving machines", "to", node, "count", len(batch), "first", batch[0].Name)
 		s.goDo(func(ctx context.Context) {
-			err := s.transfer(ctx, node, about, state.Safety)
+			err := s.transfer(ctx, node, about, state.Placement)
 			if err != nil {
 				s.log.Info("giving machines failed", "to", node, "err", err)
 			}
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -114,12 +114,30 @@
 		}
 	}
 	for p := range due {
-		s.writePageLocked(p, state.Placement)
+		s.writePageLocked(p, state.Safety)
 	}
 	dirty = slices.DeleteFunc(dirty, func(m *machine) bool { return !m.dirty }) // on a page just written
-	if len(dirty) > 0 {
-		s.writeJournalLocked(dirty)
+	if len(dirty) == 0 {
+		return
+	}
+	now := time.Now()
+	if wait := s.journalEvery() - now.Sub(s.journaled); wait > 0 {
+		if !s.journalDue {
+			s.journalDue = true
+			time.AfterFunc(wait, s.poke)
+		}
+		return
 	}
+	s.journaled, s.journalDue = now, false
+	s.writeJournalLocked(dirty)
+}
+
+// journalEvery is how long one write of the journal waits after the one
+// before: it comes before the ends of jobs, and must leave them, and the other
+// shares, most of the state service's limit.
+func (s *Share) journalEvery() time.Duration {
+	const part = 6 // of the writes of all controllers
+	return time.Duration(part / max(s.opts.Settings.StateWriteRPS, 1) * float64(time.Second))
 }
 
 // tidyEvery is how often pages are tidied: nobody waits for it.
@@ -180,9 +198,6 @@
 // records notes that the write records an attempt for the first time.
 func (pw *pageWrite) records(m *machine, a *fleet.Attempt) {
 	pw.attempts[m] = append(pw.attempts[m], a)
-	if a.Rank == 0 {
-		pw.write.Priority = state.Safety // replicas are down until then
-	}
 }
 
 // put adds a page to the write.
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -191,43 +191,45 @@
 	ctx     context.Context
 	group   *errgroup.Group
 
-	mu       sync.Mutex
-	div      division
-	loaded   bool
-	adopted  uint64 // under this epoch, machines without an owner have been taken
-	building bool
-	begun    uint64               // version of the epoch when the share began
-	early    map[string]time.Time // reports answered before the records were read
-	jobs     map[string]*jobState // the share's own
-	guests   map[string]*jobState // jobs of other shares that have, or want, tasks here
-	foreign  map[fleet.Key]*lent  // tasks of own jobs that may be on others' machines
-	barred   map[fleet.Key]time.Time
-	asking   map[string]*asking
-	machines map[string]*machine
-	pages    map[string]*page  // the keys that hold the machines' records
-	journal  *page             // holds what the pages do not hold yet
-	paged    uint64            // pages named so far
-	shelves  map[string]*shelf // the keys that hold done tasks
-	shelved  uint64            // shelves named so far
-	flushed  time.Time         // when done tasks were last written
-	gone     []string          // machines that are gone, which the others are still to be told
-	telling  bool              // they are being told
-	moving   map[string]bool   // machines whose owner is being written
-	list     placement.List
-	pass     pass
-	used     map[string]placement.Resources // by team, all that may be on machines
-	number   uint64                         // last attempt number
-	returned map[string]time.Time           // machines that are surely gone
-	booting  map[string]*booting
-	refused  map[placement.Place]refusal
-	serial   uint64 // numbers what must never be named alike under one token
-	raising  bool
-	raised   time.Time
-	resolve  map[string]bool // jobs being looked up
-	spare    int             // idle and booting machines wanted beyond the demand
-	resigned time.Time
-	grouped  time.Time // when idle machines were last regrouped
-	cut      bool      // most workers cannot be reached
+	mu         sync.Mutex
+	div        division
+	loaded     bool
+	adopted    uint64 // under this epoch, machines without an owner have been taken
+	building   bool
+	begun      uint64               // version of the epoch when the share began
+	early      map[string]time.Time // reports answered before the records were read
+	jobs       map[string]*jobState // the share's own
+	guests     map[string]*jobState // jobs of other shares that have, or want, tasks here
+	foreign    map[fleet.Key]*lent  // tasks of own jobs that may be on others' machines
+	barred     map[fleet.Key]time.Time
+	asking     map[string]*asking
+	machines   map[string]*machine
+	pages      map[string]*page  // the keys that hold the machines' records
+	journal    *page             // holds what the pages do not hold yet
+	journaled  time.Time         // when that was last written
+	journalDue bool              // and it waits to be written again
+	paged      uint64            // pages named so far
+	shelves    map[string]*shelf // the keys that hold done tasks
+	shelved    uint64            // shelves named so far
+	flushed    time.Time         // when done tasks were last written
+	gone       []string          // machines that are gone, which the others are still to be told
+	telling    bool              // they are being told
+	moving     map[string]bool   // machines whose owner is being written
+	list       placement.List
+	pass       pass
+	used       map[string]placement.Resources // by team, all that may be on machines
+	number     uint64                         // last attempt number
+	returned   map[string]time.Time           // machines that are surely gone
+	booting    map[string]*booting
+	refused    map[placement.Place]refusal
+	serial     uint64 // numbers what must never be named alike under one token
+	raising    bool
+	raised     time.Time
+	resolve    map[string]bool // jobs being looked up
+	spare      int             // idle and booting machines wanted beyond the demand
+	resigned   time.Time
+	grouped    time.Time // when idle machines were last regrouped
+	cut        bool      // most workers cannot be reached
 }
 
 // New makes a share; Run starts it.
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -12,14 +12,14 @@
 
 // String names a priority for logs and metrics.
 func (p Priority) String() string {
-	return [...]string{"urgent", "safety", "placement", "submission", "background"}[p]
+	return [...]string{"urgent", "placement", "safety", "submission", "background"}[p]
 }
 
 // The priorities, most important first.
 const (
 	Urgent     Priority = iota // lease renewals, the epoch
-	Safety                     // what workers' reports and cancellations need
-	Placement                  // placements, and answers to users
+	Placement                  // the journal of placements, one write at a time
+	Safety                     // ends of jobs, cancellations, and answers to users
 	Submission                 // accepting new jobs
 	Background                 // what nobody waits for
 	priorities
@@ -160,22 +160,36 @@
 }
 
 // serveLocked lets in whom the buckets allow and sets the timer for the next.
+// Whoever waits for writes holds up all that come after it and want some, but
+// not those that only ask.
 func (b *Budget) serveLocked() {
 	now := time.Now()
 	b.requests.refill(now)
 	b.writes.refill(now)
+	saving := false // somebody waits for writes
 	for p := range b.waiting {
-		for len(b.waiting[p]) > 0 {
-			w := b.waiting[p][0]
-			wait := b.shortfall(now, w)
-			if wait > 0 {
-				b.wakeIn(wait)
-				return // nobody of lower priority passes
+		var still []*waiter
+		for i, w := range b.waiting[p] {
+			requests, writes := b.shortfall(now, w)
+			if requests > 0 {
+				b.wakeIn(requests)
+				b.waiting[p] = append(still, b.waiting[p][i:]...)
+				return
+			}
+			if w.least > 0 && (saving || writes > 0) {
+				if !saving {
+					saving = true
+					b.wakeIn(writes)
+				}
+				still = append(still, w)
+				continue
+			}
+			w.granted = w.least
+			if !saving {
+				w.granted = max(w.least, min(w.most, math.Floor(b.writes.level)))
 			}
-			w.granted = max(w.least, min(w.most, math.Floor(b.writes.level)))
 			b.requests.level--
 			b.writes.level -= w.granted
-			b.waiting[p] = b.waiting[p][1:]
 			waited := now.Sub(w.since)
 			for _, u := range []*Usage{&b.usage[p], &b.window} {
 				u.Requests, u.Writes = u.Requests+1, u.Writes+int(w.granted)
@@ -183,18 +197,21 @@
 			}
 			close(w.ready)
 		}
+		b.waiting[p] = still
 	}
 }
 
-func (b *Budget) shortfall(now time.Time, w *waiter) time.Duration {
-	wait := b.pausedTo.Sub(now)
+// shortfall tells how long a waiter has to wait for a request, and for its
+// writes.
+func (b *Budget) shortfall(now time.Time, w *waiter) (requests, writes time.Duration) {
+	requests = b.pausedTo.Sub(now)
 	if lack := 1 - b.requests.level; lack > 0 {
-		wait = max(wait, time.Duration(lack/b.requests.rate*float64(time.Second))+time.Millisecond)
+		requests = max(requests, time.Duration(lack/b.requests.rate*float64(time.Second))+time.Millisecond)
 	}
 	if lack := w.least - b.writes.level; w.least > 0 && lack > 0 {
-		wait = max(wait, time.Duration(lack/b.writes.rate*float64(time.Second))+time.Millisecond)
+		writes = time.Duration(lack/b.writes.rate*float64(time.Second)) + time.Millisecond
 	}
-	return wait
+	return requests, writes
 }
 
 func (b *Budget) wakeIn(d time.Duration) {
--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -43,9 +43,16 @@
 // transaction is under way the next fills, so that a quiet service has no
 // added delay and a busy one few transactions.
 type Committer struct {
-	client   *Client
-	ops      int
-	mu       sync.Mutex
+	client *Client
+	ops    int
+	mu     sync.Mutex
+	lanes  [2]lane
+}
+
+// lane is one of the two kinds of writes: those that only compare, and those
+// that change something. They go apart: a comparison that fails would cost a
+// transaction's changes once more, and need not wait for their limit.
+type lane struct {
 	queue    []*pending
 	inFlight int
 	waiting  bool // one is waiting for budget
@@ -68,9 +75,13 @@
 // conditions must make a late copy of it fail.
 func (c *Committer) Commit(ctx context.Context, w Write) (uint64, error) {
 	p := &pending{Write: w, ctx: ctx, done: make(chan outcome, 1)}
+	l := &c.lanes[0]
+	if len(w.Then) > 0 {
+		l = &c.lanes[1]
+	}
 	c.mu.Lock()
-	c.queue = append(c.queue, p)
-	c.startLocked()
+	l.queue = append(l.queue, p)
+	c.startLocked(l)
 	c.mu.Unlock()
 	select {
 	case o := <-p.done:
@@ -80,25 +91,25 @@
 	}
 }
 
-func (c *Committer) startLocked() {
-	if c.inFlight < maxInFlight && len(c.queue) > 0 && !c.waiting {
-		c.inFlight++
-		c.waiting = true
-		go c.run()
+func (c *Committer) startLocked(l *lane) {
+	if l.inFlight < maxInFlight && len(l.queue) > 0 && !l.waiting {
+		l.inFlight++
+		l.waiting = true
+		go c.run(l)
 	}
 }
 
 // next waits for budget and takes the next transaction's writes only then:
 // what is most urgent at that moment goes first.
-func (c *Committer) next() []*pending {
+func (c *Committer) next(l *lane) []*pending {
 	ctx := context.Background()
 	for {
 		c.mu.Lock()
-		batch := c.takeLocked(c.ops, false)
+		batch := c.takeLocked(l, c.ops, false)
 		c.mu.Unlock()
 		if len(batch) == 0 {
 			c.mu.Lock()
-			c.waiting = false
+			l.waiting = false
 			c.mu.Unlock()
 			return nil
 		}
@@ -108,9 +119,9 @@
 			continue // the context never ends
 		}
 		c.mu.Lock()
-		batch = c.takeLocked(writes, true)
-		c.waiting = false
-		c.startLocked()
+		batch = c.takeLocked(l, writes, true)
+		l.waiting = false
+		c.startLocked(l)
 		c.mu.Unlock()
 		return batch
 	}
@@ -128,8 +139,8 @@
 // takeLocked chooses the writes of the next transaction with at most so many
 // changes, the most urgent first, and removes them from the queue if it is to.
 // Those that cannot succeed any more end here.
-func (c *Committer) takeLocked(maxOps int, remove bool) []*pending {
-	c.queue = slices.DeleteFunc(c.queue, func(w *pending) bool {
+func (c *Committer) takeLocked(l *lane, maxOps int, remove bool) []*pending {
+	l.queue = slices.DeleteFunc(l.queue, func(w *pending) bool {
 		switch {
 		case w.Fresh != nil && !w.Fresh():
 			w.done <- outcome{err: &Conflict{}}
@@ -145,7 +156,7 @@
 	var batch, rest []*pending
 	ops, conditions, size := 0, 0, 0
 	for p := range priorities {
-		for _, w := range c.queue {
+		for _, w := range l.queue {
 			if w.Priority != p {
 				continue
 			}
@@ -164,17 +175,17 @@
 		}
 	}
 	if remove {
-		c.queue = rest
+		l.queue = rest
 	}
 	return batch
 }
 
-func (c *Committer) run() {
-	batch := c.next()
+func (c *Committer) run(l *lane) {
+	batch := c.next(l)
 	defer func() {
 		c.mu.Lock()
-		c.inFlight--
-		c.startLocked()
+		l.inFlight--
+		c.startLocked(l)
 		c.mu.Unlock()
 	}()
 	backoff := 50 * time.Millisecond
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -155,3 +155,38 @@
 		}
 	})
 }
+
+// Who waits for writes holds up others that want some, but not those that
+// only ask: answers to users need no writes.
+func TestAskingPassesWhoWaitsForWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := state.NewBudget(100, 1, 4)
+		ctx := context.Background()
+		if n, err := b.AcquireUpTo(ctx, state.Safety, 1, 9); err != nil || n != 4 {
+			t.Fatalf("granted %d, %v; there were 4", n, err)
+		}
+		began := time.Now()
+		var wrote, submitted time.Duration
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			if err := b.Acquire(ctx, state.Safety, 2); err != nil {
+				t.Error(err)
+			}
+			wrote = time.Since(began)
+		})
+		synctest.Wait()
+		wg.Go(func() {
+			if err := b.Acquire(ctx, state.Submission, 1); err != nil {
+				t.Error(err)
+			}
+			submitted = time.Since(began)
+		})
+		if n, err := b.AcquireUpTo(ctx, state.Submission, 0, 5); err != nil || n != 0 || time.Since(began) > 0 {
+			t.Errorf("asking took %v and %d writes that another waits for, %v", time.Since(began), n, err)
+		}
+		wg.Wait()
+		if wrote > 3*time.Second || submitted < wrote {
+			t.Errorf("written after %v, submitted after %v", wrote, submitted)
+		}
+	})
+}
