--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -56,10 +56,8 @@
 // probeAfter is how long a worker may be silent before it is asked: soon
 // where replicas would be down, since the probes then end with deadAfter.
 func (s *Share) probeAfter(m *machine) time.Duration {
-	for _, a := range m.Attempts {
-		if a.Service && !a.Exited() {
-			return s.deadAfter() - deadProbes*probeTimeout
-		}
+	if m.serves() {
+		return s.deadAfter() - deadProbes*probeTimeout
 	}
 	return s.silentAfter()
 }
@@ -91,7 +89,17 @@
 		return false
 	}
 	cut := failed[m.Zone] > heard[m.Zone] && allHeard-heard[m.Zone] > allFailed-failed[m.Zone]
-	return !cut || now.Sub(m.LastReport) > s.cutPatience(m)
+	return !cut || m.serves() || now.Sub(m.LastReport) > s.cutPatience(m)
+}
+
+// serves tells whether replicas may be on the machine.
+func (m *machine) serves() bool {
+	for _, a := range m.Attempts {
+		if a.Service && !a.Exited() {
+			return true
+		}
+	}
+	return false
 }
 
 // cutPatience is how long a machine in a zone that is cut off is kept: its
