--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -196,6 +196,7 @@
 
 // unavailable refuses at once and says when to come back.
 func (s *Server) unavailable(ctx *fasthttp.RequestCtx, err error) {
+	s.opts.Log.Debug("refused for now", "method", string(ctx.Method()), "path", string(ctx.Path()), "err", err)
 	ctx.Response.Header.Set("Retry-After", "1")
 	s.refuse(ctx, 503, err)
 }
