--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -28,6 +30,7 @@
 type node struct {
 	name    string
 	current atomic.Pointer[controller]
+	alone   atomic.Bool // cut off from its peers
 	stop    context.CancelFunc
 }
 
@@ -38,15 +41,37 @@
 	state *standin.State
 	fleet *standin.Fleet
 	nodes []*node
+
+	mu     sync.Mutex
+	copies []*wire.Report // of reports so far, one in twenty
+	heard  int
+}
+
+// anyCopy returns one of the reports so far, nil if there are none.
+func (tc *testCluster) anyCopy(random *rand.Rand) *wire.Report {
+	tc.mu.Lock()
+	defer tc.mu.Unlock()
+	if len(tc.copies) == 0 {
+		return nil
+	}
+	return tc.copies[random.IntN(len(tc.copies))]
 }
 
-// link is a peer's connection, cut while nobody runs at its end.
-type link struct{ to *node }
+// link is a peer's connection, cut while nobody runs at its end or either end
+// is cut off from its peers.
+type link struct{ from, to *node }
 
 var errDown = errors.New("connection refused")
 
+func (l link) end() *controller {
+	if l.from.alone.Load() || l.to.alone.Load() {
+		return nil
+	}
+	return l.to.current.Load()
+}
+
 func (l link) Beat(_ context.Context, mine *peerpb.Status) (*peerpb.Status, error) {
-	c := l.to.current.Load()
+	c := l.end()
 	if c == nil {
 		return nil, errDown
 	}
@@ -54,7 +79,7 @@
 }
 
 func (l link) Place(_ context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceReply, error) {
-	c := l.to.current.Load()
+	c := l.end()
 	if c == nil {
 		return nil, errDown
 	}
@@ -62,7 +87,7 @@
 }
 
 func (l link) Settle(_ context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
-	c := l.to.current.Load()
+	c := l.end()
 	if c == nil {
 		return nil, errDown
 	}
@@ -70,7 +95,7 @@
 }
 
 func (l link) Do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
-	c := l.to.current.Load()
+	c := l.end()
 	if c == nil {
 		return 0, nil, errDown
 	}
@@ -127,7 +152,7 @@
 	for _, other := range tc.nodes {
 		if other != n {
 			settings.Peers = append(settings.Peers, config.Peer{Node: other.name})
-			out.peers[other.name] = link{other}
+			out.peers[other.name] = link{n, other}
 		}
 	}
 	ctx, stop := context.WithCancel(tc.ctx)
@@ -182,6 +207,11 @@
 }
 
 func (tc *testCluster) report(name string, r *wire.Report) (int, *wire.ReportReply, string) {
+	tc.mu.Lock()
+	if tc.heard++; tc.heard%20 == 0 {
+		tc.copies = append(tc.copies, r)
+	}
+	tc.mu.Unlock()
 	i := slices.IndexFunc(tc.nodes, func(n *node) bool { return n.name == name })
 	status, _, ctx := tc.call(i, "POST", "/checkin", r)
 	if ctx == nil {
@@ -571,11 +601,12 @@
 			}
 		}
 	}
+	var heals []func()
 	for range 60 {
 		submit()
 		node, machine := random.IntN(3), fmt.Sprintf("host-%06d", 1+random.IntN(6))
 		heal := func() {}
-		switch random.IntN(6) {
+		switch random.IntN(11) {
 		case 0:
 			tc.crash(node)
 			heal = func() { tc.start(node) }
@@ -593,20 +624,134 @@
 		case 5:
 			tc.state.SetOutage(true)
 			heal = func() { tc.state.SetOutage(false) }
+		case 6:
+			tc.fleet.Deafen(machine, true)
+			heal = func() { tc.fleet.Deafen(machine, false) }
+		case 7:
+			tc.fleet.Restart(machine)
+		case 8: // back within a moment
+			tc.crash(node)
+			time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+			tc.start(node)
+		case 9: // alone with its workers
+			tc.nodes[node].alone.Store(true)
+			tc.state.Refuse(tc.nodes[node].name, true)
+			heal = func() {
+				tc.nodes[node].alone.Store(false)
+				tc.state.Refuse(tc.nodes[node].name, false)
+			}
+		case 10: // late copies, of whatever age
+			for range 20 {
+				if r := tc.anyCopy(random); r != nil {
+					tc.call(random.IntN(3), "POST", "/checkin", r)
+				}
+			}
 		}
 		time.Sleep(time.Duration(random.IntN(6000)) * time.Millisecond)
+		if random.IntN(3) == 0 {
+			// The next trouble begins before this one ends.
+			heals = append(heals, heal)
+			heal = func() {}
+		} else {
+			for _, late := range heals {
+				late()
+			}
+			heals = nil
+		}
 		heal()
 		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
 	}
-	time.Sleep(4 * time.Minute)
+	for _, late := range heals {
+		late()
+	}
+	time.Sleep(75 * time.Second)
+	// No job is forgotten, whoever is asked.
+	for id := range jobs {
+		for i := range tc.nodes {
+			if status, answer, _ := tc.call(i, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil); status != 200 {
+				tc.t.Errorf("75 s after all troubles, %s answers %d %v about job %d", tc.nodes[i].name, status, answer, id)
+			}
+		}
+	}
+	time.Sleep(3 * time.Minute)
 	if jobs < 20 {
 		tc.t.Errorf("only %d jobs were accepted", jobs)
 	}
 	for id := range jobs {
-		tc.expect(id%3, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil, 200, "done")
+		for i := range tc.nodes {
+			tc.expect(i, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil, 200, "done")
+		}
 	}
 }
 
+// A machine whose reports arrive, but which nothing reaches, is given no new
+// tasks and is returned; its tasks run elsewhere.
+func TestDeafMachine(t *testing.T) {
+	withCluster(t, 3, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 0 }
+	}, func(tc *testCluster) {
+		tc.expect(0, "POST", "/submissions", submission(1, func(j map[string]any) { j["gait"], j["feathers"] = "daemon", 4 }), 201, "")
+		time.Sleep(3 * time.Second)
+		machine := tc.fleet.Running()["wk-000001/0"]
+		tc.fleet.Deafen(machine, true)
+		tc.expect(0, "POST", "/submissions", submission(2, func(j map[string]any) { j["gait"], j["feathers"] = "daemon", 3 }), 201, "")
+		time.Sleep(40 * time.Second)
+		if running := tc.fleet.Running(); len(running) != 7 || slices.Contains(slices.Collect(maps.Values(running)), machine) {
+			t.Errorf("%d of 7 replicas run, %v; %s hears nothing", len(running), running, machine)
+		}
+	})
+}
+
+// A machine that is back at once, its counters too, has none of its tasks.
+func TestMachineStartsAnew(t *testing.T) {
+	withCluster(t, 3, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 0 }
+	}, func(tc *testCluster) {
+		tc.expect(0, "POST", "/submissions", submission(1, func(j map[string]any) { j["gait"], j["feathers"] = "daemon", 4 }), 201, "")
+		time.Sleep(10 * time.Second)
+		tc.fleet.Restart(tc.fleet.Running()["wk-000001/0"])
+		time.Sleep(12 * time.Second)
+		if n := len(tc.fleet.Running()); n != 4 {
+			t.Errorf("%d of 4 replicas run after a machine has started anew", n)
+		}
+	})
+}
+
+// A controller that loses the state service and its peers, but not its
+// workers: others take them over before their leases lapse, and it refuses.
+func TestControllerAloneWithItsWorkers(t *testing.T) {
+	withCluster(t, 4, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 0 }
+	}, func(tc *testCluster) {
+		for id := range 4 {
+			tc.expect(0, "POST", "/submissions", submission(id, func(j map[string]any) { j["gait"], j["cores"] = "daemon", 2 }), 201, "")
+		}
+		time.Sleep(3 * time.Second)
+		running := len(tc.fleet.Running())
+		old := tc.leader()
+		tc.nodes[old].alone.Store(true)
+		tc.state.Refuse(tc.nodes[old].name, true)
+		time.Sleep(10 * time.Second)
+		tc.expect(old, "POST", "/submissions", submission(9, nil), 503, "")
+		tc.expect(old, "GET", "/ready", nil, 503, "")
+		time.Sleep(10 * time.Second)
+		if n := len(tc.fleet.Running()); n != running || n != 12 {
+			t.Errorf("%d replicas run, before it were %d", n, running)
+		}
+		for task := range tc.fleet.Running() {
+			if n := tc.fleet.Starts(task); n != 1 {
+				t.Errorf("%s started %d times", task, n)
+			}
+		}
+		tc.nodes[old].alone.Store(false)
+		tc.state.Refuse(tc.nodes[old].name, false)
+		time.Sleep(10 * time.Second)
+		for i := range tc.nodes {
+			tc.expect(i, "GET", "/submissions/wk-000001", nil, 200, "running")
+		}
+	})
+}
+
 func TestMetrics(t *testing.T) {
 	withCluster(t, 1, nil, func(tc *testCluster) {
 		_, _, ctx := tc.call(tc.leader(), "GET", "/metrics", nil)
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -364,10 +364,12 @@
 }
 
 // takePageLocked takes over a page whose owner's tenure is over: the leader
-// does, as it does with the machines. It returns nil for another's page.
+// does, as it does with the machines. It returns nil for another's page, and
+// for one that is this share's already: what that says of a machine that is
+// only now taken is from before the machine was given away, idle.
 func (s *Share) takePageLocked(rp recordPage) *page {
-	if p := s.pages[rp.key]; p != nil {
-		return p
+	if s.pages[rp.key] != nil {
+		return nil
 	}
 	node, since, ok := fleet.PageOwner(rp.key)
 	if s.div.Leader != s.opts.Node || ok && s.div.Members[node].Since == since {
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -102,6 +102,13 @@
 	return false
 }
 
+// deafForGood tells whether a worker whose reports arrive has answered nothing
+// for so long that it counts as lost: its lease lapses, since replies do not
+// reach it either, and what it is sent does not start.
+func (s *Share) deafForGood(m *machine, now time.Time) bool {
+	return !m.deaf.IsZero() && now.Sub(m.deaf) > s.deadAfter()+deadProbes*probeTimeout && now.Sub(m.LastReport) <= s.silentAfter()
+}
+
 // cutPatience is how long a machine in a zone that is cut off is kept: its
 // tasks are gone once its lease has lapsed, and a new one takes a boot or two.
 func (s *Share) cutPatience(m *machine) time.Duration {
@@ -122,11 +129,14 @@
 	if !s.loaded || !s.opts.Authority.Permitted() {
 		return
 	}
-	silent := 0
+	silent, deaf := 0, 0
 	for _, m := range s.machines {
 		if m.failures >= 2 {
 			silent++
 		}
+		if !m.deaf.IsZero() {
+			deaf++
+		}
 	}
 	// Many at once: rather this controller is cut off than all of them dead.
 	cut := silent > max(2, len(s.machines)/3)
@@ -140,7 +150,7 @@
 	var back []*machine
 	for _, m := range s.machines {
 		silence := now.Sub(m.LastReport)
-		if silence > s.probeAfter(m) && now.Sub(m.probed) >= probeTimeout && !m.probing {
+		if (silence > s.probeAfter(m) || !m.deaf.IsZero()) && now.Sub(m.probed) >= probeTimeout && !m.probing {
 			s.probeLocked(m, now)
 		}
 		if m.Live() > 0 && silence > s.silentAfter() {
@@ -151,7 +161,7 @@
 		}
 		switch {
 		case m.returning:
-		case s.dead(m, now) && !cut, s.overdueLocked(m, now):
+		case s.dead(m, now) && !cut, s.overdueLocked(m, now), deaf <= max(2, len(s.machines)/3) && s.deafForGood(m, now):
 			back = append(back, m)
 		case m.suspect && m.Live() == 0:
 			back = append(back, m)
@@ -239,7 +249,7 @@
 		return
 	}
 	m.probing, m.probed = true, now
-	address := m.Address
+	address, session, seq := m.Address, m.Session, m.Seq
 	s.goDo(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		report, err := s.opts.Workers.Status(ctx, address)
@@ -247,15 +257,21 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		m.probing = false
-		if err != nil {
+		if !s.answeredLocked(m, err) {
 			m.failures++
-			s.log.Debug("worker silent", "machine", m.Name, "failures", m.failures, "err", err)
 			if m.failures == 1 {
 				m.failing = now
 				s.sweepLocked(time.Now())
 			}
 			return
 		}
+		if report.Machine == m.Name && (report.Session < session || report.Session == session && report.Seq < seq) {
+			// It answers with less than it has told before: another life of
+			// the machine, without the tasks of the one before. Commands to
+			// that one may still come to this one, so it is fenced.
+			s.returnLocked([]*machine{m}, "its worker has started anew")
+			return
+		}
 		s.applyLocked(m, report)
 	})
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -481,7 +481,7 @@
 
 // usableLocked tells whether new tasks may go to the machine at all.
 func (s *Share) usableLocked(m *machine, now time.Time) bool {
-	return s.synced(m) && m.Type != nil && !m.returning && !m.suspect && m.failures == 0 &&
+	return s.synced(m) && m.Type != nil && !m.returning && !m.suspect && m.failures == 0 && m.deaf.IsZero() &&
 		m.Notice.IsZero() && !now.Before(m.cooling) && !m.Unsized() &&
 		now.Sub(m.LastReport) < s.silentAfter()
 }
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -118,6 +118,7 @@
 	probed     time.Time
 	failures   int       // probes without answer since the last sign of life
 	failing    time.Time // when the first of them was sent
+	deaf       time.Time // since when no direct message was answered; zero: the last one was
 	returning  bool
 	suspect    bool // fails what it starts: no new placements
 	failedJobs map[string]bool
@@ -289,14 +290,28 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		m.probing = false
-		if err != nil {
-			s.log.Debug("no answer from worker", "machine", m.Name, "err", err)
+		if !s.answeredLocked(m, err) {
 			return
 		}
 		s.applyLocked(m, report)
 	})
 }
 
+// answeredLocked notes whether a direct message was answered. Reports that
+// arrive are no proof that anything reaches the worker: one that does not
+// answer gets nothing new.
+func (s *Share) answeredLocked(m *machine, err error) bool {
+	if err == nil {
+		m.deaf = time.Time{}
+		return true
+	}
+	if m.deaf.IsZero() {
+		m.deaf = time.Now()
+	}
+	s.log.Debug("no answer from worker", "machine", m.Name, "err", err)
+	return false
+}
+
 func (s *Share) addMachineLocked(fm *fleet.Machine, now time.Time) *machine {
 	m := &machine{Machine: fm, failedJobs: map[string]bool{}, idleSince: now}
 	m.Type = s.types[m.TypeName]
@@ -401,7 +416,11 @@
 	m.LastAnswer = now
 	if !fresh {
 		// Late or repeated: its reply will be dropped, and must not carry
-		// commands meant for the worker as it is now.
+		// commands meant for the worker as it is now. Or the worker has
+		// started anew and counts from the beginning: asking it tells.
+		if !m.probing && now.Sub(m.probed) > probeTimeout {
+			s.probeLocked(m, now)
+		}
 		return reply
 	}
 	reply.Commands = append(reply.Commands, m.Reply()...)
@@ -862,8 +881,7 @@
 		defer s.mu.Unlock()
 		m.sending = false
 		m.DirectDone(req, err == nil)
-		if err != nil {
-			s.log.Debug("no answer from worker", "machine", m.Name, "err", err)
+		if !s.answeredLocked(m, err) {
 			m.sendAgain = false
 			return
 		}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -58,6 +58,8 @@
 	renewed time.Time
 	tasks   map[string]*task
 	cut     bool
+	deaf    bool // its reports arrive, but nothing reaches it
+	life    int  // raised when the machine starts anew
 	held    []*wire.CommandRequest
 	hold    bool
 	dead    bool
@@ -128,6 +130,29 @@
 	}
 }
 
+// Deafen keeps answers and commands from a machine, whose reports still
+// arrive, or heals that.
+func (f *Fleet) Deafen(machine string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[machine]; w != nil {
+		w.deaf = on
+	}
+}
+
+// Restart starts a machine anew at once: its tasks are gone, and its worker
+// knows nothing of its former life.
+func (f *Fleet) Restart(machine string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[machine]; w != nil {
+		w.killLocked()
+		w.life++
+		w.session, w.seq, w.token, w.renewed = 1, 0, 0, time.Now()
+		w.wake()
+	}
+}
+
 // Blind cuts a controller off from all workers, or heals that.
 func (f *Fleet) Blind(node string, on bool) {
 	f.mu.Lock()
@@ -283,7 +308,7 @@
 	if w != nil && w.hold {
 		w.held = append(w.held, req)
 	}
-	if w == nil || w.cut || w.hold {
+	if w == nil || w.cut || w.deaf || w.hold {
 		f.mu.Unlock()
 		<-ctx.Done()
 		return nil, errSilent
@@ -297,7 +322,7 @@
 func (f *Fleet) status(ctx context.Context, address string) (*wire.Report, error) {
 	f.mu.Lock()
 	w := f.workers[address]
-	if w == nil || w.cut {
+	if w == nil || w.cut || w.deaf {
 		f.mu.Unlock()
 		<-ctx.Done()
 		return nil, errSilent
@@ -438,7 +463,7 @@
 	f := w.fleet
 	node := f.Nodes[w.node%len(f.Nodes)]
 	f.mu.Lock()
-	blind := f.blind[node]
+	blind, life := f.blind[node], w.life
 	f.mu.Unlock()
 	var status int
 	var reply *wire.ReportReply
@@ -451,7 +476,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case w.dead || w.cut:
+	case w.dead || w.cut || w.deaf || w.life != life:
 	case status == 200:
 		if reply.Token < w.token || r.Session != w.session {
 			return
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -123,7 +123,10 @@
 		return 400, nil, nil
 	}
 	time.Sleep(5 * time.Millisecond)
-	if u.Path == wire.PathWatch {
+	s.mu.Lock()
+	refused := s.outage || s.refused[p.node]
+	s.mu.Unlock()
+	if u.Path == wire.PathWatch && !refused {
 		return s.watch(ctx, p.node, u.Query())
 	}
 	s.mu.Lock()
