--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -16,6 +16,8 @@
 	number uint64
 	idle   []*machine     // usable and not open, in the order of opening; nil: not looked for yet
 	full   map[shape]bool // no machine takes a task of the shape
+	// passedUp: a job of the turn that is being served leaves room to others.
+	passedUp bool
 	// Of the tasks that may be stopped: the lowest priority, and whether any
 	// team is above its guarantee.
 	victims bool // whether the two have been looked for
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -134,6 +134,7 @@
 		for n < len(turns) && turns[n].alike(turns[0]) {
 			n++
 		}
+		s.pass.passedUp = false
 		for _, t := range turns[:n] {
 			s.serveLocked(t.js, now, true)
 		}
@@ -162,12 +163,15 @@
 
 // passesUpLocked tells whether a job leaves a machine that would have to fetch
 // its image to others whose image it holds: for as long as the fetch would
-// take, since then waiting has cost as much.
+// take, since then waiting has cost as much, and whenever one before it does.
 func (s *Share) passesUpLocked(js *jobState, now time.Time) bool {
 	if js.passedUp.IsZero() {
 		js.passedUp = now
 	}
-	return now.Sub(js.passedUp) <= js.fetch
+	if now.Sub(js.passedUp) <= js.fetch {
+		s.pass.passedUp = true
+	}
+	return s.pass.passedUp
 }
 
 // longestFetch bounds what is taken for the time of a fetch.
