--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,7 @@
 	epoch  cluster.Epoch
 	fenced time.Time
 	active map[string]*job.Record
+	mu     sync.Mutex
 	writes []state.Write
 }
 
@@ -59,6 +61,8 @@
 func (p *scripted) ReadDone(context.Context) ([]job.DonePage, error)          { return nil, nil }
 func (p *scripted) Finish(context.Context, *job.Record, wire.Condition) error { return nil }
 func (p *scripted) Commit(_ context.Context, w state.Write) (uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.writes = append(p.writes, w)
 	return 1, nil
 }
