--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -366,8 +366,10 @@
 			}
 			s.placeRecordsLocked(r, nil, map[string]bool{"wk-1": true}, time.Now())
 			for range 3 {
+				s.mu.Lock()
 				s.tidyLocked()
 				s.commitLocked()
+				s.mu.Unlock()
 				synctest.Wait()
 				for _, w := range p.writes {
 					for _, change := range w.Then {
