--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -35,7 +35,7 @@
 	State    wire.TaskState // "" until a report shows it
 	Why      wire.Why
 	Durable  bool      // its record is in the store: the start may be sent
-	Loose    bool      // only the journal holds that record
+	Journal  string    // the journal that alone holds that record; "": none does
 	Paged    bool      // its machine's page holds it
 	Handled  bool      // it exited, and what follows from that is in the store
 	Stop     bool      // it is to be stopped
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -31,12 +31,16 @@
 	return fmt.Sprintf("%s%s/%d/%d", RecordPrefix, node, since, n)
 }
 
-// JournalKey is the key of a member's journal: a page that holds, of all its
-// machines, the attempts that their own pages do not hold yet.
-func JournalKey(node string, since uint64) string { return PageKey(node, since, 0) }
+// JournalKey is the key of a member's n-th journal: a page that holds, of any
+// of its machines, attempts that their own pages do not hold yet.
+func JournalKey(node string, since uint64, n int) string {
+	return fmt.Sprintf("%s%s/%d/j%d", RecordPrefix, node, since, n)
+}
 
 // IsJournal tells whether a key is a journal's.
-func IsJournal(key string) bool { return strings.HasSuffix(key, "/0") }
+func IsJournal(key string) bool {
+	return strings.HasPrefix(key[strings.LastIndexByte(key, '/')+1:], "j")
+}
 
 // PageOwner tells which member named a page. ok is false for a key of the
 // earlier form, which holds one machine and has no owner.
@@ -106,16 +110,16 @@
 	return r
 }
 
-// Extract returns the part of the machine's record that holds its loose
-// attempts, and whether there are any. The rest is on the machine's page, if
-// it has one.
-func (m *Machine) Extract(paged bool) (r Record, ok bool) {
+// Extract returns the part of the machine's record that holds the attempts of
+// one journal, and whether there are any. The rest is in others, or on the
+// machine's page, if it has one.
+func (m *Machine) Extract(journal string, paged bool) (r Record, ok bool) {
 	r.Session = m.Session
 	if !paged {
 		r.Address, r.Type, r.Zone, r.Spot = m.Address, m.TypeName, m.Zone, m.Spot
 	}
 	for _, a := range m.Attempts {
-		if !a.Loose || a.Exited() {
+		if a.Journal != journal || a.Exited() {
 			continue
 		}
 		if r.Attempts == nil {
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -150,7 +150,7 @@
 		return
 	}
 	for _, p := range s.pages {
-		if p.untidy && !p.committing && p != s.journal {
+		if p.untidy && !p.committing && !slices.Contains(s.journals, p) {
 			s.writePageLocked(p, state.Background)
 		}
 	}
@@ -215,29 +215,96 @@
 	attemptSize = 48
 )
 
-// writeJournalLocked writes the journal: the attempts that are on no record,
-// and those that it alone holds. When it is half full, the pages of its machines
-// are due.
-func (s *Share) writeJournalLocked(dirty []*machine) {
-	if s.journal == nil {
-		s.journal = &page{key: fleet.JournalKey(s.opts.Node, s.div.Members[s.opts.Node].Since)}
-		s.pages[s.journal.key] = s.journal
+// maxJournals is how many journals a share has at most: as many as a
+// transaction has room for would do, since one is written at a time; what they
+// hold together is read by whoever takes over.
+const maxJournals = 8
+
+// nextJournalLocked returns the journal to write. Most tasks are over before
+// their journal is written again, and so never come onto a page. It stays the
+// same until what still runs fills three quarters of it, and goes on with the
+// emptiest. When all are half full, the pages of the fullest one's machines are
+// due.
+func (s *Share) nextJournalLocked(limit int) *page {
+	held := s.heldLocked()
+	if s.journal != nil && held[s.journal.key] < limit*3/4 {
+		return s.journal
+	}
+	var least, most *page
+	for _, j := range s.journals {
+		if least == nil || held[j.key] < held[least.key] {
+			least = j
+		}
+		if most == nil || held[j.key] > held[most.key] {
+			most = j
+		}
+	}
+	if least == nil || held[least.key] > limit/2 {
+		if len(s.journals) < maxJournals {
+			least = &page{key: fleet.JournalKey(s.opts.Node, s.div.Members[s.opts.Node].Since, len(s.journals))}
+			s.journals = append(s.journals, least)
+			s.pages[least.key] = least
+		} else if !s.checkpointingLocked() {
+			for _, m := range s.machines {
+				if _, ok := m.Extract(most.key, true); ok {
+					m.due = true
+				}
+			}
+			s.poke()
+		}
 	}
-	if s.journal.committing {
+	s.journal = least
+	return least
+}
+
+// heldLocked is about how many bytes each journal must hold.
+func (s *Share) heldLocked() map[string]int {
+	held := map[string]int{}
+	for _, m := range s.machines {
+		seen := ""
+		for _, a := range m.Attempts {
+			if a.Journal == "" || a.Exited() {
+				continue
+			}
+			held[a.Journal] += attemptSize
+			if a.Journal != seen {
+				seen = a.Journal
+				held[a.Journal] += m.extractSize()
+			}
+		}
+	}
+	return held
+}
+
+// paged tells whether a page in the store has the machine's record.
+func (m *machine) paged() bool { return m.page != nil && m.page.version > 0 }
+
+// extractSize is about what the machine's record takes of a journal besides
+// its attempts.
+func (m *machine) extractSize() int {
+	size := recordSize + len(m.Name)
+	if !m.paged() {
+		size += len(m.Address) + len(m.TypeName) + len(m.Zone)
+	}
+	return size
+}
+
+// writeJournalLocked writes a journal: the attempts that are on no record, and
+// those that it alone holds.
+func (s *Share) writeJournalLocked(dirty []*machine) {
+	limit := s.opts.Settings.ValueBytes - valueSlack
+	journal := s.nextJournalLocked(limit)
+	if journal.committing {
 		return
 	}
 	pw := s.newPageWriteLocked(state.Placement)
 	pw.journal = true
 	content := fleet.Page{Machines: map[string]fleet.Record{}, Write: s.markLocked()}
-	size, limit := 0, s.opts.Settings.ValueBytes-valueSlack
-	add := func(m *machine, r fleet.Record) {
-		content.Machines[m.Name] = r
-		size += recordSize + len(m.Name) + len(r.Address) + len(r.Type) + len(r.Zone) + attemptSize*len(r.Attempts)
-	}
-	paged := func(m *machine) bool { return m.page != nil && m.page.version > 0 }
+	size := 0
 	for _, m := range s.machines {
-		if r, ok := m.Extract(paged(m)); ok {
-			add(m, r)
+		if r, ok := m.Extract(journal.key, m.paged()); ok {
+			content.Machines[m.Name] = r
+			size += m.extractSize() + attemptSize*len(r.Attempts)
 		}
 	}
 	for _, m := range dirty {
@@ -247,26 +314,21 @@
 			if a.Durable || a.Exited() {
 				continue
 			}
-			if size > limit-2*recordSize-attemptSize || !s.admitsLocked(pw, a) {
+			if size > limit-m.extractSize()-attemptSize || !s.admitsLocked(pw, a) {
 				m.dirty = true
 				continue
 			}
 			if _, ok := content.Machines[m.Name]; !ok {
-				r, _ := m.Extract(paged(m))
+				r, _ := m.Extract(journal.key, m.paged())
 				r.Attempts = map[string]uint64{}
-				add(m, r)
+				content.Machines[m.Name] = r
+				size += m.extractSize()
 			}
 			content.Machines[m.Name].Attempts[a.Task] = a.Attempt
 			size += attemptSize
 			pw.records(m, a)
 		}
 	}
-	if size > limit/2 && !s.checkpointingLocked() {
-		for name := range content.Machines {
-			s.machines[name].due = true
-		}
-		s.poke()
-	}
 	if len(pw.attempts) == 0 {
 		return
 	}
@@ -274,15 +336,15 @@
 	if err != nil {
 		s.log.Error("encoding the journal", "err", err)
 	}
-	pw.put(s.journal, value)
+	pw.put(journal, value)
 	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
 }
 
-// checkpointingLocked tells whether pages are still due since the journal last
-// filled: what it gains meanwhile goes with the next round of them.
+// checkpointingLocked tells whether pages are still due since the journals last
+// filled: what they gain meanwhile goes with the next round of them.
 func (s *Share) checkpointingLocked() bool {
 	for _, p := range s.pages {
-		if p.committing && p != s.journal {
+		if p.committing && !slices.Contains(s.journals, p) {
 			return true
 		}
 	}
@@ -345,7 +407,7 @@
 				switch {
 				case a.Exited():
 				case a.Durable:
-					if a.Loose {
+					if a.Journal != "" {
 						pw.moved = append(pw.moved, a)
 					}
 				case s.admitsLocked(pw, a):
@@ -422,7 +484,10 @@
 		}
 		for _, a := range attempts {
 			a.Durable, a.Paged = true, a.Paged || !pw.journal
-			a.Loose = !a.Paged
+			a.Journal = ""
+			if !a.Paged {
+				a.Journal = pw.pages[0].key
+			}
 		}
 		if s.machines[m.Name] == m {
 			s.sendLocked(m)
@@ -430,7 +495,7 @@
 	}
 	if err == nil {
 		for _, a := range pw.moved {
-			a.Loose, a.Paged = false, true
+			a.Journal, a.Paged = "", true
 		}
 		s.poke() // for what has gathered meanwhile
 		return
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -206,7 +206,8 @@
 	asking     map[string]*asking
 	machines   map[string]*machine
 	pages      map[string]*page  // the keys that hold the machines' records
-	journal    *page             // holds what the pages do not hold yet
+	journals   []*page           // hold what the pages do not hold yet
+	journal    *page             // the one that is written at present
 	journaled  time.Time         // when that was last written
 	journalDue bool              // and it waits to be written again
 	paged      uint64            // pages named so far
