--- a/cmd/heronwick/large_test.go
+++ b/cmd/heronwick/large_test.go
@@ -14,6 +14,7 @@
 func TestLargeFleet(t *testing.T) {
 	const machines = 300
 	withCluster(t, machines, func(tc *testCluster) {
+		tc.state.RPS, tc.state.WriteRPS = 150, 60
 		tc.fleet.Types = []wire.MachineType{{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 30, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"z"}}}
 		tc.fleet.RunFor = func(job string) time.Duration {
 			if job >= "wk-001000" {
@@ -76,5 +77,11 @@
 		if jobs < 50 {
 			t.Errorf("only %d jobs were accepted", jobs)
 		}
+		if n := tc.fleet.Lapsed(); n != 0 {
+			t.Errorf("%d leases ran out", n)
+		}
+		if tc.state.Refused > tc.state.Requests/100 {
+			t.Errorf("%d of %d requests were over the state service's limits", tc.state.Refused, tc.state.Requests)
+		}
 	})
 }
--- /dev/null
+++ b/internal/scheduler/bench_test.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"heronwick/internal/cluster"
+	"heronwick/internal/config"
+	"heronwick/internal/fleet"
+	"heronwick/internal/job"
+	"heronwick/internal/placement"
+	"heronwick/wire"
+)
+
+// newLargeShare makes a share of so many machines of 16 CPUs, spread over
+// three zones, every third spot and every second with the images i0 to i3.
+func newLargeShare(machines int) (*Share, *scripted) {
+	p := &scripted{active: map[string]*job.Record{}, epoch: cluster.Epoch{Token: 5, Leader: "me",
+		Members: map[string]cluster.Member{"me": {Incarnation: 1, Since: 3}}, Teams: map[string]string{"ours": "me"}}}
+	s := New(Options{
+		Node: "me", Authority: p, Workers: p, Jobs: p, Committer: p,
+		Settings: &config.Settings{ReportEvery: time.Second, LeaseFor: 10 * time.Second, CancelIn: 20 * time.Second,
+			ValueBytes: 16 << 10, TxnOps: 16, StateWriteRPS: 60},
+		Types: []wire.MachineType{{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 30, Zones: []string{"a", "b", "c"}}},
+		Log:   slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	s.ctx, s.group = context.Background(), &errgroup.Group{}
+	epoch, condition := p.Division()
+	s.takeDivisionLocked(epoch, condition)
+	s.loaded, s.adopted = true, epoch.Token
+	for i := range machines {
+		m := s.addMachineLocked(fleet.NewMachine(fmt.Sprintf("host-%06d", i)), time.Now())
+		s.applyLocked(m, &wire.Report{Machine: m.Name, Address: m.Name, Type: "m", Zone: []string{"a", "b", "c"}[i%3], Spot: i%3 == 1, Session: 1, Seq: 1, Token: 5})
+		if i%2 == 0 {
+			m.Images[fmt.Sprint("i", i/2%4)] = fleet.Held{GB: 1}
+		}
+	}
+	return s, p
+}
+
+// fill books tasks of 2 to 8 CPUs on the machines, at random.
+func fill(s *Share, random *rand.Rand) {
+	for _, m := range s.machines {
+		for random.IntN(4) > 0 {
+			a := &fleet.Attempt{Key: fleet.Key{Task: fmt.Sprintf("wk-%s/%d", m.Name, len(m.Attempts)), Attempt: 1}, Job: "wk-0", Sized: true, Durable: true, State: wire.TaskRunning}
+			a.Size = placement.Resources{CPUs: float64(2 + 2*random.IntN(4)), MemoryGB: 8}
+			if !a.Size.Within(m.Free()) {
+				break
+			}
+			m.Add(a, time.Now())
+			s.list.MoveToFront(m.Name)
+		}
+	}
+}
+
+// What a pass remembers never changes the machine that is chosen: on random
+// fleets it is that of the plain walk, which looks at every machine anew.
+func TestPassChoosesAsThePlainWalk(t *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		s, p := newLargeShare(40)
+		fill(s, random)
+		s.beginPassLocked()
+		for i := range 60 {
+			r := p.add(fmt.Sprintf("wk-%d", i), "ours", wire.PriorityNormal, 1, float64(2+2*random.IntN(7)))
+			r.Job.Spot, r.Job.Image = random.IntN(2) == 0, fmt.Sprint("i", random.IntN(6))
+			js, now := s.newJob(r), time.Now()
+			plain := func(holds bool) string {
+				fits := func(name string) bool {
+					m := s.machines[name]
+					return s.usableLocked(m, now) && js.size.Within(m.Free()) && s.allowedLocked(js, m) && (!holds || m.HoldsImage(r.Job.Image))
+				}
+				if name, ok := s.list.Find(fits); ok {
+					return name
+				}
+				best := ""
+				for name, m := range s.machines {
+					if s.list.Has(name) || !fits(name) {
+						continue
+					}
+					if b := s.machines[best]; b == nil || m.Spot && !b.Spot || m.Spot == b.Spot && name < best {
+						best = name
+					}
+				}
+				return best
+			}
+			want := plain(true)
+			if want == "" {
+				want = plain(false)
+			}
+			got := ""
+			m, _ := s.findHeldLocked(js, now, false)
+			if m == nil {
+				m = s.findAnyLocked(js, now)
+			}
+			if m != nil {
+				got = m.Name
+				s.placeLocked(js, 0, m, now)
+			}
+			if got != want {
+				t.Fatalf("seed %d, task %d: the pass chose %q, the plain walk %q", seed, i, got, want)
+			}
+		}
+	}
+}
+
+// A pass over 800 full machines with 200 waiting jobs.
+func BenchmarkPass(b *testing.B) {
+	s, p := newLargeShare(800)
+	for i := range 200 {
+		r := p.add(fmt.Sprintf("wk-%d", i), "ours", wire.PriorityNormal, 300, float64(2+2*(i%4)))
+		r.Job.Image = fmt.Sprint("i", i%8)
+		s.addJobLocked(r)
+	}
+	for b.Loop() {
+		s.scheduleLocked(time.Now())
+	}
+}
+
+// A report of a machine with eight running tasks, and its answer.
+func BenchmarkReport(b *testing.B) {
+	s, _ := newLargeShare(800)
+	r := &wire.Report{Machine: "host-000000", Address: "a", Type: "m", Zone: "a", Session: 1, Token: 5}
+	for i := range 8 {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: fmt.Sprintf("wk-000001/%d", i), Attempt: 1, State: wire.TaskRunning})
+	}
+	for i := uint64(2); b.Loop(); i++ {
+		r.Seq = i
+		s.Checkin(r)
+	}
+}
+
+// Taking over 800 machines with four tasks each.
+func BenchmarkEpochChange(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 1))
+	full, _ := newLargeShare(800)
+	fill(full, random)
+	var r records
+	for _, m := range full.machines {
+		if len(r.pages) == 0 || len(r.pages[len(r.pages)-1].Machines) == 30 {
+			r.pages = append(r.pages, recordPage{Page: fleet.Page{Machines: map[string]fleet.Record{}}, key: fleet.PageKey("old", 1, uint64(len(r.pages)+1)), version: 1})
+		}
+		r.pages[len(r.pages)-1].Machines[m.Name] = m.Record(func(*fleet.Attempt) bool { return false })
+	}
+	for b.Loop() {
+		s, p := newLargeShare(0)
+		s.addJobLocked(p.add("wk-0", "ours", wire.PriorityNormal, 9000, 2))
+		s.placeRecordsLocked(r, nil, map[string]bool{"wk-0": true}, time.Now())
+	}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -42,6 +42,14 @@
 	broken   []string
 	Returned []string
 	starts   map[string]int
+	lapsed   int
+}
+
+// Lapsed counts the workers' leases that have run out.
+func (f *Fleet) Lapsed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lapsed
 }
 
 // Worker stands in for the worker of one machine.
@@ -441,6 +449,7 @@
 			w.killLocked()
 			w.session++
 			w.renewed = now
+			f.lapsed++
 		}
 		w.seq++
 		r, cut := w.reportLocked(), w.cut
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -37,6 +37,30 @@
 	held     []wire.Txn
 	Requests int
 	Writes   int
+	// RPS and WriteRPS are the limits, with bursts of a second's worth; 0:
+	// none. Refused counts what was over them.
+	RPS, WriteRPS    float64
+	Refused          int
+	requests, writes float64 // taken of the burst
+	drained          time.Time
+}
+
+// overLocked tells whether a request with so many changes is over the limits.
+func (s *State) overLocked(writes int) bool {
+	if s.RPS == 0 {
+		return false
+	}
+	now := time.Now()
+	passed := now.Sub(s.drained).Seconds()
+	s.drained = now
+	s.requests = max(0, s.requests-passed*s.RPS) + 1
+	s.writes = max(0, s.writes-passed*s.WriteRPS) + float64(writes)
+	if s.requests <= s.RPS && s.writes <= s.WriteRPS {
+		return false
+	}
+	s.requests, s.writes = s.requests-1, s.writes-float64(writes)
+	s.Refused++
+	return true
 }
 
 type lease struct {
@@ -135,12 +159,15 @@
 	if s.outage || s.refused[p.node] {
 		return 503, nil, nil
 	}
+	var txn wire.Txn
+	if u.Path == wire.PathTxn && json.Unmarshal(body, &txn) != nil {
+		return 400, nil, nil
+	}
+	if s.overLocked(len(txn.Then)) {
+		return 429, nil, nil
+	}
 	switch {
 	case method == "POST" && u.Path == wire.PathTxn:
-		var txn wire.Txn
-		if json.Unmarshal(body, &txn) != nil {
-			return 400, nil, nil
-		}
 		if s.hold > 0 {
 			s.hold--
 			s.held = append(s.held, txn)
