--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -24,6 +24,8 @@
 	deadProbes = 3
 	// keepWarm is how long an idle machine is kept for what may come.
 	keepWarm = 5 * time.Minute
+	// keepUnused is how long it is kept while there are no jobs at all.
+	keepUnused = 30 * time.Second
 	// listEvery is how often the cloud's list is read.
 	listEvery = 5 * time.Second
 )
@@ -523,10 +525,14 @@
 	if len(idle) <= s.spare {
 		return
 	}
-	oldest := slices.MinFunc(idle, func(a, b *machine) int { return a.idleSince.Compare(b.idleSince) })
-	if now.Sub(oldest.idleSince) > keepWarm {
-		s.returnLocked([]*machine{oldest}, "idle")
+	slices.SortFunc(idle, func(a, b *machine) int { return a.idleSince.Compare(b.idleSince) })
+	back, warm := idle[:1], keepWarm
+	if len(s.opts.Jobs.AllActive()) == 0 {
+		// Nobody wants anything, so only the reserve is worth its price.
+		back, warm = idle[:len(idle)-s.spare], keepUnused
 	}
+	back = slices.DeleteFunc(back, func(m *machine) bool { return now.Sub(m.idleSince) <= warm })
+	s.returnLocked(back, "idle")
 }
 
 // offer is a kind of machine that could be rented.
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -355,6 +355,7 @@
 			}
 			s.mu.Unlock()
 		}
+		began := time.Now()
 		s.mu.Lock()
 		if !s.divided.Swap(true) {
 			s.divideLocked()
@@ -363,15 +364,15 @@
 		s.commitLocked()
 		s.lendLocked(time.Now())
 		s.mu.Unlock()
-		if !pause(ctx, passEvery) {
+		if !pause(ctx, max(passEvery, 2*time.Since(began))) {
 			return nil
 		}
 	}
 }
 
-// passEvery is how long a pass waits after the one before. What comes
-// meanwhile is served together: under load a pass for each report would take
-// more than the share of a processor.
+// passEvery is how long a pass waits after the one before, or twice as long as
+// that took. What comes meanwhile is served together: under load a pass for
+// each report would take more than the share of a processor.
 const passEvery = 10 * time.Millisecond
 
 // Changed tells the share that the epoch or a machine's owner has changed.
