--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -117,8 +117,8 @@
 	g.Go(func() error { return c.members.Run(ctx) })
 	g.Go(func() error { return c.catalog.Run(ctx) })
 	g.Go(func() error { return c.offers.Run(ctx) })
-	g.Go(func() error { return c.logUsage(ctx) })
-	g.Go(func() error { return c.balance(ctx) })
+	g.Go(func() error { return every(ctx, logUsageEvery, c.logUsage) })
+	g.Go(func() error { return every(ctx, balanceEvery, c.balance) })
 	return g.Wait()
 }
 
@@ -126,20 +126,25 @@
 const logUsageEvery = 10 * time.Second
 
 // logUsage tells an operator which work waits for the state service's limits.
-func (c *controller) logUsage(ctx context.Context) error {
-	tick := time.NewTicker(logUsageEvery)
+func (c *controller) logUsage() {
+	for p, u := range c.budget.Usage() {
+		if u.Requests > 0 {
+			c.log.Info("state use", "work", state.Priority(p), "requests", u.Requests, "writes", u.Writes,
+				"mean_wait", u.Waited/time.Duration(u.Requests), "longest_wait", u.Longest)
+		}
+	}
+}
+
+// every calls f at regular times until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) error {
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-		}
-		for p, u := range c.budget.Usage() {
-			if u.Requests > 0 {
-				c.log.Info("state use", "work", state.Priority(p), "requests", u.Requests, "writes", u.Writes,
-					"mean_wait", u.Waited/time.Duration(u.Requests), "longest_wait", u.Longest)
-			}
+			f()
 		}
 	}
 }
@@ -192,27 +197,18 @@
 	short            bool
 }
 
-// balance works out again and again what this controller leaves to the others
+// balance works out what this controller leaves to the others
 // and what they leave to it: the work is where the machines and the teams are,
 // which is not as the parts are.
-func (c *controller) balance(ctx context.Context) error {
-	tick := time.NewTicker(balanceEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-		requests, writes := c.rates()
-		w := c.budget.Window()
-		perSecond := headroom / balanceEvery.Seconds()
-		c.spare.Store(&spare{
-			requests: max(0, requests-perSecond*float64(w.Requests)-1), writes: max(0, writes-perSecond*float64(w.Writes)-1),
-			short: w.Longest > shortAfter,
-		})
-		c.setRates()
-	}
+func (c *controller) balance() {
+	requests, writes := c.rates()
+	w := c.budget.Window()
+	perSecond := headroom / balanceEvery.Seconds()
+	c.spare.Store(&spare{
+		requests: max(0, requests-perSecond*float64(w.Requests)-1), writes: max(0, writes-perSecond*float64(w.Writes)-1),
+		short: w.Longest > shortAfter,
+	})
+	c.setRates()
 }
 
 // setRates sets this controller's budget: its part, and while it is short what
--- a/internal/cluster/owners.go
+++ b/internal/cluster/owners.go
@@ -102,13 +102,13 @@
 	return mine, orphans, c.revision >= c.version
 }
 
-// OwnerOf returns what is known of a machine's owner: valid tells whether it
-// is a member, named whether any transfer names the machine.
-func (c *Cluster) OwnerOf(machine string) (o Owner, valid, named bool) {
+// OwnerOf returns a machine's owner, member or not; named tells whether any
+// transfer names the machine.
+func (c *Cluster) OwnerOf(machine string) (o Owner, named bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o, named = c.owners[machine]
-	return o, c.validLocked(o), named
+	return o, named
 }
 
 // HostOf returns the member that owns a machine, or the leader, which takes
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -399,7 +399,7 @@
 	if !s.returned[name].IsZero() {
 		return true
 	}
-	o, _, _ := s.opts.Authority.OwnerOf(name)
+	o, _ := s.opts.Authority.OwnerOf(name)
 	return o.Gone()
 }
 
@@ -440,7 +440,7 @@
 	if node != s.opts.Node || s.moving[r.Machine] {
 		return nil, false
 	}
-	_, _, named := s.opts.Authority.OwnerOf(r.Machine)
+	_, named := s.opts.Authority.OwnerOf(r.Machine)
 	if owned || named || !s.opts.Authority.Fresh() || !s.loaded || s.adopted != s.opts.Authority.Token() {
 		// Given a moment ago, or perhaps one with tasks whose owner has gone.
 		s.redivide()
--- a/internal/scheduler/done.go
+++ b/internal/scheduler/done.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"time"
 
 	"heronwick/internal/fleet"
@@ -100,7 +99,7 @@
 
 // flushLocked writes the done tasks of jobs that go on.
 func (s *Share) flushLocked(now time.Time) {
-	if _, condition := s.opts.Authority.Division(); !s.loaded || condition != s.div.condition || now.Sub(s.flushed) < flushEvery {
+	if !s.loaded || !s.currentLocked() || now.Sub(s.flushed) < flushEvery {
 		return
 	}
 	s.flushed = now
@@ -141,8 +140,7 @@
 	for sh, sw := range due {
 		change := wire.Change{Delete: sh.key}
 		if len(sh.jobs) > 0 {
-			s.serial++
-			value, err := json.Marshal(job.DonePage{Jobs: sh.jobs, Write: fmt.Sprintf("%s-%d-%d", s.opts.Node, s.div.Token, s.serial)})
+			value, err := json.Marshal(job.DonePage{Jobs: sh.jobs, Write: s.markLocked()})
 			if err != nil {
 				s.log.Error("encoding done tasks", "key", sh.key, "err", err)
 			}
@@ -157,16 +155,14 @@
 
 func (s *Share) writeShelf(ctx context.Context, sw *shelfWrite) {
 	version, err := s.opts.Committer.Commit(ctx, sw.write)
-	var conflict *state.Conflict
-	var reread bool
-	if err != nil && ctx.Err() == nil && (!errors.As(err, &conflict) || conflict.Has(sw.shelf.key)) {
-		item, gerr := s.opts.Records.Get(ctx, state.Background, sw.shelf.key)
-		version, reread = item.Version, gerr == nil || errors.Is(gerr, state.ErrNotFound)
+	known := err == nil
+	if err != nil {
+		version, known = s.reread(ctx, state.Background, sw.shelf.key, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sw.shelf.committing = false
-	if err == nil || reread {
+	if known {
 		sw.shelf.version = version
 	}
 	if err != nil {
@@ -186,7 +182,7 @@
 
 // finishLocked writes a job's end once all its tasks are done.
 func (s *Share) finishLocked(js *jobState) {
-	if js.finishing || js.rec.Job.Kind == wire.KindService || js.done.Count < js.rec.Job.Tasks {
+	if js.finishing || js.service() || js.done.Count < js.rec.Job.Tasks {
 		return
 	}
 	js.finishing = true
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -356,7 +356,7 @@
 	s.list.Close(m.Name)
 	s.leavePageLocked(m)
 	delete(s.machines, m.Name)
-	if _, _, named := s.opts.Authority.OwnerOf(m.Name); named {
+	if _, named := s.opts.Authority.OwnerOf(m.Name); named {
 		// Whoever takes over what is ours must not take it for a machine.
 		s.gone = append(s.gone, m.Name)
 	}
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -93,7 +93,7 @@
 // machines is one change at a time, however many pages there are; those are
 // written when the journal fills.
 func (s *Share) commitLocked() {
-	if _, condition := s.opts.Authority.Division(); condition != s.div.condition {
+	if !s.currentLocked() {
 		return // would only fail, and failures cost writes too
 	}
 	due := map[*page]bool{}
@@ -146,7 +146,7 @@
 // tidyLocked writes the pages that name machines which are no longer here,
 // and removes those that name none that are.
 func (s *Share) tidyLocked() {
-	if _, condition := s.opts.Authority.Division(); !s.loaded || condition != s.div.condition {
+	if !s.loaded || !s.currentLocked() {
 		return
 	}
 	for _, p := range s.pages {
@@ -215,9 +215,8 @@
 	attemptSize = 48
 )
 
-// maxJournals is how many journals a share has at most: as many as a
-// transaction has room for would do, since one is written at a time; what they
-// hold together is read by whoever takes over.
+// maxJournals is how many journals a share has at most: whoever takes over
+// reads what they hold together.
 const maxJournals = 8
 
 // nextJournalLocked returns the journal to write. Most tasks are over before
@@ -444,20 +443,31 @@
 	}
 }
 
+// currentLocked tells whether the division that the share goes by is current.
+func (s *Share) currentLocked() bool { return s.freshLocked()() }
+
+// reread returns the version that a key has after a write of it has failed
+// with err; ok is false if that is not known, or did not change. Only this
+// share writes the key, so what is there is an earlier write of its own, or of
+// an earlier epoch.
+func (s *Share) reread(ctx context.Context, p state.Priority, key string, err error) (version uint64, ok bool) {
+	var conflict *state.Conflict
+	if ctx.Err() != nil || errors.As(err, &conflict) && !conflict.Has(key) {
+		return 0, false
+	}
+	item, err := s.opts.Records.Get(ctx, p, key)
+	return item.Version, err == nil || errors.Is(err, state.ErrNotFound)
+}
+
 func (s *Share) commit(ctx context.Context, pw *pageWrite) {
 	version, err := s.opts.Committer.Commit(ctx, pw.write)
 	var conflict *state.Conflict
 	reread := map[*page]uint64{}
 	if err != nil && ctx.Err() == nil {
+		errors.As(err, &conflict)
 		for _, p := range pw.pages {
-			if errors.As(err, &conflict) && !conflict.Has(p.key) {
-				continue
-			}
-			// Only this share writes the page, so what is there now is an
-			// earlier write of its own, or of an earlier epoch.
-			item, gerr := s.opts.Records.Get(ctx, state.Placement, p.key)
-			if gerr == nil || errors.Is(gerr, state.ErrNotFound) {
-				reread[p] = item.Version
+			if v, ok := s.reread(ctx, state.Placement, p.key, err); ok {
+				reread[p] = v
 			}
 		}
 	}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -35,7 +35,7 @@
 	Owners() (mine map[string]cluster.Owner, orphans []string, fresh bool)
 	Home(machine string) (node string, owned bool)
 	HostOf(machine string) string
-	OwnerOf(machine string) (o cluster.Owner, valid, named bool)
+	OwnerOf(machine string) (o cluster.Owner, named bool)
 	Fresh() bool
 	TransferWrite(node string, machines map[string]json.RawMessage) (wire.Condition, wire.Change, bool)
 	NoteOwner(change wire.Change, version uint64)
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -45,9 +45,7 @@
 func (p *scripted) Idle(string) int                                    { return 0 }
 func (p *scripted) NoteOwner(wire.Change, uint64)                      {}
 func (p *scripted) Fresh() bool                                        { return true }
-func (p *scripted) OwnerOf(string) (cluster.Owner, bool, bool) {
-	return cluster.Owner{}, false, false
-}
+func (p *scripted) OwnerOf(string) (cluster.Owner, bool)               { return cluster.Owner{}, false }
 func (p *scripted) TransferWrite(string, map[string]json.RawMessage) (wire.Condition, wire.Change, bool) {
 	return wire.Condition{}, wire.Change{}, false
 }
