--- a/internal/cluster/division.go
+++ b/internal/cluster/division.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"heronwick/internal/cluster/peerpb"
 )
 
 // next copies the epoch and raises the token.
@@ -171,3 +173,16 @@
 	}
 	return 0
 }
+
+// Wants tells what finds no room in the other members' shares.
+func (c *Cluster) Wants() []*peerpb.Want {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []*peerpb.Want
+	for node, p := range c.peers {
+		if c.epoch.Members[node].Since != 0 && time.Since(p.lastSeen) < peerOKFor {
+			all = append(all, p.status.Wants...)
+		}
+	}
+	return all
+}
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -37,8 +37,6 @@
 const (
 	lendTimeout = time.Second
 	settleEvery = 400 * time.Millisecond
-	// askedFor is how long a peer's want counts, for renting.
-	askedFor = 2 * time.Second
 	// maxAsked bounds the tasks of one request.
 	maxAsked = 48
 	// maxAskedPerJob bounds those of one job in it.
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -1,16 +1,12 @@
 package scheduler
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"heronwick/internal/cloud"
 	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/fleet"
 	"heronwick/internal/placement"
@@ -504,9 +500,11 @@
 func (s *Share) Status(status *peerpb.Status) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	idle, total, free := s.statusLocked(time.Now())
+	now := time.Now()
+	idle, total, free := s.statusLocked(now)
 	status.Machines, status.Idle = uint32(len(s.machines)), uint32(idle)
 	status.Cpus, status.FreeCpus, status.Cut = total.CPUs, free.CPUs, s.cut
+	status.Wants = s.wantsLocked(now)
 }
 
 // returnIdleLocked gives back a machine that has been idle for long, if more
@@ -534,215 +532,3 @@
 	back = slices.DeleteFunc(back, func(m *machine) bool { return now.Sub(m.idleSince) <= warm })
 	s.returnLocked(back, "idle")
 }
-
-// offer is a kind of machine that could be rented.
-type offer struct {
-	place placement.Place
-	t     *wire.MachineType
-}
-
-// virtual is a machine that is on its way, or would be if rented.
-type virtual struct {
-	place placement.Place
-	free  placement.Resources
-	rent  bool
-}
-
-// maxRentals bounds how many machines are asked for in one round.
-const maxRentals = 20
-
-// wantLocked works out which machines to rent: what waits is packed onto the
-// machines that are on their way, then onto new ones, and a reserve is kept
-// for bursts and losses.
-func (s *Share) wantLocked(now time.Time) []wire.RentRequest {
-	if !s.loaded || !s.opts.Authority.Permitted() {
-		return nil
-	}
-	var coming []*virtual
-	for _, b := range s.booting {
-		t := s.types[b.place.Type]
-		// One that is late does not count: it may never come.
-		if t == nil || now.Sub(b.since) > time.Duration(1.7*t.BootS*float64(time.Second)) {
-			continue
-		}
-		coming = append(coming, &virtual{place: b.place, free: placement.Capacity(t)})
-	}
-	var waiting []*jobState
-	for _, js := range s.jobs {
-		if !js.waiting.IsZero() && now.Sub(js.waiting) > 300*time.Millisecond && !js.mistaken() {
-			js.asked = js.unplaced()
-			waiting = append(waiting, js)
-		}
-	}
-	for _, js := range s.guests {
-		if now.Sub(js.askedAt) < askedFor && !js.mistaken() {
-			waiting = append(waiting, js)
-		}
-	}
-	slices.SortFunc(waiting, func(a, b *jobState) int {
-		return cmp.Or(cmp.Compare(a.rec.Job.Priority.Rank(), b.rec.Job.Priority.Rank()), a.accepted.Compare(b.accepted))
-	})
-	rented := 0
-	for _, js := range waiting {
-		zones := map[string]int{}
-		for z, n := range js.zones {
-			zones[z] = n
-		}
-		for range min(js.asked, 500) {
-			v := s.virtualFor(js, zones, coming)
-			if v == nil {
-				if rented >= maxRentals {
-					break
-				}
-				o := s.offerLocked(&js.rec.Job, js.size, zones, now)
-				if o == nil {
-					break
-				}
-				v = &virtual{place: o.place, free: placement.Capacity(o.t), rent: true}
-				coming = append(coming, v)
-				rented++
-			}
-			v.free = v.free.Minus(js.size)
-			zones[v.place.Zone]++
-		}
-	}
-	coming = s.reserveLocked(coming, now)
-	counts := map[placement.Place]int{}
-	for _, v := range coming {
-		if v.rent {
-			counts[v.place]++
-		}
-	}
-	var requests []wire.RentRequest
-	for place, n := range counts {
-		s.serial++
-		requests = append(requests, wire.RentRequest{
-			// Tokens are used once and the count only rises under one, so no
-			// request name ever comes again.
-			Request: fmt.Sprintf("heronwick-%s-%d-%d", s.opts.Node, s.div.Token, s.serial),
-			Type:    place.Type, Zone: place.Zone, Spot: place.Spot, Count: min(n, wire.MaxRent),
-		})
-	}
-	return requests
-}
-
-// reserveLocked adds what the reserve lacks: a part of the machines in use,
-// idle or on their way, to take bursts and what dead machines leave.
-func (s *Share) reserveLocked(coming []*virtual, now time.Time) []*virtual {
-	var free, total placement.Resources
-	inUse := 0
-	for _, m := range s.machines {
-		if !s.usableLocked(m, now) || m.Type == nil {
-			continue
-		}
-		inUse++
-		total = total.Plus(placement.Capacity(m.Type))
-		free = free.Plus(m.Free())
-	}
-	for _, v := range coming {
-		free = free.Plus(v.free)
-	}
-	machines, _, cpus, freeCPUs := s.opts.Authority.Totals()
-	inUse += machines
-	total.CPUs, free.CPUs = total.CPUs+cpus, free.CPUs+freeCPUs
-	s.spare = max(1, inUse/5)
-	if inUse == 0 || free.CPUs >= total.CPUs/4 {
-		return coming
-	}
-	any := wire.Job{Tasks: 1}
-	if o := s.offerLocked(&any, placement.Resources{}, nil, now); o != nil {
-		return append(coming, &virtual{place: o.place, free: placement.Capacity(o.t), rent: true})
-	}
-	any.Spot = true
-	if o := s.offerLocked(&any, placement.Resources{}, nil, now); o != nil {
-		return append(coming, &virtual{place: o.place, free: placement.Capacity(o.t), rent: true})
-	}
-	return coming
-}
-
-func (s *Share) virtualFor(js *jobState, zones map[string]int, coming []*virtual) *virtual {
-	for _, v := range coming {
-		if js.size.Within(v.free) && placement.Allows(&js.rec.Job, v.place, placement.Spread{ByZone: zones}) {
-			return v
-		}
-	}
-	return nil
-}
-
-// offerLocked chooses what to rent for a job: spot if it may, the cheapest
-// per CPU, in the zone with the fewest machines; not what the cloud has just
-// refused.
-func (s *Share) offerLocked(j *wire.Job, size placement.Resources, zones map[string]int, now time.Time) *offer {
-	perZone := map[string]int{}
-	for _, m := range s.machines {
-		perZone[m.Zone]++
-	}
-	for _, b := range s.booting {
-		perZone[b.place.Zone]++
-	}
-	var best *offer
-	cost := func(o *offer) float64 {
-		if o.place.Spot {
-			return o.t.SpotPrice / max(o.t.CPUs, 0.001)
-		}
-		return o.t.Price / max(o.t.CPUs, 0.001)
-	}
-	for _, t := range s.types {
-		for _, zone := range t.Zones {
-			for _, spot := range []bool{false, true} {
-				o := &offer{place: placement.Place{Type: t.Name, Zone: zone, Spot: spot}, t: t}
-				if !size.Within(placement.Capacity(t)) || now.Before(s.refused[o.place].until) ||
-					!placement.Allows(j, o.place, placement.Spread{ByZone: zones}) {
-					continue
-				}
-				if best == nil || cmp.Or(cmp.Compare(cost(o), cost(best)), cmp.Compare(perZone[zone], perZone[best.place.Zone]),
-					cmp.Compare(zone, best.place.Zone)) < 0 {
-					best = o
-				}
-			}
-		}
-	}
-	return best
-}
-
-// rent rents what is wanted, one kind after the other.
-func (s *Share) rent(ctx context.Context) {
-	s.mu.Lock()
-	requests := s.wantLocked(time.Now())
-	s.mu.Unlock()
-	for _, req := range requests {
-		if ctx.Err() != nil {
-			return
-		}
-		place := placement.Place{Type: req.Type, Zone: req.Zone, Spot: req.Spot}
-		var names []string
-		var err error
-		for range 3 {
-			// Repeating an unanswered request rents nothing twice.
-			names, err = s.opts.Cloud.Rent(ctx, req)
-			if err == nil || errors.Is(err, cloud.ErrNoCapacity) || !pause(ctx, 300*time.Millisecond) {
-				break
-			}
-		}
-		s.mu.Lock()
-		now := time.Now()
-		if err != nil || len(names) < req.Count {
-			r := s.refused[place]
-			r.wait = min(max(2*r.wait, 5*time.Second), 40*time.Second)
-			r.until = now.Add(r.wait)
-			s.refused[place] = r
-			s.log.Info("rental not filled", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "asked", req.Count, "got", len(names), "err", err)
-		} else {
-			delete(s.refused, place)
-		}
-		for _, name := range names {
-			if s.machines[name] == nil && s.returned[name].IsZero() {
-				s.booting[name] = &booting{place: place, since: now, seen: now}
-			}
-		}
-		if len(names) > 0 {
-			s.log.Info("rented", "machines", names, "type", req.Type, "zone", req.Zone, "spot", req.Spot)
-		}
-		s.mu.Unlock()
-	}
-}
--- /dev/null
+++ b/internal/scheduler/rent.go
@@ -0,0 +1,273 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"heronwick/internal/cloud"
+	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/placement"
+	"heronwick/wire"
+)
+
+// offer is a kind of machine that could be rented.
+type offer struct {
+	place placement.Place
+	t     *wire.MachineType
+}
+
+// virtual is a machine that is on its way, or would be if rented.
+type virtual struct {
+	place placement.Place
+	free  placement.Resources
+	rent  bool
+}
+
+// demand is what a job, of any share, finds no room for.
+type demand struct {
+	job   *jobState
+	tasks int
+}
+
+const (
+	// maxRentals bounds how many machines are asked for in one round.
+	maxRentals = 100
+	// wantsRoomAfter is how long a task must have found no room to be rented for.
+	wantsRoomAfter = 300 * time.Millisecond
+	// maxWants bounds the jobs of which a share tells that they find no room.
+	maxWants = 500
+)
+
+// wants tells how many tasks of an own job machines should be rented for.
+func (js *jobState) wants(now time.Time) int {
+	if js.waiting.IsZero() || now.Sub(js.waiting) <= wantsRoomAfter || js.mistaken() {
+		return 0
+	}
+	return js.unplaced()
+}
+
+// wantsLocked tells the peers what finds no room here: one controller rents,
+// and must know of all that waits, not only of what it is just asked to place.
+func (s *Share) wantsLocked(now time.Time) []*peerpb.Want {
+	var wants []*peerpb.Want
+	for id, js := range s.jobs {
+		if n := js.wants(now); n > 0 && len(wants) < maxWants {
+			wants = append(wants, &peerpb.Want{Job: id, Tasks: uint32(n)})
+		}
+	}
+	return wants
+}
+
+// demandLocked gathers what finds no room in any share, in the order in which
+// it is rented for.
+func (s *Share) demandLocked(now time.Time) []demand {
+	var all []demand
+	for _, js := range s.jobs {
+		if n := js.wants(now); n > 0 {
+			all = append(all, demand{js, n})
+		}
+	}
+	for _, w := range s.opts.Authority.Wants() {
+		js := s.guests[w.Job]
+		if js == nil {
+			r := s.opts.Jobs.Active(w.Job)
+			if r == nil {
+				continue
+			}
+			js = s.newJob(r)
+		}
+		all = append(all, demand{js, int(w.Tasks)})
+	}
+	slices.SortFunc(all, func(a, b demand) int {
+		return cmp.Or(cmp.Compare(a.job.rec.Job.Priority.Rank(), b.job.rec.Job.Priority.Rank()), a.job.accepted.Compare(b.job.accepted))
+	})
+	return all
+}
+
+// wantLocked works out which machines to rent: what waits is packed onto the
+// machines that are on their way, then onto new ones, and a reserve is kept
+// for bursts and losses.
+func (s *Share) wantLocked(now time.Time) []wire.RentRequest {
+	if !s.loaded || !s.opts.Authority.Permitted() {
+		return nil
+	}
+	perZone := map[string]int{}
+	for _, m := range s.machines {
+		perZone[m.Zone]++
+	}
+	var coming []*virtual
+	for _, b := range s.booting {
+		perZone[b.place.Zone]++
+		t := s.types[b.place.Type]
+		// One that is late does not count: it may never come.
+		if t == nil || now.Sub(b.since) > time.Duration(1.7*t.BootS*float64(time.Second)) {
+			continue
+		}
+		coming = append(coming, &virtual{place: b.place, free: placement.Capacity(t)})
+	}
+	rented := 0
+	rent := func(o *offer) *virtual {
+		v := &virtual{place: o.place, free: placement.Capacity(o.t), rent: true}
+		coming = append(coming, v)
+		perZone[o.place.Zone]++
+		rented++
+		return v
+	}
+	for _, d := range s.demandLocked(now) {
+		j := &d.job.rec.Job
+		zones := map[string]int{}
+		for z, n := range d.job.zones {
+			zones[z] = n
+		}
+		next := 0 // what does not take a task of the job takes none of its later ones
+		for range d.tasks {
+			for next < len(coming) && !(d.job.size.Within(coming[next].free) && placement.Allows(j, coming[next].place, placement.Spread{ByZone: zones})) {
+				next++
+			}
+			if next == len(coming) {
+				if rented >= maxRentals {
+					break
+				}
+				o := s.offerLocked(j, d.job.size, zones, perZone, now)
+				if o == nil {
+					break
+				}
+				rent(o)
+			}
+			v := coming[next]
+			v.free = v.free.Minus(d.job.size)
+			zones[v.place.Zone]++
+		}
+	}
+	for lacking := s.reserveLackLocked(coming, now); lacking > 0 && rented < maxRentals; {
+		// Ordinary machines take any job.
+		o := s.offerLocked(&wire.Job{Tasks: 1}, placement.Resources{}, nil, perZone, now)
+		if o == nil {
+			o = s.offerLocked(&wire.Job{Tasks: 1, Spot: true}, placement.Resources{}, nil, perZone, now)
+		}
+		if o == nil {
+			break
+		}
+		rent(o)
+		lacking -= max(o.t.CPUs, 1)
+	}
+	counts := map[placement.Place]int{}
+	for _, v := range coming {
+		if v.rent {
+			counts[v.place]++
+		}
+	}
+	var requests []wire.RentRequest
+	for place, n := range counts {
+		s.serial++
+		requests = append(requests, wire.RentRequest{
+			// Tokens are used once and the count only rises under one, so no
+			// request name ever comes again.
+			Request: fmt.Sprintf("heronwick-%s-%d-%d", s.opts.Node, s.div.Token, s.serial),
+			Type:    place.Type, Zone: place.Zone, Spot: place.Spot, Count: min(n, wire.MaxRent),
+		})
+	}
+	return requests
+}
+
+// reserveLackLocked returns the CPUs that the reserve lacks: a part of the
+// machines in use, idle or on their way, to take bursts and what dead machines
+// leave.
+func (s *Share) reserveLackLocked(coming []*virtual, now time.Time) float64 {
+	var free, total placement.Resources
+	inUse := 0
+	for _, m := range s.machines {
+		if !s.usableLocked(m, now) || m.Type == nil {
+			continue
+		}
+		inUse++
+		total = total.Plus(placement.Capacity(m.Type))
+		free = free.Plus(m.Free())
+	}
+	for _, v := range coming {
+		free = free.Plus(v.free)
+	}
+	machines, _, cpus, freeCPUs := s.opts.Authority.Totals()
+	inUse += machines
+	s.spare = max(1, inUse/5)
+	if inUse == 0 {
+		return 0
+	}
+	return math.Max(0, (total.CPUs+cpus)/4-free.CPUs-freeCPUs)
+}
+
+// offerLocked chooses what to rent for a job: spot if it may, the cheapest
+// per CPU, in the zone with the fewest machines; not what the cloud has just
+// refused. perZone counts the machines that there are.
+func (s *Share) offerLocked(j *wire.Job, size placement.Resources, zones, perZone map[string]int, now time.Time) *offer {
+	var best *offer
+	cost := func(o *offer) float64 {
+		if o.place.Spot {
+			return o.t.SpotPrice / max(o.t.CPUs, 0.001)
+		}
+		return o.t.Price / max(o.t.CPUs, 0.001)
+	}
+	for _, t := range s.types {
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				o := &offer{place: placement.Place{Type: t.Name, Zone: zone, Spot: spot}, t: t}
+				if !size.Within(placement.Capacity(t)) || now.Before(s.refused[o.place].until) ||
+					!placement.Allows(j, o.place, placement.Spread{ByZone: zones}) {
+					continue
+				}
+				if best == nil || cmp.Or(cmp.Compare(cost(o), cost(best)), cmp.Compare(perZone[zone], perZone[best.place.Zone]),
+					cmp.Compare(zone, best.place.Zone)) < 0 {
+					best = o
+				}
+			}
+		}
+	}
+	return best
+}
+
+// rent rents what is wanted, one kind after the other.
+func (s *Share) rent(ctx context.Context) {
+	s.mu.Lock()
+	requests := s.wantLocked(time.Now())
+	s.mu.Unlock()
+	for _, req := range requests {
+		if ctx.Err() != nil {
+			return
+		}
+		place := placement.Place{Type: req.Type, Zone: req.Zone, Spot: req.Spot}
+		var names []string
+		var err error
+		for range 3 {
+			// Repeating an unanswered request rents nothing twice.
+			names, err = s.opts.Cloud.Rent(ctx, req)
+			if err == nil || errors.Is(err, cloud.ErrNoCapacity) || !pause(ctx, 300*time.Millisecond) {
+				break
+			}
+		}
+		s.mu.Lock()
+		now := time.Now()
+		if err != nil || len(names) < req.Count {
+			r := s.refused[place]
+			r.wait = min(max(2*r.wait, 5*time.Second), 40*time.Second)
+			r.until = now.Add(r.wait)
+			s.refused[place] = r
+			s.log.Info("rental not filled", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "asked", req.Count, "got", len(names), "err", err)
+		} else {
+			delete(s.refused, place)
+		}
+		for _, name := range names {
+			if s.machines[name] == nil && s.returned[name].IsZero() {
+				s.booting[name] = &booting{place: place, since: now, seen: now}
+			}
+		}
+		if len(names) > 0 {
+			s.log.Info("rented", "machines", names, "type", req.Type, "zone", req.Zone, "spot", req.Spot)
+		}
+		s.mu.Unlock()
+	}
+}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -41,6 +41,7 @@
 	NoteOwner(change wire.Change, version uint64)
 	Totals() (machines, idle int, cpus, free float64)
 	Idle(node string) int
+	Wants() []*peerpb.Want
 }
 
 // Workers sends straight to workers.
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -18,6 +18,7 @@
 	"heronwick/internal/config"
 	"heronwick/internal/fleet"
 	"heronwick/internal/job"
+	"heronwick/internal/placement"
 	"heronwick/internal/state"
 	"heronwick/wire"
 )
@@ -29,6 +30,7 @@
 	active map[string]*job.Record
 	mu     sync.Mutex
 	writes []state.Write
+	wants  []*peerpb.Want
 }
 
 func (p *scripted) Division() (cluster.Epoch, wire.Condition) {
@@ -43,6 +45,7 @@
 func (p *scripted) HostOf(string) string                               { return "me" }
 func (p *scripted) Totals() (int, int, float64, float64)               { return 0, 0, 0, 0 }
 func (p *scripted) Idle(string) int                                    { return 0 }
+func (p *scripted) Wants() []*peerpb.Want                              { return p.wants }
 func (p *scripted) NoteOwner(wire.Change, uint64)                      {}
 func (p *scripted) Fresh() bool                                        { return true }
 func (p *scripted) OwnerOf(string) (cluster.Owner, bool)               { return cluster.Owner{}, false }
@@ -479,3 +482,32 @@
 		}
 	})
 }
+
+// One controller rents for all: what waits in other shares counts in full, not
+// only the few tasks of it that it is just asked to place, and the reserve is
+// filled at once. Machines came two a second before, while thousands of tasks
+// waited.
+func TestRentsForAllThatWaits(t *testing.T) {
+	s, p := newLargeShare(40)
+	for _, m := range s.machines {
+		m.Add(&fleet.Attempt{Key: fleet.Key{Task: m.Name + "/0", Attempt: 1}, Sized: true, Size: placement.Resources{CPUs: 16}}, time.Now())
+	}
+	for i := range 20 {
+		id := fmt.Sprintf("wk-%d", i)
+		p.add(id, "theirs", wire.PriorityNormal, 50, 8)
+		p.wants = append(p.wants, &peerpb.Want{Job: id, Tasks: 4})
+	}
+	count := func() (n int) {
+		for _, r := range s.wantLocked(time.Now()) {
+			n += r.Count
+		}
+		return n
+	}
+	if n := count(); n < 40 {
+		t.Errorf("%d machines are rented for 80 tasks that take half of one", n)
+	}
+	p.wants = nil
+	if n := count(); n != 10 {
+		t.Errorf("%d machines are rented as the reserve of 40 that are full", n)
+	}
+}
