Keep connections to workers only while sockets are left; count who is heard once a round

Now connections to workers are closed after use once 70% of the sockets are taken, and none is opened into the last 5%; a command that found no socket says nothing of its worker. Whether a silent worker is dead was worked out by looking at all machines for each; now once a round for all.

Ruled out: memory (at most 92 of 271 MB), threads.

--- a/cmd/heronwick/main.go
+++ b/cmd/heronwick/main.go
@@ -72,10 +72,11 @@
 	debug.SetMemoryLimit(settings.MemoryBytes * 3 / 4)
 	debug.SetGCPercent(200)
 
+	var c *controller
 	out := outside{
 		state:   state.NewHTTP(settings.State),
 		cloud:   cloud.NewClient(settings.Cloud, settings.CloudRPS),
-		workers: fleet.NewClient(),
+		workers: fleet.NewClient(settings.MaxConnections, func() int { return c.front.Connections() }),
 		peers:   map[string]peer{},
 	}
 	for _, p := range settings.Peers {
@@ -85,7 +86,7 @@
 		}
 		out.peers[p.Node] = conn
 	}
-	c := newController(settings, out, log)
+	c = newController(settings, out, log)
 	ln, err := net.Listen("tcp", settings.Listen)
 	if err != nil {
 		return fmt.Errorf("listening for users and workers: %w", err)
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -12,24 +15,77 @@
 	"heronwick/wire"
 )
 
-// Client talks straight to workers.
+// ErrNoSocket says that nothing was sent, since no socket was free. It tells
+// nothing of the worker.
+var ErrNoSocket = errors.New("no socket is free")
+
+// Client talks straight to workers. A connection to each of them beside theirs
+// to us is more sockets than a controller may have once it alone looks after
+// the fleet, so connections are kept only as long as there are sockets enough.
 type Client struct {
-	http *fasthttp.Client
+	http    *fasthttp.Client
+	sockets int        // that this process may have
+	others  func() int // that it has for all else
+	open    atomic.Int64
 }
 
-// NewClient makes a client for workers.
-func NewClient() *Client {
-	return &Client{http: &fasthttp.Client{
+const (
+	dialTimeout = time.Second
+	// keepSockets is the part of the sockets up to which connections to workers
+	// are kept for the next command.
+	keepSockets = 0.7
+	// spareSockets stay free for the state service, the cloud and the peers.
+	spareSockets = 0.05
+)
+
+// NewClient makes a client for workers. sockets is how many the process may
+// have, others tells how many it has for all else.
+func NewClient(sockets int, others func() int) *Client {
+	c := &Client{sockets: sockets, others: others}
+	c.http = &fasthttp.Client{
 		MaxConnsPerHost:           2,
 		MaxIdleConnDuration:       30 * time.Second,
 		MaxIdemponentCallAttempts: 1, // a silent second try could carry a command out twice
 		NoDefaultUserAgentHeader:  true,
 		ReadBufferSize:            2 << 10,
 		WriteBufferSize:           2 << 10,
-		Dial: func(addr string) (net.Conn, error) {
-			return fasthttp.DialTimeout(addr, time.Second)
-		},
-	}}
+		DialTimeout:               c.dial,
+	}
+	return c
+}
+
+func (c *Client) below(part float64) bool {
+	return float64(c.open.Load())+float64(c.others()) < part*float64(c.sockets)
+}
+
+func (c *Client) dial(addr string, timeout time.Duration) (net.Conn, error) {
+	if !c.below(1 - spareSockets) {
+		c.http.CloseIdleConnections()
+		return nil, ErrNoSocket
+	}
+	c.open.Add(1)
+	if timeout <= 0 || timeout > dialTimeout {
+		timeout = dialTimeout
+	}
+	conn, err := net.DialTimeout("tcp4", addr, timeout)
+	if err != nil {
+		c.open.Add(-1)
+		return nil, err
+	}
+	return &countedConn{Conn: conn, open: &c.open}, nil
+}
+
+// countedConn takes itself off the count when it is closed.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 // Command sends commands and returns the worker's report after them. A 409
@@ -53,6 +109,9 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(url)
 	req.Header.SetMethod(method)
+	if !c.below(keepSockets) {
+		req.SetConnectionClose()
+	}
 	if body != nil {
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 
 	"heronwick/internal/cluster/peerpb"
@@ -60,33 +62,80 @@
 	return s.silentAfter()
 }
 
-// dead tells whether the worker counts as lost: it is silent, and most others
-// that were asked or have reported since it began to fail have been heard. A
-// controller that loses all its workers would otherwise return them one after
-// the other. Where most of a zone is silent and the others are not, the zone
-// is cut off: its machines are as they were when that ends, their images
-// included, so they are kept for as long as new ones would take to serve.
-func (s *Share) dead(m *machine, now time.Time) bool {
-	if m.failures < deadProbes || now.Sub(m.LastReport) <= s.deadAfter() {
-		return false
+// census tells how many workers were last heard since when, and of those that
+// fail to answer, how many were not. It is taken once for all that may be dead:
+// hundreds can fail at once.
+type census struct {
+	all   hearing
+	zones map[string]*hearing
+}
+
+// hearing is when workers were last heard, of all and of those that fail, in
+// order.
+type hearing struct {
+	last, failing []time.Time
+}
+
+func (h *hearing) add(m *machine) {
+	h.last = append(h.last, m.LastReport)
+	if m.failures > 0 {
+		h.failing = append(h.failing, m.LastReport)
 	}
-	heard, failed := map[string]int{}, map[string]int{}
-	allHeard, allFailed := 0, 0
-	for _, other := range s.machines {
-		switch {
-		case other == m:
-		case other.LastReport.After(m.failing):
-			heard[other.Zone]++
-			allHeard++
-		case other.failures > 0:
-			failed[other.Zone]++
-			allFailed++
+}
+
+func (h *hearing) sort() {
+	slices.SortFunc(h.last, time.Time.Compare)
+	slices.SortFunc(h.failing, time.Time.Compare)
+}
+
+// since tells how many were heard after t, and how many of those that fail
+// were not.
+func (h *hearing) since(t time.Time) (heard, failed int) {
+	after := func(times []time.Time) int {
+		return sort.Search(len(times), func(i int) bool { return times[i].After(t) })
+	}
+	return len(h.last) - after(h.last), after(h.failing)
+}
+
+func (s *Share) censusLocked() *census {
+	c := &census{zones: map[string]*hearing{}}
+	for _, m := range s.machines {
+		zone := c.zones[m.Zone]
+		if zone == nil {
+			zone = &hearing{}
+			c.zones[m.Zone] = zone
 		}
+		c.all.add(m)
+		zone.add(m)
+	}
+	c.all.sort()
+	for _, zone := range c.zones {
+		zone.sort()
 	}
+	return c
+}
+
+// silentForLong tells whether the worker has answered neither a report's time
+// nor its probes.
+func (s *Share) silentForLong(m *machine, now time.Time) bool {
+	return m.failures >= deadProbes && now.Sub(m.LastReport) > s.deadAfter()
+}
+
+// dead tells whether a worker that is silent for long counts as lost: most
+// others that were asked or have reported since it began to fail have been
+// heard. A controller that loses all its workers would otherwise return them
+// one after the other. Where most of a zone is silent and the others are not,
+// the zone is cut off: its machines are as they were when that ends, their
+// images included, so they are kept for as long as new ones would take to serve.
+func (s *Share) dead(m *machine, c *census, now time.Time) bool {
+	allHeard, allFailed := c.all.since(m.failing)
+	allFailed-- // itself
 	if allHeard < min(len(s.machines)/2, 2*sampled) || allHeard < allFailed {
 		return false
 	}
-	cut := failed[m.Zone] > heard[m.Zone] && allHeard-heard[m.Zone] > allFailed-failed[m.Zone]
+	heard, failed := c.zones[m.Zone].since(m.failing)
+	failed--
+	cut := failed > heard && allHeard-heard > allFailed-failed
 	return !cut || m.serves() || now.Sub(m.LastReport) > s.cutPatience(m)
 }
 
@@ -146,6 +195,7 @@
 	raise := false
 	token := s.opts.Authority.Token()
 	var back []*machine
+	var heard *census
 	for _, m := range s.machines {
 		silence := now.Sub(m.LastReport)
 		if (silence > s.probeAfter(m) || !m.deaf.IsZero()) && now.Sub(m.probed) >= probeTimeout && !m.probing {
@@ -157,9 +207,16 @@
 				s.handleLocked(m, m.Lapsed())
 			}
 		}
+		dead := false
+		if !cut && !m.returning && s.silentForLong(m, now) {
+			if heard == nil {
+				heard = s.censusLocked()
+			}
+			dead = s.dead(m, heard, now)
+		}
 		switch {
 		case m.returning:
-		case s.dead(m, now) && !cut, s.overdueLocked(m, now), deaf <= max(2, len(s.machines)/3) && s.deafForGood(m, now):
+		case dead, s.overdueLocked(m, now), deaf <= max(2, len(s.machines)/3) && s.deafForGood(m, now):
 			back = append(back, m)
 		case m.suspect && m.Live() == 0:
 			back = append(back, m)
@@ -256,6 +313,9 @@
 		defer s.mu.Unlock()
 		m.probing = false
 		if !s.answeredLocked(m, err) {
+			if errors.Is(err, fleet.ErrNoSocket) {
+				return
+			}
 			m.failures++
 			if m.failures == 1 {
 				m.failing = now
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -307,7 +308,7 @@
 		m.deaf = time.Time{}
 		return true
 	}
-	if m.deaf.IsZero() {
+	if m.deaf.IsZero() && !errors.Is(err, fleet.ErrNoSocket) {
 		m.deaf = time.Now()
 	}
 	s.log.Debug("no answer from worker", "machine", m.Name, "err", err)
@@ -883,7 +884,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		m.sending = false
-		m.DirectDone(req, err == nil)
+		m.DirectDone(req, err == nil || errors.Is(err, fleet.ErrNoSocket))
 		if !s.answeredLocked(m, err) {
 			m.sendAgain = false
 			return
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -420,7 +420,7 @@
 				other.LastReport = time.Now()
 			}
 		}
-		if !s.dead(zone["y"][0], time.Now()) {
+		if !s.dead(zone["y"][0], s.censusLocked(), time.Now()) {
 			t.Error("a machine that alone is silent does not count as lost")
 		}
 		for _, other := range zone["y"] {
@@ -430,14 +430,14 @@
 		for _, other := range zone["z"] {
 			other.LastReport = time.Now()
 		}
-		if s.dead(zone["y"][0], time.Now()) {
+		if s.dead(zone["y"][0], s.censusLocked(), time.Now()) {
 			t.Error("a machine of a zone that is cut off counts as lost at once")
 		}
 		time.Sleep(2*s.opts.Settings.LeaseFor + 25*time.Second)
 		for _, other := range zone["z"] {
 			other.LastReport = time.Now()
 		}
-		if !s.dead(zone["y"][0], time.Now()) {
+		if !s.dead(zone["y"][0], s.censusLocked(), time.Now()) {
 			t.Error("a machine of a zone that is cut off is kept for ever")
 		}
 	})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -55,38 +55,44 @@
 	users   chan struct{}
 	teams   map[string]config.Team
 	metrics *metrics
+	http    *fasthttp.Server
 }
 
+// clientSockets is the part of the sockets that users and workers may take;
+// the rest is for the state service, the cloud, the peers and commands.
+const clientSockets = 0.8
+
 // New makes a Server.
 func New(opts Options) *Server {
 	s := &Server{opts: opts, users: make(chan struct{}, maxUserRequests), teams: map[string]config.Team{}, metrics: newMetrics(opts.Gauges)}
 	for _, t := range opts.Settings.Teams {
 		s.teams[t.Name] = t
 	}
+	s.http = &fasthttp.Server{
+		Handler:            s.Handle,
+		ErrorHandler:       s.badRequest,
+		Name:               "heronwick",
+		MaxRequestBodySize: wire.MaxBody,
+		ReadBufferSize:     4 << 10,
+		WriteBufferSize:    4 << 10,
+		ReadTimeout:        15 * time.Second, // a request that hangs half-way holds no socket for long
+		WriteTimeout:       5 * time.Second,
+		IdleTimeout:        2 * time.Minute,
+		Concurrency:        int(clientSockets * float64(opts.Settings.MaxConnections)),
+		NoDefaultDate:      true,
+		CloseOnShutdown:    true,
+	}
 	return s
 }
 
+// Connections is how many connections users and workers have open.
+func (s *Server) Connections() int { return int(s.http.GetOpenConnectionsCount()) }
+
 // Serve answers requests on ln until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	server := &fasthttp.Server{
-		Handler:                       s.Handle,
-		ErrorHandler:                  s.badRequest,
-		Name:                          "heronwick",
-		MaxRequestBodySize:            wire.MaxBody,
-		ReadBufferSize:                4 << 10,
-		WriteBufferSize:               4 << 10,
-		ReadTimeout:                   15 * time.Second, // a request that hangs half-way holds no socket for long
-		WriteTimeout:                  5 * time.Second,
-		IdleTimeout:                   2 * time.Minute,
-		Concurrency:                   s.opts.Settings.MaxConnections * 4 / 5, // leaves sockets for peers, state service and workers
-		NoDefaultDate:                 true,
-		DisableHeaderNamesNormalizing: false,
-		ReduceMemoryUsage:             true,
-		CloseOnShutdown:               true,
-	}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
-	err := server.Serve(ln)
+	err := s.http.Serve(ln)
 	if ctx.Err() != nil {
 		return nil
 	}
