--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -80,6 +80,7 @@
 		IdleTimeout:        2 * time.Minute,
 		Concurrency:        int(clientSockets * float64(opts.Settings.MaxConnections)),
 		NoDefaultDate:      true,
+		ReduceMemoryUsage:  true, // without it no less processor time was seen, but twice the memory
 		CloseOnShutdown:    true,
 	}
 	return s
