--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -36,11 +36,13 @@
 
 // testCluster is three controllers with stand-ins for the rest.
 type testCluster struct {
-	t     *testing.T
-	ctx   context.Context
-	state *standin.State
-	fleet *standin.Fleet
-	nodes []*node
+	t *testing.T
+	// settings changes a controller's settings before it starts.
+	settings func(*config.Settings)
+	ctx      context.Context
+	state    *standin.State
+	fleet    *standin.Fleet
+	nodes    []*node
 
 	mu     sync.Mutex
 	copies []*wire.Report // of reports so far, one in twenty
@@ -122,6 +124,9 @@
 		if prepare != nil {
 			prepare(tc)
 		}
+		tc.fleet.Checker = standin.NewChecker()
+		tc.fleet.Checker.Limits = map[string]float64{"red": 16}
+		tc.fleet.Checker.CancelIn = 25 * time.Second
 		tc.fleet.Start(ctx)
 		for i := range tc.nodes {
 			tc.start(i)
@@ -131,7 +136,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		f(tc)
-		if broken := tc.fleet.Broken(); len(broken) > 0 {
+		if broken := tc.fleet.Checker.Broken(); len(broken) > 0 {
 			t.Errorf("rules broken: %v", broken)
 		}
 		cancel()
@@ -148,6 +153,9 @@
 		StateRPS: 150, StateWriteRPS: 60, ValueBytes: 16 << 10, TxnOps: 16, CloudRPS: 5, ListLag: 3 * time.Second,
 		Cores: 1, MemoryBytes: 64 << 20, MaxConnections: 100,
 	}
+	if tc.settings != nil {
+		tc.settings(settings)
+	}
 	out := outside{state: tc.state.Node(n.name), cloud: tc.fleet.Cloud(), workers: tc.fleet.From(n.name), peers: map[string]peer{}}
 	for _, other := range tc.nodes {
 		if other != n {
@@ -200,9 +208,13 @@
 		}
 		ctx.Request.SetBody(text)
 	}
+	tc.fleet.Checker.Asked(method, path, ctx.Request.Body())
 	c.front.Handle(&ctx)
 	var answer map[string]any
 	_ = json.Unmarshal(ctx.Response.Body(), &answer)
+	var status wire.JobStatus
+	_ = json.Unmarshal(ctx.Response.Body(), &status)
+	tc.fleet.Checker.Answered(path, ctx.Request.Body(), ctx.Response.StatusCode(), status)
 	return ctx.Response.StatusCode(), answer, &ctx
 }
 
@@ -328,14 +340,14 @@
 		time.Sleep(3 * time.Second)
 		tc.expect(1, "POST", "/submissions/wk-000001/withdraw", nil, 200, "aborted")
 		time.Sleep(3 * time.Second)
-		if n := len(tc.fleet.Running()); n != 3 {
+		if n := len(tc.fleet.Checker.Running()); n != 3 {
 			t.Errorf("%d tasks run, want the other job's 3", n)
 		}
 		old := tc.leader()
 		tc.crash(old)
 		tc.expect((old+1)%3, "POST", "/submissions/wk-000002/withdraw", nil, 200, "aborted")
 		time.Sleep(10 * time.Second)
-		if running := tc.fleet.Running(); len(running) != 0 {
+		if running := tc.fleet.Checker.Running(); len(running) != 0 {
 			t.Errorf("tasks of cancelled jobs run: %v", running)
 		}
 	})
@@ -352,7 +364,7 @@
 		time.Sleep(10 * time.Second)
 		tc.fleet.HoldCommands("host-000001", false)
 		time.Sleep(3 * time.Second)
-		if n := tc.fleet.Starts("wk-000001/0"); n != 0 {
+		if n := tc.fleet.Checker.Starts("wk-000001/0"); n != 0 {
 			t.Errorf("a task of a cancelled job started %d times", n)
 		}
 		for i := range tc.nodes {
@@ -369,7 +381,7 @@
 	}, func(tc *testCluster) {
 		tc.expect(0, "POST", "/submissions", submission(1, func(j map[string]any) { j["gait"], j["feathers"] = "daemon", 4 }), 201, "")
 		time.Sleep(3 * time.Second)
-		before := tc.fleet.Running()
+		before := tc.fleet.Checker.Running()
 		if len(before) != 4 {
 			t.Fatalf("%d of 4 replicas run", len(before))
 		}
@@ -380,11 +392,11 @@
 		tc.crash(old)
 		time.Sleep(8 * time.Second)
 		tc.start(old)
-		if n := tc.fleet.Starts("wk-000001/0"); n != 1 {
+		if n := tc.fleet.Checker.Starts("wk-000001/0"); n != 1 {
 			t.Errorf("started %d times before its lease can have lapsed", n)
 		}
 		time.Sleep(30 * time.Second)
-		if running := tc.fleet.Running(); len(running) != 4 || running["wk-000001/0"] == machine {
+		if running := tc.fleet.Checker.Running(); len(running) != 4 || running["wk-000001/0"] == machine {
 			t.Errorf("replicas not all back on other machines: %v, lost %s", running, machine)
 		}
 	})
@@ -413,7 +425,7 @@
 		time.Sleep(25 * time.Second)
 		tc.expect(2, "GET", "/submissions/wk-000001", nil, 200, "done")
 		for i := range 3 {
-			if n := tc.fleet.Starts(fmt.Sprintf("wk-000001/%d", i)); n != 1 {
+			if n := tc.fleet.Checker.Starts(fmt.Sprintf("wk-000001/%d", i)); n != 1 {
 				t.Errorf("task %d started %d times", i, n)
 			}
 		}
@@ -446,7 +458,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		check := func(when string) {
-			if n := len(tc.fleet.Running()); n != 8 {
+			if n := len(tc.fleet.Checker.Running()); n != 8 {
 				t.Errorf("%s: %d tasks of 2 CPUs run, the limit is 16 CPUs", when, n)
 			}
 		}
@@ -480,7 +492,7 @@
 		for i := range tc.nodes {
 			tc.expect(i, "GET", "/submissions/wk-000001", nil, 200, "done")
 		}
-		if n := tc.fleet.Starts("wk-000001/0"); n != 1 {
+		if n := tc.fleet.Checker.Starts("wk-000001/0"); n != 1 {
 			t.Errorf("a task started %d times", n)
 		}
 	})
@@ -555,7 +567,7 @@
 			tc.expect(0, "POST", "/submissions", submission(id, func(j map[string]any) { j["gait"], j["cores"] = "daemon", 3 }), 201, "")
 		}
 		time.Sleep(3 * time.Second)
-		running := len(tc.fleet.Running())
+		running := len(tc.fleet.Checker.Running())
 		old := tc.leader()
 		tc.fleet.Blind(tc.nodes[old].name, true)
 		time.Sleep(20 * time.Second)
@@ -567,11 +579,11 @@
 		}
 		tc.fleet.Blind(tc.nodes[old].name, false)
 		time.Sleep(10 * time.Second)
-		if n := len(tc.fleet.Running()); n != running || n == 0 {
+		if n := len(tc.fleet.Checker.Running()); n != running || n == 0 {
 			t.Errorf("%d tasks run, before it were %d", n, running)
 		}
-		for task := range tc.fleet.Running() {
-			if n := tc.fleet.Starts(task); n != 1 {
+		for task := range tc.fleet.Checker.Running() {
+			if n := tc.fleet.Checker.Starts(task); n != 1 {
 				t.Errorf("%s started %d times", task, n)
 			}
 		}
@@ -692,11 +704,11 @@
 	}, func(tc *testCluster) {
 		tc.expect(0, "POST", "/submissions", submission(1, func(j map[string]any) { j["gait"], j["feathers"] = "daemon", 4 }), 201, "")
 		time.Sleep(3 * time.Second)
-		machine := tc.fleet.Running()["wk-000001/0"]
+		machine := tc.fleet.Checker.Running()["wk-000001/0"]
 		tc.fleet.Deafen(machine, true)
 		tc.expect(0, "POST", "/submissions", submission(2, func(j map[string]any) { j["gait"], j["feathers"] = "daemon", 3 }), 201, "")
 		time.Sleep(40 * time.Second)
-		if running := tc.fleet.Running(); len(running) != 7 || slices.Contains(slices.Collect(maps.Values(running)), machine) {
+		if running := tc.fleet.Checker.Running(); len(running) != 7 || slices.Contains(slices.Collect(maps.Values(running)), machine) {
 			t.Errorf("%d of 7 replicas run, %v; %s hears nothing", len(running), running, machine)
 		}
 	})
@@ -709,9 +721,9 @@
 	}, func(tc *testCluster) {
 		tc.expect(0, "POST", "/submissions", submission(1, func(j map[string]any) { j["gait"], j["feathers"] = "daemon", 4 }), 201, "")
 		time.Sleep(3 * time.Minute) // its new life does not soon count as far as the former
-		tc.fleet.Restart(tc.fleet.Running()["wk-000001/0"])
+		tc.fleet.Restart(tc.fleet.Checker.Running()["wk-000001/0"])
 		time.Sleep(12 * time.Second)
-		if n := len(tc.fleet.Running()); n != 4 {
+		if n := len(tc.fleet.Checker.Running()); n != 4 {
 			t.Errorf("%d of 4 replicas run after a machine has started anew", n)
 		}
 	})
@@ -727,7 +739,7 @@
 			tc.expect(0, "POST", "/submissions", submission(id, func(j map[string]any) { j["gait"], j["cores"] = "daemon", 2 }), 201, "")
 		}
 		time.Sleep(3 * time.Second)
-		running := len(tc.fleet.Running())
+		running := len(tc.fleet.Checker.Running())
 		old := tc.leader()
 		tc.nodes[old].alone.Store(true)
 		tc.state.Refuse(tc.nodes[old].name, true)
@@ -735,11 +747,11 @@
 		tc.expect(old, "POST", "/submissions", submission(9, nil), 503, "")
 		tc.expect(old, "GET", "/ready", nil, 503, "")
 		time.Sleep(10 * time.Second)
-		if n := len(tc.fleet.Running()); n != running || n != 12 {
+		if n := len(tc.fleet.Checker.Running()); n != running || n != 12 {
 			t.Errorf("%d replicas run, before it were %d", n, running)
 		}
-		for task := range tc.fleet.Running() {
-			if n := tc.fleet.Starts(task); n != 1 {
+		for task := range tc.fleet.Checker.Running() {
+			if n := tc.fleet.Checker.Starts(task); n != 1 {
 				t.Errorf("%s started %d times", task, n)
 			}
 		}
--- /dev/null
+++ b/internal/standin/checker.go
@@ -0,0 +1,228 @@
+package standin
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"heronwick/wire"
+)
+
+// Checker watches over the protocol's rules from outside: it sees what users
+// are answered and what runs on machines, and nothing of the controllers.
+type Checker struct {
+	// Limits are the teams' limits in CPUs; a team without one is not listed.
+	Limits map[string]float64
+	// CancelIn is by when a cancelled job's tasks must be gone; 0: not checked.
+	CancelIn time.Duration
+
+	mu      sync.Mutex
+	jobs    map[string]*watched
+	running map[string]Spot // by task
+	starts  map[string]int
+	broken  []string
+}
+
+// Spot is a machine that a task runs on.
+type Spot struct {
+	Machine, Type, Zone string
+	Spot                bool
+}
+
+// watched is what users were told of a job, and what its tasks did.
+type watched struct {
+	job       wire.Job
+	submitted bool
+	accepted  bool
+	asked     bool // to be cancelled
+	told      wire.JobState
+	cancelled time.Time // when its user was told so
+	done      map[string]bool
+}
+
+// NewChecker makes a Checker that has seen nothing.
+func NewChecker() *Checker {
+	return &Checker{jobs: map[string]*watched{}, running: map[string]Spot{}, starts: map[string]int{}}
+}
+
+func (c *Checker) breakLocked(rule, format string, args ...any) {
+	c.broken = append(c.broken, rule+": "+fmt.Sprintf(format, args...))
+}
+
+// Broken lists the rules broken so far.
+func (c *Checker) Broken() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.broken)
+}
+
+// Running returns which tasks run, and where.
+func (c *Checker) Running() map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	machines := map[string]string{}
+	for task, at := range c.running {
+		machines[task] = at.Machine
+	}
+	return machines
+}
+
+// Starts counts how often a task has started.
+func (c *Checker) Starts(task string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.starts[task]
+}
+
+func (c *Checker) jobLocked(id string) *watched {
+	w := c.jobs[id]
+	if w == nil {
+		w = &watched{done: map[string]bool{}}
+		c.jobs[id] = w
+	}
+	return w
+}
+
+// Asked takes note of a request before it is made.
+func (c *Checker) Asked(method, path string, body []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if path == wire.PathJobs {
+		if j, err := wire.ParseJob(body); err == nil {
+			if w := c.jobLocked(j.ID); !w.submitted {
+				w.submitted, w.job = true, j
+			}
+		}
+		return
+	}
+	if id, ok := strings.CutSuffix(strings.TrimPrefix(path, wire.PathJobs+"/"), "/"+wire.SuffixCancel); ok && method == "POST" {
+		c.jobLocked(id).asked = true
+	}
+}
+
+// Answered judges the answer to a request.
+func (c *Checker) Answered(path string, body []byte, status int, answer wire.JobStatus) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id, _, _ := strings.Cut(strings.TrimPrefix(path, wire.PathJobs+"/"), "/")
+	if path == wire.PathJobs {
+		j, _ := wire.ParseJob(body)
+		id = j.ID
+	}
+	if !wire.ValidJobID(id) || !strings.HasPrefix(path, wire.PathJobs) {
+		return
+	}
+	w := c.jobLocked(id)
+	switch {
+	case status == 200 || status == 201:
+		c.toldLocked(id, w, answer.State)
+	case w.accepted && (status == 404 || status == 400 || status == 422):
+		c.breakLocked("forgotten", "%s is answered %d", id, status)
+	}
+}
+
+func (c *Checker) toldLocked(id string, w *watched, state wire.JobState) {
+	if !w.submitted {
+		c.breakLocked("invented", "%s, which nobody has submitted, is %s", id, state)
+		return
+	}
+	w.accepted = true
+	if w.told.Final() && state != w.told {
+		c.breakLocked("went_back", "%s was %s and is %s", id, w.told, state)
+	}
+	if state == wire.JobCancelled && !w.asked {
+		c.breakLocked("went_back", "%s is cancelled, which its user did not ask for", id)
+	}
+	if state == wire.JobDone && len(w.done) < w.job.Tasks {
+		c.breakLocked("not_done", "%s is done after %d of %d tasks", id, len(w.done), w.job.Tasks)
+	}
+	if state == wire.JobCancelled && w.cancelled.IsZero() {
+		w.cancelled = time.Now()
+		if c.CancelIn > 0 {
+			time.AfterFunc(c.CancelIn, func() { c.stillThere(id) })
+		}
+	}
+	w.told = state
+}
+
+// stillThere looks for tasks of a job that must be gone.
+func (c *Checker) stillThere(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, task := range slices.Sorted(maps.Keys(c.running)) {
+		if job, _, _ := wire.SplitTaskID(task); job == id {
+			c.breakLocked("ran_cancelled", "%s is still on %s", task, c.running[task].Machine)
+		}
+	}
+}
+
+// Started judges the start of a task, from when it has its image.
+func (c *Checker) Started(task string, at Spot) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id, _, _ := wire.SplitTaskID(task)
+	w := c.jobLocked(id)
+	if other, ok := c.running[task]; ok {
+		c.breakLocked("ran_twice", "%s starts on %s while on %s", task, at.Machine, other.Machine)
+	}
+	if c.CancelIn > 0 && !w.cancelled.IsZero() && time.Since(w.cancelled) > c.CancelIn {
+		c.breakLocked("ran_cancelled", "%s starts", task)
+	}
+	if !c.allowsLocked(w, id, at) {
+		c.breakLocked("wrong_place", "%s starts on %+v", task, at)
+	}
+	c.starts[task]++
+	c.running[task] = at
+	limit, limited := c.Limits[w.job.Team]
+	used := 0.0
+	for other := range c.running {
+		if !limited {
+			break
+		}
+		id, _, _ := wire.SplitTaskID(other)
+		if o := c.jobs[id]; o.job.Team == w.job.Team {
+			used += o.job.CPUs
+		}
+	}
+	if limited && used > limit+1e-6 {
+		c.breakLocked("quota", "%s uses %v of %v CPUs", w.job.Team, used, limit)
+	}
+}
+
+func (c *Checker) allowsLocked(w *watched, id string, at Spot) bool {
+	if !w.submitted {
+		return true // a task that only a test of the stand-ins knows
+	}
+	j := &w.job
+	if at.Spot && !j.Spot || j.Zone != nil && *j.Zone != at.Zone || len(j.Types) > 0 && !slices.Contains(j.Types, at.Type) {
+		return false
+	}
+	if !j.Spread && !j.OneZone {
+		return true
+	}
+	here := 1
+	for task, other := range c.running {
+		if job, _, _ := wire.SplitTaskID(task); job != id {
+			continue
+		}
+		if other.Zone == at.Zone {
+			here++
+		} else if j.OneZone {
+			return false
+		}
+	}
+	return !j.Spread || here <= (j.Tasks+1)/2
+}
+
+// Ended takes note that a task is on its machine no more.
+func (c *Checker) Ended(task string, done bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.running, task)
+	if id, _, ok := wire.SplitTaskID(task); ok && done {
+		c.jobLocked(id).done[task] = true
+	}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -13,8 +12,8 @@
 	"heronwick/wire"
 )
 
-// Fleet stands in for the cloud and the workers on its machines, and keeps
-// watch over the rules of running.
+// Fleet stands in for the cloud and the workers on its machines, and tells a
+// Checker what runs.
 type Fleet struct {
 	Types       []wire.MachineType
 	Capacity    int // machines that the cloud has
@@ -30,6 +29,8 @@
 	// or the node to report to (421).
 	Report func(node string, r *wire.Report) (status int, reply *wire.ReportReply, redirect string)
 	Nodes  []string
+	// Checker sees what runs; Start makes one if there is none.
+	Checker *Checker
 
 	ctx      context.Context
 	mu       sync.Mutex
@@ -37,11 +38,8 @@
 	next     int
 	answered map[string][]string // rentals by request name
 	down     bool
-	running  map[string]string // task -> machine
-	blind    map[string]bool   // nodes that reach no worker, nor they them
-	broken   []string
+	blind    map[string]bool // nodes that reach no worker, nor they them
 	Returned []string
-	starts   map[string]int
 	lapsed   int
 }
 
@@ -82,7 +80,10 @@
 // Start begins the fleet's life; it ends with ctx.
 func (f *Fleet) Start(ctx context.Context) {
 	f.ctx = ctx
-	f.workers, f.answered, f.running, f.starts = map[string]*Worker{}, map[string][]string{}, map[string]string{}, map[string]int{}
+	f.workers, f.answered = map[string]*Worker{}, map[string][]string{}
+	if f.Checker == nil {
+		f.Checker = NewChecker()
+	}
 }
 
 // Add puts a machine up at once and returns its name.
@@ -101,27 +102,6 @@
 	return w.name
 }
 
-// Broken lists the rules broken so far.
-func (f *Fleet) Broken() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.Clone(f.broken)
-}
-
-// Running returns which tasks run, and where.
-func (f *Fleet) Running() map[string]string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return maps.Clone(f.running)
-}
-
-// Starts counts how often a task has started.
-func (f *Fleet) Starts(task string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.starts[task]
-}
-
 // SetCloud takes the cloud down or up.
 func (f *Fleet) SetCloud(down bool) {
 	f.mu.Lock()
@@ -383,11 +363,7 @@
 		if t.State != wire.TaskFetching || w.dead {
 			return
 		}
-		if other, ok := f.running[c.Task]; ok {
-			f.broken = append(f.broken, fmt.Sprintf("%s starts on %s while on %s", c.Task, w.name, other))
-		}
-		f.running[c.Task] = w.name
-		f.starts[c.Task]++
+		f.Checker.Started(c.Task, Spot{Machine: w.name, Type: w.typ.Name, Zone: w.zone, Spot: w.spot})
 		t.State = wire.TaskRunning
 		job, _, _ := wire.SplitTaskID(c.Task)
 		if f.Fails != nil && f.Fails(job, w.name) {
@@ -408,7 +384,7 @@
 func (w *Worker) exitLocked(t *task, why wire.Why) {
 	t.timer.Stop()
 	if t.State == wire.TaskRunning {
-		delete(w.fleet.running, t.Task)
+		w.fleet.Checker.Ended(t.Task, why == wire.WhyDone)
 	}
 	t.State, t.Why = wire.TaskExited, why
 	w.wake()
