--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -38,7 +38,9 @@
 	next     int
 	answered map[string][]string // rentals by request name
 	down     bool
-	blind    map[string]bool // nodes that reach no worker, nor they them
+	holding  bool
+	rentals  []wire.RentRequest // held back
+	blind    map[string]bool    // nodes that reach no worker, nor they them
 	Returned []string
 	lapsed   int
 }
@@ -109,6 +111,20 @@
 	f.down = down
 }
 
+// HoldRentals holds rentals back, without an answer; ending that carries them
+// out late: machines that nobody expects.
+func (f *Fleet) HoldRentals(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holding = on
+	if !on {
+		for _, req := range f.rentals {
+			f.rentLocked(req)
+		}
+		f.rentals = nil
+	}
+}
+
 // Cut cuts a machine's network or heals it. What its tasks do goes on.
 func (f *Fleet) Cut(machine string, on bool) {
 	f.mu.Lock()
@@ -232,10 +248,21 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.holding {
+		f.rentals = append(f.rentals, req)
+		return nil, cloud.ErrTrouble
+	}
+	names := f.rentLocked(req)
+	if len(names) == 0 {
+		return nil, cloud.ErrNoCapacity
+	}
+	return names, nil
+}
+
+func (f *Fleet) rentLocked(req wire.RentRequest) (names []string) {
 	if names, ok := f.answered[req.Request]; ok {
-		return names, nil
+		return names
 	}
-	var names []string
 	for range req.Count {
 		if len(f.workers) >= f.Capacity {
 			break
@@ -246,11 +273,10 @@
 			}
 		}
 	}
-	if len(names) == 0 {
-		return nil, cloud.ErrNoCapacity
+	if len(names) > 0 {
+		f.answered[req.Request] = names
 	}
-	f.answered[req.Request] = names
-	return names, nil
+	return names
 }
 
 // Return gives machines back.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -35,12 +35,17 @@
 	lose     int // responses of this many transactions get lost, though carried out
 	hold     int // this many transactions are held back, unanswered
 	held     []wire.Txn
+	past     []wire.Txn // the last that were carried out
 	Requests int
 	Writes   int
 	// RPS and WriteRPS are the limits, with bursts of a second's worth; 0:
 	// none. Refused counts what was over them.
-	RPS, WriteRPS    float64
-	Refused          int
+	RPS, WriteRPS float64
+	Refused       int
+	// ValueBytes and Ops are the limits of a value and of a transaction's
+	// changes; 0: none. TooLarge counts what was over them.
+	ValueBytes, Ops  int
+	TooLarge         int
 	requests, writes float64 // taken of the burst
 	drained          time.Time
 }
@@ -123,6 +128,18 @@
 	return statuses
 }
 
+// maxPast bounds the transactions that can be repeated.
+const maxPast = 100
+
+// RepeatTxns carries out again, late, what was carried out a while ago.
+func (s *State) RepeatTxns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, txn := range slices.Clone(s.past) {
+		s.txnLocked(txn)
+	}
+}
+
 // Get returns a key's value, nil if it does not exist.
 func (s *State) Get(key string) json.RawMessage {
 	s.mu.Lock()
@@ -237,6 +254,10 @@
 
 func (s *State) txnLocked(txn wire.Txn) (int, wire.TxnReply) {
 	s.Writes += len(txn.Then)
+	if s.tooLargeLocked(txn) {
+		s.TooLarge++
+		return 400, wire.TxnReply{}
+	}
 	var failed []string
 	for _, c := range txn.If {
 		if s.items[c.Key].Version != c.Version {
@@ -255,6 +276,8 @@
 		return 200, wire.TxnReply{Revision: s.revision}
 	}
 	s.revision++
+	s.past = append(s.past, txn)
+	s.past = s.past[max(0, len(s.past)-maxPast):]
 	for _, c := range txn.Then {
 		if c.Put != "" {
 			s.items[c.Put] = wire.Item{Key: c.Put, Value: c.Value, Version: s.revision, Lease: c.Lease}
@@ -269,6 +292,13 @@
 	return 200, wire.TxnReply{Revision: s.revision}
 }
 
+func (s *State) tooLargeLocked(txn wire.Txn) bool {
+	if s.Ops > 0 && (len(txn.Then) > s.Ops || len(txn.If) > 4*s.Ops || len(encode(txn)) > 64<<10) {
+		return true
+	}
+	return s.ValueBytes > 0 && slices.ContainsFunc(txn.Then, func(c wire.Change) bool { return len(c.Value) > s.ValueBytes })
+}
+
 func (s *State) listLocked(q url.Values) wire.ItemList {
 	list := wire.ItemList{Items: []wire.Item{}, Revision: s.revision}
 	for key, item := range s.items {
