--- a/cmd/heronwick/large_test.go
+++ b/cmd/heronwick/large_test.go
@@ -2,19 +2,30 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"heronwick/internal/config"
 	"heronwick/wire"
 )
 
-// A fleet of hundreds takes bursts of large arrays while one controller ends,
-// then all, then a tenth of the machines: within the state service's limits,
-// no lease is lost to slowness, no rule is broken, and every job ends.
+// A fleet of two thousand takes bursts of large arrays while a controller ends
+// and is back at once, all end twice, two stay away so that one carries all, a
+// hundred machines die and two hundred are cut off for twice a lease and come
+// back with what they had, and old messages and transactions come again: within
+// the state service's limits, no lease is lost to slowness, no rule is broken,
+// and every job is known to everybody and ends.
 func TestLargeFleet(t *testing.T) {
-	const machines = 300
+	const machines, lease = 2000, 26500 * time.Millisecond
 	withCluster(t, machines, func(tc *testCluster) {
-		tc.state.RPS, tc.state.WriteRPS = 150, 60
+		tc.settings = func(s *config.Settings) {
+			s.Teams = []config.Team{{Name: "red", CPUsMax: 16}, {Name: "blue", CPUs: 12000}}
+			s.ReportEvery, s.LeaseFor, s.CancelIn = 5*time.Second, lease, 46500*time.Millisecond
+			s.StateRPS, s.StateWriteRPS = 350, 150
+		}
+		tc.state.RPS, tc.state.WriteRPS, tc.state.ValueBytes, tc.state.Ops = 350, 150, 16<<10, 16
+		tc.fleet.ReportEvery, tc.fleet.Lease = 5*time.Second, lease
 		tc.fleet.Types = []wire.MachineType{{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 30, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"z"}}}
 		tc.fleet.RunFor = func(job string) time.Duration {
 			if job >= "wk-001000" {
@@ -23,65 +34,99 @@
 			return 15 * time.Second
 		}
 	}, func(tc *testCluster) {
+		random := rand.New(rand.NewPCG(1, 2))
 		jobs, services := 0, 0
-		submit := func(change func(map[string]any)) {
+		submit := func(tasks int) {
 			for i := range tc.nodes {
-				id := jobs
-				status, _, _ := tc.call(i, "POST", "/submissions", submission(id, change))
+				status, _, _ := tc.call(i, "POST", "/submissions", submission(jobs, func(j map[string]any) {
+					j["feathers"], j["cores"], j["ram_gb"], j["plumage"] = tasks, 4.0, 8.0, fmt.Sprintf("img-%d", jobs%6)
+				}))
 				if status == 201 {
 					jobs++
 					return
 				}
 			}
 		}
-		array := func(j map[string]any) {
-			j["feathers"], j["cores"], j["ram_gb"], j["plumage"] = 60, 4.0, 8.0, fmt.Sprintf("img-%d", jobs%6)
+		for services < 200 {
+			tc.call(services%3, "POST", "/submissions", submission(1000+services, func(j map[string]any) {
+				j["gait"], j["rank"], j["feathers"], j["ram_gb"], j["plumage"] = "daemon", "prod", 6, 6.0, fmt.Sprintf("img-%d", services%8)
+			}))
+			services++
+		}
+		crash := func(nodes ...int) {
+			for _, i := range nodes {
+				tc.crash(i)
+			}
 		}
-		service := func(j map[string]any) {
-			j["uid"] = fmt.Sprintf("wk-%06d", 1000+services)
-			j["gait"], j["rank"], j["feathers"], j["ram_gb"], j["plumage"] = "daemon", "prod", 6, 6.0, fmt.Sprintf("img-%d", services%8)
+		start := func(nodes ...int) {
+			for _, i := range nodes {
+				tc.start(i)
+			}
 		}
-		for range 40 {
-			tc.call(services%3, "POST", "/submissions", submission(0, service))
-			services++
+		cut := func(from, to int, on bool) {
+			for m := from; m < to; m++ {
+				tc.fleet.Cut(fmt.Sprintf("host-%06d", 7*m+1), on)
+			}
 		}
-		for round := range 60 {
-			submit(array)
-			switch round {
+		lapsed := 0
+		for second := range 150 {
+			switch second % 10 {
+			case 0:
+				submit(300)
+			default:
+				submit(50)
+			}
+			switch second {
 			case 15:
-				tc.crash(0)
-			case 20:
-				tc.start(0)
-			case 30:
-				for i := range tc.nodes {
-					tc.crash(i)
-				}
+				crash(0)
+				time.Sleep(100 * time.Millisecond)
+				start(0)
+			case 30, 38: // the second time in the middle of what follows the first
+				crash(0, 1, 2)
 				time.Sleep(5 * time.Second)
-				for i := range tc.nodes {
-					tc.start(i)
+				start(0, 1, 2)
+			case 55:
+				tc.state.RepeatTxns()
+				for range 200 {
+					tc.call(random.IntN(3), "POST", "/checkin", tc.anyCopy(random))
 				}
-			case 45:
-				for m := range machines / 10 {
-					tc.fleet.Cut(fmt.Sprintf("host-%06d", 10*m+1), true)
+			case 60:
+				leader := tc.leader()
+				crash(leader, (leader+1)%3)
+			case 80:
+				for i, n := range tc.nodes {
+					if n.current.Load() == nil {
+						start(i)
+					}
 				}
+				lapsed = tc.fleet.Lapsed()
+			case 85:
+				cut(0, 100, true)
+			case 90:
+				cut(100, 280, true)
+			case 143: // twice a lease later
+				cut(100, 280, false)
 			}
 			time.Sleep(time.Second)
 		}
-		time.Sleep(90 * time.Second)
-		for id := range jobs {
-			tc.expect(id%3, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil, 200, "done")
+		if lapsed != 0 {
+			t.Errorf("%d leases ran out before any machine was cut off", lapsed)
 		}
-		for id := range services {
-			tc.expect(id%3, "GET", fmt.Sprintf("/submissions/wk-%06d", 1000+id), nil, 200, "running")
+		time.Sleep(100 * time.Second)
+		for i := range tc.nodes {
+			for id := range jobs {
+				tc.expect(i, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil, 200, "done")
+			}
+			for id := range services {
+				tc.expect(i, "GET", fmt.Sprintf("/submissions/wk-%06d", 1000+id), nil, 200, "running")
+			}
+			time.Sleep(2 * time.Second)
 		}
-		if jobs < 50 {
+		if jobs < 120 {
 			t.Errorf("only %d jobs were accepted", jobs)
 		}
-		if n := tc.fleet.Lapsed(); n != 0 {
-			t.Errorf("%d leases ran out", n)
-		}
-		if tc.state.Refused > tc.state.Requests/100 {
-			t.Errorf("%d of %d requests were over the state service's limits", tc.state.Refused, tc.state.Requests)
+		if tc.state.Refused > tc.state.Requests/100 || tc.state.TooLarge > 0 {
+			t.Errorf("of %d requests %d were over the state service's limits, and %d too large", tc.state.Requests, tc.state.Refused, tc.state.TooLarge)
 		}
 	})
 }
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -233,6 +233,7 @@
 	spare      int             // idle and booting machines wanted beyond the demand
 	resigned   time.Time
 	grouped    time.Time // when idle machines were last regrouped
+	toldAll    time.Time // when the progress of all jobs was last told
 	cut        bool      // most workers cannot be reached
 }
 
@@ -897,12 +898,17 @@
 	})
 }
 
-// progressFor is how long a change of progress is told, so that a lost
-// message does not hide it.
-const progressFor = 3 * time.Second
+const (
+	// progressFor is how long a change of progress is told, so that a lost
+	// message does not hide it.
+	progressFor = 3 * time.Second
+	// allProgressEvery is how often that of all jobs is told: to a controller
+	// that has started since, a job that goes on alike would stay queued.
+	allProgressEvery = 20 * time.Second
+)
 
-// Progress tells how far the jobs are whose progress has changed lately, for
-// display.
+// Progress tells how far the jobs are whose progress has changed lately, and
+// now and then all, for display.
 func (s *Share) Progress() map[string]job.Progress {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -921,12 +927,16 @@
 		}
 	}
 	changed := map[string]job.Progress{}
+	if now.Sub(s.toldAll) >= allProgressEvery {
+		s.toldAll = now
+	}
+	all := now.Sub(s.toldAll) < progressFor
 	for id, js := range s.jobs {
 		p := job.Progress{Done: js.done.Count, Running: running[id]}
 		if p != js.told {
 			js.told, js.toldAt = p, now
 		}
-		if now.Sub(js.toldAt) < progressFor {
+		if all || now.Sub(js.toldAt) < progressFor {
 			changed[id] = p
 		}
 	}
