Half of everything: room on emptied machines for guests too, then those less than half served

Found by TestHalfOfEverything (a standing overload by one team over three shares, seen failing): 2 to 42 of 124 tasks of the other team started, 23 to 30 of its 54 jobs had not begun within four minutes, and 130 of 480 tasks of the largest jobs started.

Cause of the first: room is kept for a guest whose turn it is only on open machines; one whose tasks all end together leaves the list, and the owner's own jobs take it in the same pass. Now idle machines count. Of the second: once one task of a large job runs, it comes last again, with the least remaining work first, for as long as the overload stays. Now a job that is less than half served after three minutes comes right after those that have not begun after two. Ruled out: turns (the guest was first in every pass), lost requests.

--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -795,3 +795,68 @@
 		}
 	})
 }
+
+// Whatever one team or class asks for, for as long as it likes: over shares and
+// lending, of every team, of every class and of a class's largest jobs at least
+// half is served, and the largest begin within four minutes.
+func TestHalfOfEverything(t *testing.T) {
+	withCluster(t, 6, func(tc *testCluster) {
+		tc.fleet.Capacity = 6
+		tc.fleet.RunFor = func(string) time.Duration { return 5 * time.Second }
+	}, func(tc *testCluster) {
+		type asked struct {
+			id, tasks int
+			at, begun time.Time
+		}
+		kinds := map[string][]*asked{}
+		jobs := 0
+		submit := func(kind, team string, tasks int) {
+			a := &asked{id: jobs, tasks: tasks, at: time.Now()}
+			tc.expect(jobs%3, "POST", "/submissions", submission(jobs, func(j map[string]any) {
+				j["flight"], j["roost"], j["feathers"], j["flight_s"] = kind, team, tasks, 5.0
+			}), 201, "")
+			kinds[kind] = append(kinds[kind], a)
+			jobs++
+		}
+		started := func(a *asked) (n int) {
+			for i := range a.tasks {
+				n += min(1, tc.fleet.Checker.Starts(fmt.Sprintf("wk-%06d/%d", a.id, i)))
+			}
+			return n
+		}
+		// Of 48 CPUs, 59 are asked for all the time, nearly all by one team.
+		for second := range 540 {
+			submit("small", "blue", 2)
+			submit("small", "blue", 2)
+			if second%10 == 0 {
+				submit("other", "red", 4)
+			}
+			if second%20 == 0 {
+				submit("large", "blue", 30)
+			}
+			time.Sleep(time.Second)
+			for _, all := range kinds {
+				for _, a := range all {
+					if a.begun.IsZero() && started(a) > 0 {
+						a.begun = time.Now()
+					}
+				}
+			}
+		}
+		for kind, all := range kinds {
+			served, tasks := 0, 0
+			for _, a := range all {
+				if time.Since(a.at) < 4*time.Minute {
+					continue // its time is not over
+				}
+				served, tasks = served+started(a), tasks+a.tasks
+				if a.begun.IsZero() || a.begun.Sub(a.at) > 4*time.Minute {
+					t.Errorf("%s job %d of %d tasks has not begun within four minutes", kind, a.id, a.tasks)
+				}
+			}
+			if 2*served < tasks {
+				t.Errorf("%s: %d of %d tasks have started", kind, served, tasks)
+			}
+		}
+	})
+}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -67,10 +67,10 @@
 	}
 }
 
-// idleLocked returns the idle machine to open for the job: one that holds its
-// image before others, then spot before ordinary, which other jobs may need,
-// then by name.
-func (s *Share) idleLocked(js *jobState, now time.Time) *machine {
+// idleMachinesLocked returns the machines that were usable and not open when
+// the pass first asked, spot ones before ordinary ones, which other jobs may
+// need, then by name.
+func (s *Share) idleMachinesLocked(now time.Time) []*machine {
 	if s.pass.idle == nil {
 		s.pass.idle = []*machine{}
 		for _, m := range s.machines {
@@ -85,8 +85,14 @@
 			return cmp.Or(-cmp.Compare(boolInt(a.Spot), boolInt(b.Spot)), cmp.Compare(a.Name, b.Name))
 		})
 	}
+	return s.pass.idle
+}
+
+// idleLocked returns the idle machine to open for the job: one that holds its
+// image before others.
+func (s *Share) idleLocked(js *jobState, now time.Time) *machine {
 	var first *machine
-	for _, m := range s.pass.idle {
+	for _, m := range s.idleMachinesLocked(now) {
 		if s.list.Has(m.Name) || s.machines[m.Name] != m || !s.fitsLocked(js, m, now) {
 			continue
 		}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -51,26 +51,40 @@
 const starvedAfter = 10
 
 // latestBegin is when the tasks of any job must have begun to run, however
-// large it is and however much else waits. From half of it on, a job none of
-// whose tasks is on a machine yet comes before all others of its priority, the
-// oldest first: the least remaining work first would serve the largest last.
+// large it is and however much else waits: the least remaining work first would
+// serve the largest last. From half of it on, a job none of whose tasks is on a
+// machine yet comes before all others of its priority, the oldest first; from
+// three quarters of it on come those of which less than half has been served,
+// which in an overload that stays would never be.
 const latestBegin = 4 * time.Minute
 
-// begun tells whether any task of the job is done or may be on a machine.
-func (js *jobState) begun() bool {
+// served counts the job's tasks that are done or may be on a machine.
+func (js *jobState) served() int {
 	if js.guest {
-		return js.asked < js.rec.Job.Tasks
+		return js.rec.Job.Tasks - js.asked
 	}
-	return js.done.Count > 0 || len(js.live) > 0
+	return js.rec.Job.Tasks - js.pending()
 }
 
-// urgency orders jobs of one priority: 0 for one that has starved, 1 for one
-// that can still be in time, 2 for one that is late already. When more is
-// asked than the machines can do, whoever serves late jobs first makes every
-// job late.
+// The urgency of a job among those of its priority, the most urgent first. When
+// more is asked than the machines can do, whoever serves late jobs first makes
+// every job late.
+const (
+	notBegun = iota // for long
+	notHalf         // served, for longer
+	starved         // for very long
+	canBeInTime
+	late
+)
+
+// urgency orders jobs of one priority.
 func (js *jobState) urgency(now time.Time) int {
-	if !js.begun() && now.Sub(js.accepted) > latestBegin/2 {
-		return 0
+	waited := now.Sub(js.accepted)
+	switch served := js.served(); {
+	case served == 0 && waited > latestBegin/2:
+		return notBegun
+	case 2*served < js.rec.Job.Tasks && waited > latestBegin*3/4:
+		return notHalf
 	}
 	estimate := time.Duration(js.rec.Job.EstimateS * float64(time.Second))
 	longest := time.Duration(0)
@@ -78,13 +92,13 @@
 		longest = max(longest, within)
 		// Estimates are often wrong by half.
 		if now.Add(estimate / 2).Before(js.accepted.Add(within)) {
-			return 1
+			return canBeInTime
 		}
 	}
-	if now.Sub(js.accepted) > starvedAfter*longest {
-		return 0
+	if waited > starvedAfter*longest {
+		return starved
 	}
-	return 2
+	return late
 }
 
 // remaining is the work left to place. The job with the least goes first:
@@ -193,7 +207,7 @@
 const keepFor = 2 * lendAgain
 
 // keepForLocked keeps free room for the tasks that a guest has asked for in
-// vain.
+// vain: on open machines first, then on idle ones.
 func (s *Share) keepForLocked(g *jobState, now time.Time, held bool) {
 	id := g.rec.Job.ID
 	wants := min(g.asked, maxAskedPerJob)
@@ -207,13 +221,22 @@
 	if wants <= 0 {
 		return
 	}
-	for _, name := range s.list.Order() {
-		m := s.machines[name]
+	keep := func(m *machine) {
 		for wants > 0 && m != nil && (!held || m.HoldsImage(g.rec.Job.Image)) && s.fitsLocked(g, m, now) && g.size.Within(s.roomLocked(m, "", now)) {
 			m.kept = append(m.kept, keptRoom{job: id, size: g.size, until: now.Add(keepFor)})
 			wants--
 		}
 	}
+	for _, name := range s.list.Order() {
+		keep(s.machines[name])
+	}
+	// Also where nothing runs any more: whose tasks all end together would
+	// otherwise never be a guest's.
+	for _, m := range s.idleMachinesLocked(now) {
+		if !s.list.Has(m.Name) {
+			keep(m)
+		}
+	}
 }
 
 // roomLocked is the machine's free room less what is kept for guests other
@@ -257,7 +280,7 @@
 	for i, js := range queue {
 		turns[i] = turn{js: js, rank: js.rec.Job.Priority.Rank(), guaranteed: -boolInt(s.guaranteed(js)),
 			urgency: js.urgency(now), remaining: js.remaining()}
-		if turns[i].urgency == 0 {
+		if turns[i].urgency <= starved {
 			turns[i].remaining = -now.Sub(js.accepted).Seconds()
 		}
 	}
