A takeover asks some workers at a time; connections too many to keep are closed; fewer probes

Now 256 at a time, none to a worker that has reported meanwhile, and idle ones are closed while sockets are short. Ended and disowned jobs are looked for on all machines once, not once for each. A worker that has left six probes unanswered is asked every half report.

--- a/cmd/heronwick/main.go
+++ b/cmd/heronwick/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"golang.org/x/sync/errgroup"
@@ -64,6 +65,9 @@
 	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: l})).With("node", node)
 }
 
+// trimEvery is how often connections are closed that are too many to keep.
+const trimEvery = 500 * time.Millisecond
+
 // serve connects a controller to the real world and runs it.
 func serve(ctx context.Context, settings *config.Settings, log *slog.Logger) error {
 	runtime.GOMAXPROCS(settings.Cores)
@@ -73,10 +77,11 @@
 	debug.SetGCPercent(200)
 
 	var c *controller
+	workers := fleet.NewClient(settings.MaxConnections, func() int { return c.front.Connections() })
 	out := outside{
 		state:   state.NewHTTP(settings.State),
 		cloud:   cloud.NewClient(settings.Cloud, settings.CloudRPS),
-		workers: fleet.NewClient(settings.MaxConnections, func() int { return c.front.Connections() }),
+		workers: workers,
 		peers:   map[string]peer{},
 	}
 	for _, p := range settings.Peers {
@@ -102,5 +107,6 @@
 		return (&cluster.Service{Cluster: c.members, Route: c.route, Host: c}).Serve(ctx, peerLn)
 	})
 	g.Go(func() error { return c.run(ctx) })
+	g.Go(func() error { return every(ctx, trimEvery, workers.Trim) })
 	return g.Wait()
 }
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -58,6 +58,14 @@
 	return float64(c.open.Load())+float64(c.others()) < part*float64(c.sockets)
 }
 
+// Trim closes the connections that wait for a next command once sockets run
+// short: a takeover opens one to each worker, and then theirs come.
+func (c *Client) Trim() {
+	if !c.below(keepSockets) {
+		c.http.CloseIdleConnections()
+	}
+}
+
 func (c *Client) dial(addr string, timeout time.Duration) (net.Conn, error) {
 	if !c.below(1 - spareSockets) {
 		c.http.CloseIdleConnections()
--- a/internal/fleet/client_test.go
+++ b/internal/fleet/client_test.go
@@ -47,6 +47,16 @@
 	ask("few left, the kept one is used up", 1, false)
 	ask("few left", 2, false)
 	ask("few left, none was kept", 3, false)
+	others = 0
+	ask("sockets enough again", 4, false)
+	c.Trim()
+	if n := c.open.Load(); n != 1 {
+		t.Errorf("%d connections are kept while there are sockets enough, want 1", n)
+	}
 	others = 99
-	ask("none left", 3, true)
+	c.Trim()
+	if n := c.open.Load(); n != 0 {
+		t.Errorf("%d connections are kept once sockets run short", n)
+	}
+	ask("none left", 4, true)
 }
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -184,28 +184,33 @@
 // share's machines are guests from now on; what is not recorded yet never
 // starts.
 func (s *Share) disownLocked(epoch *cluster.Epoch) {
+	lost := map[string]bool{}
 	for id, js := range s.jobs {
 		if epoch.OwnerOf(js.rec.Job.Team, id) == s.opts.Node {
 			continue
 		}
+		lost[id] = true
 		delete(s.jobs, id)
 		for _, attempts := range js.awaiting {
 			for _, a := range attempts {
 				a.Guest = true // its new owner asks for it
 			}
 		}
-		for _, m := range s.machines {
-			for _, a := range m.Attempts {
-				if a.Job == id {
-					a.Guest, a.Epoch = true, 0
-					s.uncountLocked(a)
-				}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	for _, m := range s.machines {
+		for _, a := range m.Attempts {
+			if lost[a.Job] {
+				a.Guest, a.Epoch = true, 0
+				s.uncountLocked(a)
 			}
 		}
-		for _, f := range s.foreign {
-			if f.Job == id {
-				s.forgetLentLocked(f)
-			}
+	}
+	for _, f := range s.foreign {
+		if lost[f.Job] {
+			s.forgetLentLocked(f)
 		}
 	}
 }
@@ -424,7 +429,7 @@
 		s.adoptLocked(m, a)
 	}
 	for id, f := range over {
-		s.endTasksLocked(id, f, now.Add(2*s.opts.Settings.ReportEvery))
+		s.endTasksOnLocked(m, id, f, now.Add(2*s.opts.Settings.ReportEvery))
 	}
 	s.syncLocked(m)
 }
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -62,6 +62,15 @@
 	return s.silentAfter()
 }
 
+// probeEvery is how long to wait between two probes of a worker: what could be
+// learnt soon is known after a few, and hundreds may be silent for minutes.
+func (s *Share) probeEvery(m *machine) time.Duration {
+	if m.failures <= 2*deadProbes {
+		return probeTimeout
+	}
+	return max(probeTimeout, s.opts.Settings.ReportEvery/2)
+}
+
 // census tells how many workers were last heard since when, and of those that
 // fail to answer, how many were not. It is taken once for all that may be dead:
 // hundreds can fail at once.
@@ -198,7 +207,7 @@
 	var heard *census
 	for _, m := range s.machines {
 		silence := now.Sub(m.LastReport)
-		if (silence > s.probeAfter(m) || !m.deaf.IsZero()) && now.Sub(m.probed) >= probeTimeout && !m.probing {
+		if (silence > s.probeAfter(m) || !m.deaf.IsZero()) && now.Sub(m.probed) >= s.probeEvery(m) && !m.probing {
 			s.probeLocked(m, now)
 		}
 		if m.Live() > 0 && silence > s.silentAfter() {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -219,6 +219,8 @@
 	gone       []string          // machines that are gone, which the others are still to be told
 	telling    bool              // they are being told
 	moving     map[string]bool   // machines whose owner is being written
+	unsynced   []*machine        // whose workers are to be shown the token
+	syncing    int               // that are being shown it
 	list       placement.List
 	pass       pass
 	used       map[string]placement.Resources // by team, all that may be on machines
@@ -278,27 +280,46 @@
 	})
 }
 
-// syncLocked shows a worker the new token at once and takes its report: until
-// then nothing may be placed on its machine.
+// maxSyncs is how many workers are shown a new token at a time. A takeover of
+// thousands at once would use up sockets and the share of a processor; most
+// report by themselves before their turn comes.
+const maxSyncs = 256
+
+// syncLocked shows a worker the new token soon and takes its report: until then
+// nothing may be placed on its machine.
 func (s *Share) syncLocked(m *machine) {
-	if m.Address == "" || m.probing {
-		return
-	}
-	m.probing = true
-	address := m.Address
-	req := &wire.CommandRequest{Token: s.opts.Authority.Token(), Session: m.Session, Commands: []wire.Command{}}
-	s.goDo(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-		report, err := s.opts.Workers.Command(ctx, address, req)
-		cancel()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		m.probing = false
-		if !s.answeredLocked(m, err) {
-			return
+	s.unsynced = append(s.unsynced, m)
+	s.syncNextLocked()
+}
+
+// syncNextLocked goes on with the workers that still have not reported.
+func (s *Share) syncNextLocked() {
+	for s.syncing < maxSyncs && len(s.unsynced) > 0 {
+		m := s.unsynced[0]
+		s.unsynced = s.unsynced[1:]
+		if m.Address == "" || m.probing || s.machines[m.Name] != m || s.synced(m) {
+			continue
 		}
-		s.applyLocked(m, report)
-	})
+		m.probing = true
+		s.syncing++
+		address := m.Address
+		req := &wire.CommandRequest{Token: s.opts.Authority.Token(), Session: m.Session, Commands: []wire.Command{}}
+		s.goDo(func(ctx context.Context) {
+			cctx, cancel := context.WithTimeout(ctx, commandTimeout)
+			report, err := s.opts.Workers.Command(cctx, address, req)
+			cancel()
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			m.probing = false
+			s.syncing--
+			if s.answeredLocked(m, err) {
+				s.applyLocked(m, report)
+			}
+			if ctx.Err() == nil {
+				s.syncNextLocked()
+			}
+		})
+	}
 }
 
 // answeredLocked notes whether a direct message was answered. Reports that
@@ -827,36 +848,39 @@
 // start may still be under way.
 func (s *Share) endTasksLocked(id string, f job.Final, goneBy time.Time) {
 	for _, m := range s.machines {
-		touched := false
-		for key, a := range m.Attempts {
-			if a.Job != id {
-				continue
-			}
-			if a.Exited() {
-				a.Handled = true
-				continue
-			}
-			if a.Unsent() {
-				delete(m.Attempts, key)
-				s.uncountLocked(a)
-				touched = true
-				continue
-			}
-			a.Stop, a.GraceS, a.MustGoBy = true, 0, goneBy
-			if !a.Sized {
-				a.Team, a.Size, a.Sized = f.Team, placement.Resources{CPUs: f.CPUs, GPUs: f.GPUs, MemoryGB: f.MemoryGB}, true
-				if s.div.OwnerOf(f.Team, id) == s.opts.Node {
-					s.countLocked(m.Zone, a)
-				}
-			}
-			touched = true
+		s.endTasksOnLocked(m, id, f, goneBy)
+	}
+	s.poke()
+}
+
+func (s *Share) endTasksOnLocked(m *machine, id string, f job.Final, goneBy time.Time) {
+	touched := false
+	for key, a := range m.Attempts {
+		if a.Job != id {
+			continue
 		}
-		if touched {
-			s.closeIfEmptyLocked(m)
-			s.sendLocked(m)
+		if a.Exited() {
+			a.Handled = true
+			continue
+		}
+		touched = true
+		if a.Unsent() {
+			delete(m.Attempts, key)
+			s.uncountLocked(a)
+			continue
+		}
+		a.Stop, a.GraceS, a.MustGoBy = true, 0, goneBy
+		if !a.Sized {
+			a.Team, a.Size, a.Sized = f.Team, placement.Resources{CPUs: f.CPUs, GPUs: f.GPUs, MemoryGB: f.MemoryGB}, true
+			if s.div.OwnerOf(f.Team, id) == s.opts.Node {
+				s.countLocked(m.Zone, a)
+			}
 		}
 	}
-	s.poke()
+	if touched {
+		s.closeIfEmptyLocked(m)
+		s.sendLocked(m)
+	}
 }
 
 // commandTimeout bounds a direct command; the next report brings it again.
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -511,3 +511,56 @@
 		t.Errorf("%d machines are rented as the reserve of 40 that are full", n)
 	}
 }
+
+// busyWorkers answers each command after a while, and counts how many it is
+// asked at a time.
+type busyWorkers struct {
+	scripted
+	asking, most int
+	asked        map[string]int
+}
+
+func (w *busyWorkers) Command(_ context.Context, address string, _ *wire.CommandRequest) (*wire.Report, error) {
+	w.mu.Lock()
+	w.asking++
+	w.most = max(w.most, w.asking)
+	w.asked[address]++
+	w.mu.Unlock()
+	time.Sleep(100 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asking--
+	return &wire.Report{Machine: address, Address: address, Type: "m", Zone: "z", Session: 1, Seq: 1, Token: 5}, nil
+}
+
+// A takeover of thousands shows the token to some workers at a time, and to
+// none that has reported by itself meanwhile: a connection to each at once, with
+// theirs, was more than there are sockets.
+func TestTakeoverAsksSomeAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newTestShare(t)
+		w := &busyWorkers{asked: map[string]int{}}
+		s.opts.Workers = w
+		s.mu.Lock()
+		for i := range 2000 {
+			r := fleet.Record{Address: fmt.Sprint("n", i), Type: "m", Zone: "z", Session: 1}
+			s.adoptMachineLocked(fleet.FromRecord(r.Address, r, 5, time.Now()), nil, nil, time.Now())
+		}
+		s.applyLocked(s.machines["n1999"], &wire.Report{Machine: "n1999", Address: "n1999", Type: "m", Zone: "z", Session: 1, Seq: 9, Token: 5})
+		s.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if w.most > maxSyncs {
+			t.Errorf("%d workers were asked at a time", w.most)
+		}
+		for name, m := range s.machines {
+			if !s.synced(m) || w.asked[name] > 1 {
+				t.Fatalf("%s: synced %v, asked %d times", name, s.synced(m), w.asked[name])
+			}
+		}
+		if w.asked["n1999"] > 0 {
+			t.Error("a worker that had reported was asked")
+		}
+	})
+}
