--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -303,7 +303,9 @@
 		waiting += js.pending()
 	}
 	s.log.Info("load", "jobs", len(s.jobs), "lent", len(s.foreign), "waiting", waiting, "tasks", tasks, "machines", len(s.machines), "usable", usable,
-		"open", open, "booting", len(s.booting), "cpus", total.CPUs, "free_cpus", free.CPUs, "free_memory_gb", free.MemoryGB)
+		"open", open, "booting", len(s.booting), "cpus", total.CPUs, "free_cpus", free.CPUs, "free_memory_gb", free.MemoryGB,
+		"passes", s.passes.count, "pass_time", s.passes.total, "longest_pass", s.passes.longest)
+	s.passes = passTimes{}
 }
 
 func (s *Share) probeLocked(m *machine, now time.Time) {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -236,6 +236,7 @@
 	resigned   time.Time
 	grouped    time.Time // when idle machines were last regrouped
 	toldAll    time.Time // when the progress of all jobs was last told
+	passes     passTimes // since the load was last logged
 	cut        bool      // most workers cannot be reached
 }
 
@@ -388,12 +389,24 @@
 		s.commitLocked()
 		s.lendLocked(time.Now())
 		s.mu.Unlock()
-		if !pause(ctx, max(passEvery, 2*time.Since(began))) {
+		took := time.Since(began)
+		s.passes.add(took)
+		if !pause(ctx, max(passEvery, 2*took)) {
 			return nil
 		}
 	}
 }
 
+// passTimes sums how long passes took. Only the loop uses it.
+type passTimes struct {
+	count          int
+	total, longest time.Duration
+}
+
+func (p *passTimes) add(took time.Duration) {
+	p.count, p.total, p.longest = p.count+1, p.total+took, max(p.longest, took)
+}
+
 // passEvery is how long a pass waits after the one before, or twice as long as
 // that took. What comes meanwhile is served together: under load a pass for
 // each report would take more than the share of a processor.
