--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -123,23 +123,26 @@
 	return placement.Place{Type: m.TypeName, Zone: m.Zone, Spot: m.Spot}
 }
 
-// Booked sums what the attempts take that may be on the machine.
-func (m *Machine) Booked() placement.Resources {
-	var sum placement.Resources
+// Room is the machine's free room, as reported, less own placements since. sized
+// tells whether all that may be on it is of known size; else nothing may be
+// placed beside it.
+func (m *Machine) Room() (free placement.Resources, sized bool) {
+	if m.Type == nil {
+		return placement.Resources{}, false
+	}
+	free, sized = placement.Capacity(m.Type), true
 	for _, a := range m.Attempts {
 		if !a.Exited() {
-			sum = sum.Plus(a.Size)
+			free, sized = free.Minus(a.Size), sized && a.Sized
 		}
 	}
-	return sum
+	return free, sized
 }
 
-// Free is the machine's room, as reported, less own placements since.
+// Free is the machine's free room.
 func (m *Machine) Free() placement.Resources {
-	if m.Type == nil {
-		return placement.Resources{}
-	}
-	return placement.Capacity(m.Type).Minus(m.Booked())
+	free, _ := m.Room()
+	return free
 }
 
 // Live counts the attempts that may be on the machine.
@@ -153,17 +156,6 @@
 	return n
 }
 
-// Unsized tells whether something is on the machine of which nobody knows
-// what it takes; then nothing may be placed beside it.
-func (m *Machine) Unsized() bool {
-	for _, a := range m.Attempts {
-		if !a.Exited() && !a.Sized {
-			return true
-		}
-	}
-	return false
-}
-
 // Unsent tells whether no message has ever held the attempt's start.
 func (a *Attempt) Unsent() bool {
 	return a.State == "" && !a.Recovered && !a.inReply && a.direct == 0 && a.startToken == 0
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -16,6 +16,9 @@
 	number uint64
 	idle   []*machine     // usable and not open, in the order of opening; nil: not looked for yet
 	full   map[shape]bool // no machine takes a task of the shape
+	// lacks: no machine has room for the size, wherever it may go.
+	lacks map[placement.Resources]bool
+	kept  map[string]int // by job, the guests' tasks that room is kept for; nil: not counted yet
 	// passedUp: a job of the turn that is being served leaves room to others.
 	passedUp bool
 	// Of the tasks that may be stopped: the lowest priority, and whether any
@@ -38,7 +41,7 @@
 // more than that.
 func (js *jobState) shapeOf() (sh shape, ok bool) {
 	j := &js.rec.Job
-	if j.Spread || j.OneZone || len(js.failedOn) > 0 || js.guest {
+	if j.Spread || j.OneZone || len(js.failedOn) > 0 {
 		return shape{}, false
 	}
 	sh = shape{size: js.size, spot: j.Spot}
@@ -53,7 +56,37 @@
 
 // beginPassLocked forgets what the last pass has found.
 func (s *Share) beginPassLocked() {
-	s.pass = pass{number: s.pass.number + 1, full: map[shape]bool{}}
+	s.pass = pass{number: s.pass.number + 1, full: map[shape]bool{}, lacks: map[placement.Resources]bool{}}
+}
+
+// lacksRoomLocked tells whether no machine has room for a task of the size: it
+// need not be walked for, whatever it is bound to.
+func (s *Share) lacksRoomLocked(size placement.Resources, now time.Time) bool {
+	if s.pass.lacks[size] {
+		return true
+	}
+	for _, m := range s.machines {
+		if s.lookLocked(m, now); m.usable && size.Within(m.free) {
+			return false
+		}
+	}
+	s.pass.lacks[size] = true
+	return true
+}
+
+// keptLocked counts the tasks of guests that room is kept for, by job.
+func (s *Share) keptLocked(now time.Time) map[string]int {
+	if s.pass.kept == nil {
+		s.pass.kept = map[string]int{}
+		for _, m := range s.machines {
+			for _, k := range m.kept {
+				if now.Before(k.until) {
+					s.pass.kept[k.job]++
+				}
+			}
+		}
+	}
+	return s.pass.kept
 }
 
 // lookLocked brings up to date what the pass knows of a machine.
@@ -61,9 +94,9 @@
 	if m.looked == s.pass.number && m.looked > 0 {
 		return
 	}
-	m.looked, m.usable, m.free = s.pass.number, s.usableLocked(m, now), placement.Resources{}
+	m.looked, m.usable, m.free = s.pass.number, s.acceptsLocked(m, now), placement.Resources{}
 	if m.usable {
-		m.free = m.Free()
+		m.free, m.usable = m.Room()
 	}
 }
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -210,20 +210,16 @@
 // vain: on open machines first, then on idle ones.
 func (s *Share) keepForLocked(g *jobState, now time.Time, held bool) {
 	id := g.rec.Job.ID
-	wants := min(g.asked, maxAskedPerJob)
-	for _, m := range s.machines {
-		for _, k := range m.kept {
-			if k.job == id && now.Before(k.until) {
-				wants--
-			}
-		}
-	}
-	if wants <= 0 {
+	kept := s.keptLocked(now)
+	wants := min(g.asked, maxAskedPerJob) - kept[id]
+	sh, plain := g.shapeOf()
+	if wants <= 0 || plain && s.pass.full[sh] || s.lacksRoomLocked(g.size, now) {
 		return
 	}
 	keep := func(m *machine) {
 		for wants > 0 && m != nil && (!held || m.HoldsImage(g.rec.Job.Image)) && s.fitsLocked(g, m, now) && g.size.Within(s.roomLocked(m, "", now)) {
 			m.kept = append(m.kept, keptRoom{job: id, size: g.size, until: now.Add(keepFor)})
+			kept[id]++
 			wants--
 		}
 	}
@@ -237,6 +233,9 @@
 			keep(m)
 		}
 	}
+	if plain && !held && wants > 0 {
+		s.pass.full[sh] = true
+	}
 }
 
 // roomLocked is the machine's free room less what is kept for guests other
@@ -359,6 +358,10 @@
 		}
 		booked = append(booked, booking{m, a, dirty})
 	}
+	if len(booked) > 0 { // there is more room again
+		clear(s.pass.full)
+		clear(s.pass.lacks)
+	}
 	// Without waking the scheduler or writing records: that would set off the
 	// next try at once, for as long as the gang waits.
 	for _, b := range slices.Backward(booked) {
@@ -391,7 +394,7 @@
 		}
 		var m *machine
 		sh, plain := js.shapeOf()
-		if full := plain && s.pass.full[sh]; !full || js.service() {
+		if full := plain && s.pass.full[sh] || s.lacksRoomLocked(js.size, now); !full || js.service() {
 			var wait bool
 			m, wait = s.findHeldLocked(js, now, s.guaranteed(js))
 			if wait || m == nil && s.awaitHeldLocked(js, now) {
@@ -435,6 +438,9 @@
 // made on one of those before another machine fetches the image; wait tells
 // that this is under way.
 func (s *Share) findHeldLocked(js *jobState, now time.Time, guaranteed bool) (m *machine, wait bool) {
+	if s.lacksRoomLocked(js.size, now) {
+		return nil, js.service() && s.preemptLocked(js, now, true, guaranteed)
+	}
 	fits := s.fitsByName(js, now)
 	holds := func(name string) bool {
 		return s.machines[name].HoldsImage(js.rec.Job.Image) && fits(name)
@@ -464,6 +470,9 @@
 // are all lost with it, and their images are then nowhere else: as long as
 // another machine can take a replica, they fill half of one at most.
 func (s *Share) findAnyLocked(js *jobState, now time.Time) *machine {
+	if s.lacksRoomLocked(js.size, now) {
+		return nil
+	}
 	fits := s.fitsByName(js, now)
 	idle := s.idleLocked(js, now)
 	if js.rec.Job.Kind == wire.KindService {
@@ -487,6 +496,9 @@
 
 // hasRoomLocked tells whether any machine takes a task of the job.
 func (s *Share) hasRoomLocked(js *jobState, now time.Time) bool {
+	if s.lacksRoomLocked(js.size, now) {
+		return false
+	}
 	if s.idleLocked(js, now) != nil {
 		return true
 	}
@@ -526,11 +538,19 @@
 	return sum.Within(placement.Capacity(m.Type).Times(0.5))
 }
 
+// acceptsLocked tells whether new tasks may go to the machine, if there is room.
+func (s *Share) acceptsLocked(m *machine, now time.Time) bool {
+	return s.synced(m) && m.Type != nil && !m.returning && !m.suspect && m.failures == 0 && m.deaf.IsZero() &&
+		m.Notice.IsZero() && !now.Before(m.cooling) && now.Sub(m.LastReport) < s.silentAfter()
+}
+
 // usableLocked tells whether new tasks may go to the machine at all.
 func (s *Share) usableLocked(m *machine, now time.Time) bool {
-	return s.synced(m) && m.Type != nil && !m.returning && !m.suspect && m.failures == 0 && m.deaf.IsZero() &&
-		m.Notice.IsZero() && !now.Before(m.cooling) && !m.Unsized() &&
-		now.Sub(m.LastReport) < s.silentAfter()
+	if !s.acceptsLocked(m, now) {
+		return false
+	}
+	_, sized := m.Room()
+	return sized
 }
 
 func (s *Share) fitsLocked(js *jobState, m *machine, now time.Time) bool {
@@ -576,6 +596,10 @@
 	return a
 }
 
+// victimsAfter is how soon tasks to stop are looked for again in vain: that
+// looks at every task of the share.
+const victimsAfter = 300 * time.Millisecond
+
 // preemptLocked stops tasks to make room for one task of the job, as far as
 // the rules of preemption permit, on the machine where that loses least; if
 // so asked, only on machines that hold the job's image. It tells whether room
@@ -584,6 +608,10 @@
 	if !s.mayPreemptAnyLocked(js, guaranteed) {
 		return false
 	}
+	tried := &js.tried[boolInt(held)]
+	if now.Sub(*tried) < victimsAfter {
+		return false
+	}
 	// What was stopped a moment ago has not made its room yet.
 	if now.Sub(js.preempted) < 2*time.Second && s.stoppingLocked() {
 		return true
@@ -626,6 +654,7 @@
 		}
 	}
 	if best == nil {
+		*tried = now
 		return false
 	}
 	js.preempted = now
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -169,6 +169,7 @@
 	passedUp  time.Time     // since when it leaves room where its image is not to others; zero: it does not
 	wantsHeld time.Time     // since when room beside its image is looked for elsewhere
 	preempted time.Time     // when tasks were last stopped for this job
+	tried     [2]time.Time  // when none was found to stop, anywhere or beside its image
 	told      job.Progress
 	toldAt    time.Time // when that last changed
 
