--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -65,7 +65,7 @@
 func TestPassChoosesAsThePlainWalk(t *testing.T) {
 	for seed := range uint64(30) {
 		random := rand.New(rand.NewPCG(seed, 7))
-		s, p := newLargeShare(40)
+		s, p := newLargeShare([]int{40, 40, 2000}[seed%3])
 		fill(s, random)
 		s.beginPassLocked()
 		for i := range 60 {
@@ -111,14 +111,16 @@
 	}
 }
 
-// A pass over 800 full machines with 200 waiting jobs.
+// A pass over 2,000 full machines with 200 waiting jobs.
 func BenchmarkPass(b *testing.B) {
-	s, p := newLargeShare(800)
+	s, p := newLargeShare(2000)
+	fill(s, rand.New(rand.NewPCG(1, 1)))
 	for i := range 200 {
 		r := p.add(fmt.Sprintf("wk-%d", i), "ours", wire.PriorityNormal, 300, float64(2+2*(i%4)))
 		r.Job.Image = fmt.Sprint("i", i%8)
 		s.addJobLocked(r)
 	}
+	s.scheduleLocked(time.Now()) // fills what is left
 	for b.Loop() {
 		s.scheduleLocked(time.Now())
 	}
@@ -126,7 +128,7 @@
 
 // A report of a machine with eight running tasks, and its answer.
 func BenchmarkReport(b *testing.B) {
-	s, _ := newLargeShare(800)
+	s, _ := newLargeShare(2000)
 	r := &wire.Report{Machine: "host-000000", Address: "a", Type: "m", Zone: "a", Session: 1, Token: 5}
 	for i := range 8 {
 		r.Tasks = append(r.Tasks, wire.TaskReport{Task: fmt.Sprintf("wk-000001/%d", i), Attempt: 1, State: wire.TaskRunning})
@@ -137,10 +139,10 @@
 	}
 }
 
-// Taking over 800 machines with four tasks each.
+// Taking over 2,000 machines with four tasks each.
 func BenchmarkEpochChange(b *testing.B) {
 	random := rand.New(rand.NewPCG(1, 1))
-	full, _ := newLargeShare(800)
+	full, _ := newLargeShare(2000)
 	fill(full, random)
 	var r records
 	for _, m := range full.machines {
@@ -151,7 +153,9 @@
 	}
 	for b.Loop() {
 		s, p := newLargeShare(0)
+		s.mu.Lock() // workers are asked meanwhile
 		s.addJobLocked(p.add("wk-0", "ours", wire.PriorityNormal, 9000, 2))
 		s.placeRecordsLocked(r, nil, map[string]bool{"wk-0": true}, time.Now())
+		s.mu.Unlock()
 	}
 }
