--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -215,9 +215,18 @@
 	attemptSize = 48
 )
 
-// maxJournals is how many journals a share has at most: whoever takes over
-// reads what they hold together.
-const maxJournals = 8
+// Whoever takes over reads what the journals hold together, so their number is
+// bounded: by what the tasks of so many machines fill, since in journals that are
+// too few for them nothing is over before its journal is written again, and the
+// pages take the writes that users wait for.
+const (
+	leastJournals      = 8
+	machinesPerJournal = 20
+)
+
+func (s *Share) maxJournals() int {
+	return max(leastJournals, len(s.machines)/machinesPerJournal)
+}
 
 // nextJournalLocked returns the journal to write. Most tasks are over before
 // their journal is written again, and so never come onto a page. It stays the
@@ -239,7 +248,7 @@
 		}
 	}
 	if least == nil || held[least.key] > limit/2 {
-		if len(s.journals) < maxJournals {
+		if len(s.journals) < s.maxJournals() {
 			least = &page{key: fleet.JournalKey(s.opts.Node, s.div.Members[s.opts.Node].Since, len(s.journals))}
 			s.journals = append(s.journals, least)
 			s.pages[least.key] = least
