--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -111,6 +112,42 @@
 	}
 }
 
+// There are journals enough for the tasks that run on a share's machines: else
+// they are full all the time, and the machines' pages, which are many, are
+// written again and again.
+func TestJournalsHoldWhatRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p := newLargeShare(400)
+		s.opts.Settings.ValueBytes = 6 << 10
+		for i := range 30 {
+			r := p.add(fmt.Sprintf("wk-%06d", i), "ours", wire.PriorityNormal, 10, 16)
+			r.Job.Spot = true
+			s.mu.Lock()
+			s.addJobLocked(r)
+			s.scheduleLocked(time.Now())
+			s.commitLocked()
+			s.mu.Unlock()
+			time.Sleep(45 * time.Millisecond)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		pages := 0
+		for _, w := range p.writes {
+			for _, c := range w.Then {
+				if !fleet.IsJournal(c.Put) {
+					pages++
+				}
+			}
+		}
+		if n := len(s.list.Order()); n != 300 {
+			t.Errorf("%d of 300 machines have a task", n)
+		}
+		if pages > 0 {
+			t.Errorf("%d writes of pages beside %d of journals", pages, len(p.writes))
+		}
+	})
+}
+
 // A pass over 2,000 full machines with 200 waiting jobs.
 func BenchmarkPass(b *testing.B) {
 	s, p := newLargeShare(2000)
