--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -283,9 +283,10 @@
 }
 
 // maxSyncs is how many workers are shown a new token at a time. A takeover of
-// thousands at once would use up sockets and the share of a processor; most
-// report by themselves before their turn comes.
-const maxSyncs = 256
+// thousands at once would use up sockets and the share of a processor, and most
+// report by themselves before their turn comes. Those of a zone that is cut off
+// must not keep all others waiting.
+const maxSyncs = 512
 
 // syncLocked shows a worker the new token soon and takes its report: until then
 // nothing may be placed on its machine.
