A request for room counts once: a late copy of one is refused

Cause: a host places whatever attempts a request names, unless it has denied them; after the attempt has ended and is settled nothing remembers it, so a copy of the request placed it again while the task was elsewhere. Attempt numbers rise and are asked about once, so a host refuses what is not newer than before; a new tenure of the host is fenced by the token.

--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -32,6 +32,31 @@
 	current atomic.Pointer[controller]
 	alone   atomic.Bool // cut off from its peers
 	stop    context.CancelFunc
+
+	mu    sync.Mutex
+	calls []func(c *controller) // the last that peers made
+}
+
+// maxCalls bounds the calls of peers that can be repeated.
+const maxCalls = 50
+
+func (n *node) called(call func(c *controller)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calls = append(n.calls, call)
+	n.calls = n.calls[max(0, len(n.calls)-maxCalls):]
+}
+
+// repeatCalls makes the last calls of peers come again, late.
+func (n *node) repeatCalls() {
+	n.mu.Lock()
+	calls := slices.Clone(n.calls)
+	n.mu.Unlock()
+	if c := n.current.Load(); c != nil {
+		for _, call := range calls {
+			call(c)
+		}
+	}
 }
 
 // testCluster is three controllers with stand-ins for the rest.
@@ -77,6 +102,7 @@
 	if c == nil {
 		return nil, errDown
 	}
+	l.to.called(func(c *controller) { c.members.HandleBeat(mine) })
 	return c.members.HandleBeat(mine), nil
 }
 
@@ -85,6 +111,7 @@
 	if c == nil {
 		return nil, errDown
 	}
+	l.to.called(func(c *controller) { c.Place(req) })
 	return c.Place(req), nil
 }
 
@@ -93,6 +120,7 @@
 	if c == nil {
 		return nil, errDown
 	}
+	l.to.called(func(c *controller) { c.Settle(req) })
 	return c.Settle(req), nil
 }
 
@@ -624,7 +652,7 @@
 		}
 		node, machine := random.IntN(3), fmt.Sprintf("host-%06d", 1+random.IntN(6))
 		heal := func() {}
-		switch random.IntN(14) {
+		switch random.IntN(15) {
 		case 0:
 			tc.crash(node)
 			heal = func() { tc.start(node) }
@@ -672,7 +700,9 @@
 			}
 		case 12: // carried out a second time
 			tc.state.RepeatTxns()
-		case 13:
+		case 13: // calls between controllers, also of a former life
+			tc.nodes[node].repeatCalls()
+		case 14:
 			tc.fleet.HoldRentals(true)
 			heal = func() { tc.fleet.HoldRentals(false) }
 		}
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -213,6 +213,9 @@
 	if !s.loaded || !s.opts.Authority.Permitted() || req.Token > s.div.Token || req.Token < s.div.from || s.opts.Authority.Token() != s.div.Token {
 		return reply // not of one mind about who owns what
 	}
+	if !s.newerLocked(req) {
+		return reply // a late copy: what it asks for may have been taken, ended and taken elsewhere since
+	}
 	reply.Ready = true
 	now := time.Now()
 	s.beginPassLocked()
@@ -225,6 +228,23 @@
 	return reply
 }
 
+// newerLocked tells whether all attempts that a peer asks about are newer than
+// those of its requests before: their numbers rise, and it asks once for each.
+func (s *Share) newerLocked(req *peerpb.PlaceRequest) bool {
+	before := s.newest[req.Node]
+	newest := before
+	for _, w := range req.Wanted {
+		for _, at := range w.Attempts {
+			if at.Attempt <= before {
+				return false
+			}
+			newest = max(newest, at.Attempt)
+		}
+	}
+	s.newest[req.Node] = newest
+	return true
+}
+
 func (s *Share) placeWantedLocked(from string, w *peerpb.Wanted, reply *peerpb.PlaceReply, now time.Time) {
 	r := s.opts.Jobs.Active(w.Job)
 	if r == nil || s.div.OwnerOf(r.Job.Team, r.Job.ID) != from {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -207,6 +207,7 @@
 	foreign    map[fleet.Key]*lent  // tasks of own jobs that may be on others' machines
 	barred     map[fleet.Key]time.Time
 	asking     map[string]*asking
+	newest     map[string]uint64 // by peer, the newest attempt that it has asked about
 	machines   map[string]*machine
 	pages      map[string]*page  // the keys that hold the machines' records
 	journals   []*page           // hold what the pages do not hold yet
@@ -251,7 +252,7 @@
 		used: map[string]placement.Resources{}, returned: map[string]time.Time{},
 		booting: map[string]*booting{}, refused: map[placement.Place]refusal{}, resolve: map[string]bool{},
 		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, barred: map[fleet.Key]time.Time{},
-		asking: map[string]*asking{}, moving: map[string]bool{}, pages: map[string]*page{}, shelves: map[string]*shelf{},
+		asking: map[string]*asking{}, newest: map[string]uint64{}, moving: map[string]bool{}, pages: map[string]*page{}, shelves: map[string]*shelf{},
 	}
 	for i := range opts.Types {
 		s.types[opts.Types[i].Name] = &opts.Types[i]
