--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -564,3 +564,26 @@
 		}
 	})
 }
+
+// A late copy of a request for room is refused, also once what it asked for has
+// ended here and nothing remembers it: the task may be elsewhere by then.
+func TestRequestForRoomCountsOnce(t *testing.T) {
+	s, p, m := newTestShare(t)
+	p.add("wk-1", "theirs", wire.PriorityNormal, 3, 2)
+	req := &peerpb.PlaceRequest{Node: "peer", Token: 5, Wanted: []*peerpb.Wanted{{Job: "wk-1", Pending: 3,
+		Attempts: []*peerpb.Attempt{{Task: "wk-1/0", Attempt: 7}}}}}
+	ask := func() int { reply := s.Place(req); return len(reply.Taken) + int(reply.Given) }
+	s.list.MoveToFront(m.Name)
+	m.Add(&fleet.Attempt{Key: fleet.Key{Task: "wk-2/0", Attempt: 1}, Sized: true}, time.Now()) // not idle
+	if n := ask(); n != 1 {
+		t.Fatalf("%d tasks were taken at first", n)
+	}
+	delete(m.Attempts, fleet.Key{Task: "wk-1/0", Attempt: 7}) // ended, settled and forgotten
+	if n := ask(); n != 0 {
+		t.Error("a copy of the request was carried out again")
+	}
+	req.Wanted[0].Attempts[0].Attempt = 8
+	if n := ask(); n != 1 {
+		t.Errorf("%d tasks of a newer request were taken", n)
+	}
+}
