Cancelled means known: confirmed only once no permission can do without it

Cause (the gap): a cancellation was durable before it was confirmed, but nothing made it known to whoever answered the workers. A leader that the store alone refuses has a silent watch, its store proofs went through a peer and said nothing of jobs, and in the outage that followed a majority's word renewed its permission for 63 s. A successor that could not read the records kept all leases likewise.

Now a confirmation waits until as many controllers know it that no majority is without one of them, else it is refused at once; a peer's word counts only with the cancellations it knows; one without memory names from when it can; the store's word counts only with a reading of what ended; workers with tasks of unknown jobs lose their lease, those whose records cannot be read yet are told to stop what is over. The permission is cut so that a lease lapses after it within cancel_s; where that cannot be, it is said at start and all must know.

Ruled out: asking the store more often (the cancellation can fall between two questions), and telling only the owner (it may be the one that is cut off).

--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -64,7 +64,8 @@
 	front     *server.Server
 	share     atomic.Pointer[scheduler.Share]
 	spare     atomic.Pointer[spare]
-	cutAt     atomic.Int64 // when the share last could not reach most workers
+	told      atomic.Pointer[[]*peerpb.Progress] // progress
+	cutAt     atomic.Int64                       // when the share last could not reach most workers
 }
 
 // peerShares are the other controllers' shares.
@@ -101,10 +102,12 @@
 		beaters[node] = p
 	}
 	c.members = cluster.New(cluster.Options{
-		Node: settings.Node, Client: c.client, Route: c.route, Peers: beaters, LeaseFor: settings.LeaseFor,
+		Node: settings.Node, Client: c.client, Route: c.route, Peers: beaters,
+		LeaseFor: settings.LeaseFor, CancelIn: settings.CancelIn, Cancellations: c.catalog,
 		Share: c.runShare, Status: c.status, Changed: c.changed, Weights: c.weights,
 		Progress: c.progress, OnProgress: c.takeProgress, Log: log,
 	})
+	c.catalog.SetWitness(c.members)
 	c.front = server.New(server.Options{
 		Settings: settings, Jobs: c.catalog, Types: c.offers.Types, Checkin: c.checkin, Ready: c.ready, Gauges: c.gauges(), Log: log,
 	})
@@ -119,6 +122,7 @@
 	g.Go(func() error { return c.offers.Run(ctx) })
 	g.Go(func() error { return every(ctx, logUsageEvery, c.logUsage) })
 	g.Go(func() error { return every(ctx, balanceEvery, c.balance) })
+	g.Go(func() error { return every(ctx, progressEvery, c.takeOwnProgress) })
 	return g.Wait()
 }
 
@@ -314,17 +318,28 @@
 	}
 }
 
-func (c *controller) progress() []*peerpb.Progress {
-	s := c.share.Load()
-	if s == nil {
-		return nil
-	}
+// progressEvery is how often the progress of jobs is taken, for display.
+const progressEvery = time.Second
+
+// takeOwnProgress takes the progress of the share's jobs, also where there is no
+// peer to tell.
+func (c *controller) takeOwnProgress() {
 	var all []*peerpb.Progress
-	for id, p := range s.Progress() {
-		c.catalog.SetProgress(id, p)
-		all = append(all, &peerpb.Progress{Job: id, Done: uint32(p.Done), Running: uint32(p.Running)})
+	if s := c.share.Load(); s != nil {
+		for id, p := range s.Progress() {
+			c.catalog.SetProgress(id, p)
+			all = append(all, &peerpb.Progress{Job: id, Done: uint32(p.Done), Running: uint32(p.Running)})
+		}
+	}
+	c.told.Store(&all)
+}
+
+// progress is what the peers are told.
+func (c *controller) progress() []*peerpb.Progress {
+	if all := c.told.Load(); all != nil {
+		return *all
 	}
-	return all
+	return nil
 }
 
 func (c *controller) takeProgress(all []*peerpb.Progress) {
@@ -351,13 +366,14 @@
 
 // ready tells whether this controller can take requests. In an outage of the
 // state service all stay ready, since being removed costs more than the
-// outage; one that alone cannot reach it does not.
+// outage; one that alone cannot reach it does not. Nor does one that hears no
+// other and is no member: it can confirm no cancellation, while others can.
 func (c *controller) ready() bool {
 	if !c.catalog.Ready() || c.offers.Types() == nil {
 		return false
 	}
 	if c.route.OK(3 * time.Second) {
-		return true
+		return !c.members.Lonely()
 	}
 	return c.members.PeersAlive() > 0 && len(c.members.StatePeers()) == 0
 }
--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -124,6 +124,15 @@
 	return c.Settle(req), nil
 }
 
+func (l link) Tell(_ context.Context, req *peerpb.TellRequest) (*peerpb.TellReply, error) {
+	c := l.end()
+	if c == nil {
+		return nil, errDown
+	}
+	l.to.called(func(c *controller) { c.members.HandleTell(req) })
+	return c.members.HandleTell(req), nil
+}
+
 func (l link) Do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
 	c := l.end()
 	if c == nil {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -101,11 +102,13 @@
 	vouched     time.Time // when it was asked and knew of no newer epoch than ours
 	status      *peerpb.Status
 	shunned     time.Time // no member before then
+	outbox      outbox
 }
 
 // Beater is the part of a peer's interface that this package calls.
 type Beater interface {
 	Beat(ctx context.Context, mine *peerpb.Status) (*peerpb.Status, error)
+	Tell(ctx context.Context, req *peerpb.TellRequest) (*peerpb.TellReply, error)
 }
 
 // Options are what a Cluster needs.
@@ -117,6 +120,9 @@
 	// LeaseFor is the workers' lease; the permission to answer their reports
 	// without a fresh confirmation of the epoch is a quarter of it.
 	LeaseFor time.Duration
+	// CancelIn is by when a cancelled job's tasks must be gone.
+	CancelIn      time.Duration
+	Cancellations Cancellations
 	// Share runs while this controller is a member; its context ends when it
 	// no longer is.
 	Share func(ctx context.Context) error
@@ -136,7 +142,9 @@
 type Cluster struct {
 	opts        Options
 	incarnation uint64
+	begun       time.Time
 	permission  time.Duration
+	inTime      bool          // after a permission a lease lapses within CancelIn
 	changed     chan struct{} // poked when the epoch or the leader key changes
 
 	mu            sync.Mutex
@@ -148,7 +156,9 @@
 	revision      uint64
 	lease         uint64
 	resigned      time.Time // when this leader asked the others to take over
-	confirmed     time.Time // when the last proof that the epoch is current was asked for
+	lapsed        bool      // a member without permission, as logged
+	confirmed     time.Time // when the last proof that the epoch is current was asked for, cancellations included
+	caughtUp      time.Time // when the store last showed all cancellations
 	peers         map[string]*peer
 	fence         fence
 	proven        []proof
@@ -179,19 +189,43 @@
 	c := &Cluster{
 		opts:         opts,
 		incarnation:  rand.Uint64(),
-		permission:   opts.LeaseFor / 4,
+		begun:        time.Now(),
 		changed:      make(chan struct{}, 1),
 		peers:        map[string]*peer{},
 		workersHeard: map[string]time.Time{},
 		owners:       map[string]Owner{},
 		transfers:    map[string]transfer{},
 	}
+	if c.permission, c.inTime = permissionFor(opts.LeaseFor, opts.CancelIn); !c.inTime {
+		opts.Log.Warn("cancel_s leaves too little time for a lease to lapse: cancellations are confirmed only once every controller knows them",
+			"lease", opts.LeaseFor, "cancel_in", opts.CancelIn, "needed", opts.LeaseFor+lapseSlack(opts.LeaseFor)+leastPermission)
+	}
 	for node, client := range opts.Peers {
 		c.peers[node] = &peer{node: node, client: client}
 	}
 	return c
 }
 
+// leastPermission is as long as a permission must be at least: a few beats.
+const leastPermission = 2500 * time.Millisecond
+
+// lapseSlack is how much later than a lease after its last renewal a worker
+// has surely ended its tasks: its clock drifts, and it looks now and then.
+func lapseSlack(lease time.Duration) time.Duration { return lease/1000 + 500*time.Millisecond }
+
+// permissionFor is how long a controller may answer workers on one proof: a
+// quarter of a lease, and no longer than leaves time for a lease to lapse
+// after it before a cancelled job's tasks must be gone. inTime is false if the
+// settings leave no such time.
+func permissionFor(lease, cancelIn time.Duration) (permission time.Duration, inTime bool) {
+	permission = lease / 4
+	room := cancelIn - lease - lapseSlack(lease)
+	if room < min(permission, leastPermission) {
+		return min(permission, leastPermission), false
+	}
+	return min(permission, room), true
+}
+
 // Run takes part in the cluster until ctx ends.
 func (c *Cluster) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -316,6 +350,10 @@
 func (c *Cluster) PeersAlive() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.peersAliveLocked()
+}
+
+func (c *Cluster) peersAliveLocked() int {
 	n := 0
 	for _, p := range c.peers {
 		if time.Since(p.lastSeen) < peerOKFor {
@@ -325,6 +363,23 @@
 	return n
 }
 
+// lonelyAfter is how long a controller that is no member must have heard no
+// other to count as cut off: longer than it takes to lead if they have ended.
+const lonelyAfter = 8 * time.Second
+
+// Lonely tells whether this controller has long been cut off from all others
+// and is no member.
+func (c *Cluster) Lonely() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
+		if time.Since(p.lastSeen) < lonelyAfter {
+			return false
+		}
+	}
+	return len(c.peers) > 0 && !c.memberLocked() && time.Since(c.begun) > lonelyAfter
+}
+
 // Peers returns what the peers that were heard from lately say of themselves.
 func (c *Cluster) Peers() []*peerpb.Status {
 	c.mu.Lock()
@@ -352,7 +407,7 @@
 	if len(theirs.Progress) > 0 && c.opts.OnProgress != nil {
 		c.opts.OnProgress(theirs.Progress)
 	}
-	return c.status()
+	return c.status(theirs.JobsRevision)
 }
 
 // notePeerLocked takes what a peer says of itself.
@@ -362,10 +417,14 @@
 	c.noteAckLocked(p)
 }
 
-func (c *Cluster) status() *peerpb.Status {
+// status says how this controller is, and names the cancellations that it knows
+// after a revision.
+func (c *Cluster) status(after uint64) *peerpb.Status {
 	s := &peerpb.Status{Node: c.opts.Node, Incarnation: c.incarnation,
 		StateOk: c.opts.Route.DirectOK(2 * time.Second)}
 	c.opts.Status(s)
+	known := c.opts.Cancellations.Known(after)
+	s.JobsRead, s.JobsRevision, s.JobsBase, s.Cancelled = known.Read, known.Revision, known.Base, toPeer(known.Named)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.known {
@@ -453,7 +512,7 @@
 	tick := time.NewTicker(beatEvery)
 	defer tick.Stop()
 	for {
-		mine := c.status()
+		mine := c.status(math.MaxUint64)
 		if c.opts.Progress != nil {
 			mine.Progress = c.opts.Progress()
 		}
@@ -462,9 +521,13 @@
 		theirs, err := p.client.Beat(bctx, mine)
 		cancel()
 		if err == nil {
+			c.opts.Cancellations.Learn(fromPeer(theirs.Cancelled))
+			// What the peer cannot name, since it started or forgot, must be
+			// known here already: else its word says nothing of cancellations.
+			named := mine.JobsRead && theirs.JobsRead && theirs.JobsBase <= mine.JobsRevision
 			c.mu.Lock()
 			c.notePeerLocked(p, theirs)
-			if theirs.Token > 0 && theirs.Token <= c.epoch.Token {
+			if named && theirs.Token > 0 && theirs.Token <= c.epoch.Token {
 				p.vouched = sent
 				c.noteVouchLocked()
 			}
@@ -473,6 +536,11 @@
 			if newer {
 				c.poke()
 			}
+			if mine.JobsRead && theirs.JobsBase > mine.JobsRevision {
+				if err := c.opts.Cancellations.CatchUp(ctx, theirs.JobsBase); err != nil {
+					c.opts.Log.Debug("reading what a peer cannot name failed", "peer", p.node, "err", err)
+				}
+			}
 		} else {
 			c.opts.Log.Debug("beat failed", "peer", p.node, "err", err)
 		}
@@ -498,6 +566,7 @@
 	if err != nil {
 		return err
 	}
+	caughtUp := c.opts.Cancellations.CatchUp(ctx, revision) == nil
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if revision < c.revision {
@@ -510,8 +579,11 @@
 	for _, item := range items {
 		c.takeLocked(item.Key, item.Value, item.Version)
 	}
-	if c.memberLocked() && sent.After(c.confirmed) {
-		c.confirmed = sent
+	if caughtUp {
+		c.caughtUp = sent
+		if c.memberLocked() && sent.After(c.confirmed) {
+			c.confirmed = sent
+		}
 	}
 	return nil
 }
@@ -653,10 +725,27 @@
 			go c.share(shareCtx, previous, c.sharing)
 		}
 		c.noteFenceLocked()
+		c.logPermissionLocked()
 		c.mu.Unlock()
 	}
 }
 
+// logPermissionLocked tells an operator when this controller, a member, begins
+// or ends to answer no worker.
+func (c *Cluster) logPermissionLocked() {
+	lapsed := c.memberLocked() && time.Since(c.confirmed) >= c.permission
+	if lapsed == c.lapsed {
+		return
+	}
+	c.lapsed = lapsed
+	if lapsed {
+		c.opts.Log.Warn("permission lapsed: no worker is answered until the state service or a majority vouches again",
+			"token", c.epoch.Token, "since", time.Since(c.confirmed), "peers_heard", c.peersAliveLocked())
+	} else {
+		c.opts.Log.Info("permitted again, or no member any more", "token", c.epoch.Token)
+	}
+}
+
 func (c *Cluster) share(ctx context.Context, previous, done chan struct{}) {
 	defer close(done)
 	if previous != nil {
@@ -674,15 +763,11 @@
 	lease, version := c.lease, c.version
 	c.mu.Unlock()
 	sent := time.Now()
-	_, err := c.opts.Client.Txn(ctx, state.Urgent, wire.Txn{If: []wire.Condition{{Key: epochKey, Version: version}}})
+	revision, err := c.opts.Client.Txn(ctx, state.Urgent, wire.Txn{If: []wire.Condition{{Key: epochKey, Version: version}}})
 	var conflict *state.Conflict
 	switch {
 	case err == nil:
-		c.mu.Lock()
-		if c.leadsLocked() && sent.After(c.confirmed) {
-			c.confirmed = sent
-		}
-		c.mu.Unlock()
+		c.confirm(ctx, sent, revision)
 	case errors.As(err, &conflict):
 		if err := c.refresh(ctx); err != nil {
 			c.opts.Log.Debug("reading the epoch failed", "err", err)
@@ -702,6 +787,27 @@
 	}
 }
 
+// confirm takes the store's word that the epoch was current. It stands for a
+// permission only together with the cancellations, which its watch may be
+// silent about; where the peers' word is fresh, that is not needed.
+func (c *Cluster) confirm(ctx context.Context, sent time.Time, revision uint64) {
+	c.mu.Lock()
+	fresh := sent.Sub(c.confirmed) < c.permission/3
+	c.mu.Unlock()
+	if fresh {
+		return
+	}
+	if err := c.opts.Cancellations.CatchUp(ctx, revision); err != nil {
+		c.opts.Log.Debug("the epoch is current, but not what is known of jobs", "err", err)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leadsLocked() && sent.After(c.confirmed) {
+		c.confirmed = sent
+	}
+}
+
 // claimLease takes the leader key again within the same epoch, if nobody else
 // has claimed the epoch since.
 func (c *Cluster) claimLease(ctx context.Context) {
@@ -752,7 +858,6 @@
 	next.divide(c.opts.Weights())
 	value, _ := json.Marshal(next)
 	record, _ := json.Marshal(leaderRecord{Node: c.opts.Node, Incarnation: c.incarnation})
-	sent := time.Now()
 	revision, err := c.opts.Client.Txn(ctx, state.Urgent, wire.Txn{
 		If: []wire.Condition{{Key: epochKey, Version: version}, {Key: leaderKey, Version: leaderVersion}},
 		Then: []wire.Change{
@@ -779,7 +884,9 @@
 		c.setEpochLocked(next, revision)
 	}
 	c.leader, c.leaderVersion = leaderRecord{Node: c.opts.Node, Incarnation: c.incarnation}, revision
-	c.confirmed = sent // not now: another may have claimed since
+	if c.caughtUp.After(c.confirmed) {
+		c.confirmed = c.caughtUp // not now: another may have claimed since, or a job been cancelled
+	}
 	c.opts.Log.Info("elected", "token", next.Token)
 	c.poke()
 }
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -10,14 +10,17 @@
 	"time"
 
 	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/job"
 	"heronwick/internal/standin"
 	"heronwick/internal/state"
+	"heronwick/wire"
 )
 
 // scriptedPeer answers beats as it is told to.
 type scriptedPeer struct {
 	mu     sync.Mutex
 	status *peerpb.Status
+	told   []*peerpb.Cancelled
 }
 
 func (p *scriptedPeer) Beat(context.Context, *peerpb.Status) (*peerpb.Status, error) {
@@ -29,10 +32,88 @@
 	return p.status, nil
 }
 
+func (p *scriptedPeer) Tell(_ context.Context, req *peerpb.TellRequest) (*peerpb.TellReply, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.status == nil {
+		return nil, context.DeadlineExceeded
+	}
+	p.told = append(p.told, req.Cancelled...)
+	return &peerpb.TellReply{}, nil
+}
+
 func (p *scriptedPeer) say(token uint64, ready bool) {
+	p.change(func(s *peerpb.Status) { s.Token, s.Ready = token, ready })
+}
+
+// change changes what the peer answers from now on.
+func (p *scriptedPeer) change(f func(*peerpb.Status)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	status := &peerpb.Status{Incarnation: 7, JobsRead: true, JobsBase: 1, JobsRevision: 1}
+	if p.status != nil {
+		status.Token, status.Ready, status.JobsBase, status.JobsRevision = p.status.Token, p.status.Ready, p.status.JobsBase, p.status.JobsRevision
+		status.JobsRead, status.Cancelled = p.status.JobsRead, p.status.Cancelled
+	}
+	f(status)
+	p.status = status
+}
+
+// silence ends the peer.
+func (p *scriptedPeer) silence() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.status = &peerpb.Status{Incarnation: 7, Token: token, Ready: ready}
+	p.status = nil
+}
+
+// knowledge is what the controller under test knows of cancellations.
+type knowledge struct {
+	mu       sync.Mutex
+	revision uint64
+	learnt   []job.Cancellation
+	client   *state.Client
+	fails    bool
+}
+
+func (k *knowledge) Known(after uint64) job.Knowledge {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	known := job.Knowledge{Read: true, Revision: k.revision}
+	for _, n := range k.learnt {
+		if n.Revision > after {
+			known.Named = append(known.Named, n)
+		}
+	}
+	return known
+}
+
+func (k *knowledge) Learn(cancelled []job.Cancellation) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.learnt = append(k.learnt, cancelled...)
+}
+
+// fail makes the jobs unreadable, or readable again.
+func (k *knowledge) fail(on bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fails = on
+}
+
+func (k *knowledge) CatchUp(ctx context.Context, revision uint64) error {
+	k.mu.Lock()
+	fails := k.fails
+	k.mu.Unlock()
+	if fails {
+		return context.DeadlineExceeded
+	}
+	if _, err := k.client.Watch(ctx, "jobs/", 0, 0); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision = max(k.revision, revision)
+	return nil
 }
 
 // withLeader runs f with a leader of three whose peers are scripted.
@@ -44,6 +125,7 @@
 		b, d := &scriptedPeer{}, &scriptedPeer{}
 		c := New(Options{
 			Node: "a", Client: client, Route: route, Peers: map[string]Beater{"b": b, "d": d}, LeaseFor: 20 * time.Second,
+			CancelIn: 40 * time.Second, Cancellations: &knowledge{revision: 1, client: client},
 			Share:   func(ctx context.Context) error { <-ctx.Done(); return nil },
 			Status:  func(*peerpb.Status) {},
 			Changed: func() {}, Weights: func() map[string]float64 { return nil },
@@ -83,6 +165,115 @@
 	}
 }
 
+// The invariant behind "Cancelled means known": nothing renews the permission
+// but what also brings every cancellation that was confirmed before.
+func TestPermissionBringsCancellations(t *testing.T) {
+	cancelled := []*peerpb.Cancelled{{Job: "wk-000001", Revision: 50, Tasks: 3, Team: "red", Cpus: 2}}
+	for _, test := range []struct {
+		name   string
+		say    func(*peerpb.Status)
+		want   bool
+		learns bool
+	}{
+		{"a peer that names all it knows", func(s *peerpb.Status) { s.Cancelled = cancelled }, true, true},
+		{"a peer that has not read the jobs since it started", func(s *peerpb.Status) { s.JobsRead, s.JobsBase = false, 0 }, false, false},
+		{"a peer that cannot name what came before it started", func(s *peerpb.Status) { s.JobsBase = 60 }, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withLeader(t, func(c *Cluster, s *standin.State, b, _ *scriptedPeer) {
+				k := c.opts.Cancellations.(*knowledge)
+				s.SetOutage(true)
+				b.say(1, false)
+				b.change(test.say)
+				time.Sleep(10 * time.Second)
+				if got := c.Permitted(); got != test.want {
+					t.Errorf("permitted: %v, want %v", got, test.want)
+				}
+				if learns := len(k.learnt) > 0; learns != test.learns {
+					t.Errorf("learnt %v", k.learnt)
+				}
+				s.SetOutage(false)
+				time.Sleep(5 * time.Second)
+				if !c.Permitted() {
+					t.Error("not permitted though the store shows all cancellations")
+				}
+			})
+		})
+	}
+	t.Run("the store's word without its cancellations", func(t *testing.T) {
+		withLeader(t, func(c *Cluster, s *standin.State, _, _ *scriptedPeer) {
+			k := c.opts.Cancellations.(*knowledge)
+			k.fail(true)
+			time.Sleep(10 * time.Second)
+			if c.Permitted() {
+				t.Error("permitted by a store whose cancellations could not be read")
+			}
+			k.fail(false)
+			time.Sleep(2 * time.Second)
+			if !c.Permitted() {
+				t.Error("not permitted though the store shows all cancellations")
+			}
+		})
+	})
+}
+
+// A cancellation is confirmed once so many know it that no majority can vouch
+// without one of them, or by the only member there is.
+func TestWitnessed(t *testing.T) {
+	cancellation := job.Cancellation{Job: "wk-000001", Revision: 50, Final: job.Final{State: wire.JobCancelled, Tasks: 3}}
+	withLeader(t, func(c *Cluster, _ *standin.State, b, d *scriptedPeer) {
+		witnessed := func(what string, want bool) {
+			t.Helper()
+			began := time.Now()
+			if err := c.Witnessed(context.Background(), cancellation); (err == nil) != want || time.Since(began) > time.Second {
+				t.Errorf("%s: %v after %v", what, err, time.Since(began))
+			}
+		}
+		witnessed("the only member", true)
+		b.say(1, true)
+		d.say(1, true)
+		time.Sleep(3 * time.Second)
+		witnessed("all can be told", true)
+		if len(b.told) != 1 || len(d.told) != 1 || b.told[0].Job != cancellation.Job {
+			t.Errorf("told %v and %v", b.told, d.told)
+		}
+		d.silence()
+		witnessed("one can be told", true)
+		b.silence()
+		witnessed("nobody can be told", false)
+		time.Sleep(5 * time.Second)
+		witnessed("the only member again", true)
+		b.say(c.Token(), true)
+		time.Sleep(3 * time.Second)
+		b.silence()
+		witnessed("the other member cannot be told", false)
+		b.change(func(s *peerpb.Status) { s.Token, s.Ready, s.JobsRevision = c.Token(), true, 50 })
+		time.Sleep(1500 * time.Millisecond)
+		b.silence()
+		witnessed("the other has said that it knows", true)
+	})
+}
+
+// Where the settings leave too little time for a lease to lapse after a
+// permission, the permission is shorter, and all must know at last.
+func TestPermissionFits(t *testing.T) {
+	for _, test := range []struct {
+		lease, cancel, permission time.Duration
+		inTime                    bool
+	}{
+		{16 * time.Second, 36 * time.Second, 4 * time.Second, true},
+		{26500 * time.Millisecond, 46500 * time.Millisecond, 6625 * time.Millisecond, true},
+		{20 * time.Second, 24 * time.Second, 3480 * time.Millisecond, true},
+		{20 * time.Second, 22 * time.Second, leastPermission, false},
+		{20 * time.Second, 10 * time.Second, leastPermission, false},
+		{4 * time.Second, 20 * time.Second, time.Second, true},
+	} {
+		if permission, inTime := permissionFor(test.lease, test.cancel); permission != test.permission || inTime != test.inTime {
+			t.Errorf("lease %v, cancel in %v: %v %v, want %v %v", test.lease, test.cancel, permission, inTime, test.permission, test.inTime)
+		}
+	}
+}
+
 // Nobody counts on the bound of others' permission without the word of a
 // majority that knows the new epoch.
 func TestFence(t *testing.T) {
--- a/internal/cluster/grpc.go
+++ b/internal/cluster/grpc.go
@@ -65,6 +65,11 @@
 	return p.client.Settle(ctx, req)
 }
 
+// Tell implements Beater.
+func (p *Conn) Tell(ctx context.Context, req *peerpb.TellRequest) (*peerpb.TellReply, error) {
+	return p.client.Tell(ctx, req)
+}
+
 // Host is the part of a share that peers call.
 type Host interface {
 	Place(req *peerpb.PlaceRequest) *peerpb.PlaceReply
@@ -94,6 +99,11 @@
 	return s.Cluster.HandleBeat(theirs), nil
 }
 
+// Tell implements peerpb.PeerServer.
+func (s *Service) Tell(_ context.Context, req *peerpb.TellRequest) (*peerpb.TellReply, error) {
+	return s.Cluster.HandleTell(req), nil
+}
+
 // State implements peerpb.PeerServer.
 func (s *Service) State(ctx context.Context, req *peerpb.StateRequest) (*peerpb.StateReply, error) {
 	status, body, err := s.Route.Direct(ctx, req.Method, req.Target, req.Body)
--- /dev/null
+++ b/internal/cluster/witness.go
@@ -0,0 +1,160 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/job"
+	"heronwick/wire"
+)
+
+// Cancellations is what this controller knows of cancelled jobs. A controller
+// that does not know of one may renew the leases of the job's workers for as
+// long as it is permitted to; so no permission comes without what is known of
+// them, see docs/design.md, "Cancelled means known".
+type Cancellations interface {
+	// Known tells what is known, and names those after a revision.
+	Known(after uint64) job.Knowledge
+	Learn(cancelled []job.Cancellation)
+	// CatchUp makes every one up to a revision known that was seen in the store.
+	CatchUp(ctx context.Context, revision uint64) error
+}
+
+const (
+	// tellTimeout bounds the telling of a peer; users wait for it.
+	tellTimeout = 500 * time.Millisecond
+	// tellOthers is how long a confirmation waits for the peers beyond those
+	// that it needs: each that knows starts nothing of the job any more.
+	tellOthers = 100 * time.Millisecond
+)
+
+var errUnwitnessed = errors.New("too few controllers can be told")
+
+func toPeer(cancelled []job.Cancellation) []*peerpb.Cancelled {
+	var all []*peerpb.Cancelled
+	for _, n := range cancelled {
+		f := &n.Final
+		all = append(all, &peerpb.Cancelled{Job: n.Job, Revision: n.Revision, Tasks: uint32(f.Tasks), Team: f.Team,
+			Cpus: f.CPUs, Gpus: f.GPUs, MemoryGb: f.MemoryGB})
+	}
+	return all
+}
+
+func fromPeer(all []*peerpb.Cancelled) []job.Cancellation {
+	var cancelled []job.Cancellation
+	for _, n := range all {
+		cancelled = append(cancelled, job.Cancellation{Job: n.Job, Revision: n.Revision,
+			Final: job.Final{
+				State: wire.JobCancelled, Tasks: int(n.Tasks), Team: n.Team, CPUs: n.Cpus, GPUs: n.Gpus, MemoryGB: n.MemoryGb}})
+	}
+	return cancelled
+}
+
+// HandleTell takes cancellations that a peer is about to confirm.
+func (c *Cluster) HandleTell(req *peerpb.TellRequest) *peerpb.TellReply {
+	c.opts.Cancellations.Learn(fromPeer(req.Cancelled))
+	return &peerpb.TellReply{}
+}
+
+// witnessesLocked is how many peers must know a cancellation before it is
+// confirmed: so many that any majority that vouches for a permission holds a
+// controller that knows. Where a permission lasts too long for a lease to lapse
+// after it in time, all must.
+func (c *Cluster) witnessesLocked() int {
+	n := len(c.peers) + 1
+	if !c.inTime {
+		return n - 1
+	}
+	return n - (n/2 + 1)
+}
+
+// soleLocked tells whether all machines are this controller's and no other one
+// is a member: the others may have ended, and it stops the tasks itself.
+func (c *Cluster) soleLocked() bool {
+	return c.leadsLocked() && c.memberLocked() && len(c.epoch.Members) == 1 && time.Since(c.confirmed) < c.permission
+}
+
+// Witnessed implements job.Witness.
+func (c *Cluster) Witnessed(ctx context.Context, n job.Cancellation) error {
+	c.mu.Lock()
+	needed := c.witnessesLocked()
+	var ask []*peer
+	for _, p := range c.peers {
+		// Whoever has said so knows it, or has started since and says that
+		// it must not be asked about what came before.
+		if p.status != nil && p.status.JobsRevision >= n.Revision {
+			needed--
+		} else {
+			ask = append(ask, p)
+		}
+	}
+	if needed <= 0 && len(ask) == 0 || c.soleLocked() {
+		c.mu.Unlock()
+		return nil
+	}
+	answers := make(chan error, len(ask))
+	for _, p := range ask {
+		c.tellLocked(p, toPeer([]job.Cancellation{n})[0], answers)
+	}
+	c.mu.Unlock()
+	var enough <-chan time.Time
+	for range ask {
+		if needed <= 0 && enough == nil {
+			timer := time.NewTimer(tellOthers)
+			defer timer.Stop()
+			enough = timer.C
+		}
+		select {
+		case err := <-answers:
+			if err == nil {
+				needed--
+			}
+		case <-enough:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if needed > 0 {
+		c.opts.Log.Info("cancellation not confirmed: too few controllers can be told", "job", n.Job, "lacking", needed)
+		return errUnwitnessed
+	}
+	return nil
+}
+
+// outbox is what a peer is still to be told.
+type outbox struct {
+	cancelled []*peerpb.Cancelled
+	answers   []chan<- error
+	sending   bool
+}
+
+// tellLocked tells a peer of a cancellation, together with others that come
+// meanwhile.
+func (c *Cluster) tellLocked(p *peer, n *peerpb.Cancelled, answer chan<- error) {
+	p.outbox.cancelled, p.outbox.answers = append(p.outbox.cancelled, n), append(p.outbox.answers, answer)
+	if !p.outbox.sending {
+		p.outbox.sending = true
+		go c.sendOutbox(p)
+	}
+}
+
+func (c *Cluster) sendOutbox(p *peer) {
+	for {
+		c.mu.Lock()
+		box := p.outbox
+		p.outbox = outbox{sending: len(box.cancelled) > 0}
+		c.mu.Unlock()
+		if len(box.cancelled) == 0 {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+		_, err := p.client.Tell(ctx, &peerpb.TellRequest{Cancelled: box.cancelled})
+		cancel()
+		for _, answer := range box.answers {
+			answer <- err
+		}
+	}
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -339,14 +339,11 @@
 	return append(append(stops, forgets...), starts...)
 }
 
-// maxCommands keeps a line to a worker below 64 KiB.
-const maxCommands = 400
-
 // Reply returns the commands for the reply to the newest report.
 func (m *Machine) Reply() []wire.Command {
 	commands := m.commands()
-	if len(commands) > maxCommands {
-		commands = commands[:maxCommands]
+	if len(commands) > wire.MaxCommands {
+		commands = commands[:wire.MaxCommands]
 	}
 	for _, c := range commands {
 		if c.Op == wire.OpStart {
@@ -364,8 +361,8 @@
 	if len(commands) == 0 {
 		return nil
 	}
-	if len(commands) > maxCommands {
-		commands = commands[:maxCommands]
+	if len(commands) > wire.MaxCommands {
+		commands = commands[:wire.MaxCommands]
 	}
 	for _, c := range commands {
 		if c.Op == wire.OpStart {
--- /dev/null
+++ b/internal/job/cancelled.go
@@ -0,0 +1,148 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+// A cancellation that is in the store is not yet known to whoever may still
+// answer the job's workers: its watch may stay silent, and in an outage the
+// word of a majority renews its permission without the store. So every
+// controller keeps the cancellations that it knows, hands them over with its
+// word, and none confirms one to a user before enough others know it. See
+// docs/design.md, "Cancelled means known".
+
+// Cancellation is one that the store has.
+type Cancellation struct {
+	Job      string
+	Revision uint64 // of the store, at which it was carried out
+	Final    Final
+}
+
+// Witness tells others of a cancellation before it is confirmed to a user.
+type Witness interface {
+	// Witnessed returns nil once so many controllers know the cancellation
+	// that no permission to answer workers can be had without hearing of it.
+	Witnessed(ctx context.Context, c Cancellation) error
+}
+
+// Cancellations are kept to be handed over for at least keepCancelled, at most
+// maxCancelled of them; controllers that lag further behind read the store.
+const (
+	keepCancelled = 10 * time.Minute
+	maxCancelled  = 4096
+)
+
+// learnt is a cancellation and when this controller learnt of it.
+type learnt struct {
+	Cancellation
+	at time.Time
+}
+
+// rememberLocked keeps a cancellation to be handed over.
+func (c *Catalog) rememberLocked(n Cancellation) {
+	now := time.Now()
+	c.cancelled = append(c.cancelled, learnt{n, now})
+	for len(c.cancelled) > maxCancelled || now.Sub(c.cancelled[0].at) > keepCancelled {
+		c.base = max(c.base, c.cancelled[0].Revision)
+		c.cancelled = c.cancelled[1:]
+	}
+}
+
+// Knowledge is what a controller knows of cancellations.
+type Knowledge struct {
+	// Read: the jobs have been read; else nothing is known.
+	Read bool
+	// Revision is up to which of the store's every one is known.
+	Revision uint64
+	// Base is after which one all that are known can be named.
+	Base uint64
+	// Named are those after the revision that was asked about.
+	Named []Cancellation
+}
+
+// Known tells what is known of cancellations, and names those after a revision.
+func (c *Catalog) Known(after uint64) Knowledge {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.Ready() {
+		return Knowledge{}
+	}
+	k := Knowledge{Read: true, Revision: c.revision, Base: c.base}
+	for i := range c.cancelled {
+		if c.cancelled[i].Revision > after {
+			k.Named = append(k.Named, c.cancelled[i].Cancellation)
+		}
+	}
+	return k
+}
+
+// Learn takes cancellations that another controller knows.
+func (c *Catalog) Learn(cancelled []Cancellation) {
+	for _, n := range cancelled {
+		c.setFinal(n.Job, n.Final, n.Revision)
+	}
+}
+
+// CatchUp makes every cancellation up to a revision known, which the caller
+// has seen in the store.
+func (c *Catalog) CatchUp(ctx context.Context, revision uint64) error {
+	c.mu.Lock()
+	after, ready := c.revision, c.Ready()
+	c.mu.Unlock()
+	switch {
+	case !ready:
+		return ErrNotReady
+	case after >= revision:
+		return nil
+	}
+	events, err := c.client.Watch(ctx, prefix, after, 0)
+	if errors.Is(err, state.ErrCompacted) {
+		return c.load(ctx)
+	}
+	if err != nil {
+		return fmt.Errorf("catching up with the jobs: %w", err)
+	}
+	// What was carried out before the question is in the answer.
+	c.take(events, revision)
+	return nil
+}
+
+// take applies what a watch from the catalog's revision has brought.
+func (c *Catalog) take(events wire.Events, known uint64) {
+	for _, e := range events.Events {
+		c.apply(e)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision = max(c.revision, events.Revision, known)
+}
+
+// told returns the answer for a job that is over, as soon as it may be given.
+func (c *Catalog) told(ctx context.Context, id string, status wire.JobStatus) (wire.JobStatus, bool, error) {
+	c.mu.Lock()
+	o, witness := c.final[id], c.witness
+	held := o != nil && o.State == wire.JobCancelled && !o.witnessed && witness != nil
+	c.mu.Unlock()
+	if !held {
+		return status, true, nil
+	}
+	if err := witness.Witnessed(ctx, Cancellation{Job: id, Revision: o.revision, Final: o.Final}); err != nil {
+		return wire.JobStatus{}, false, fmt.Errorf("%w: telling others that %s is cancelled: %w", state.ErrUnavailable, id, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o.witnessed = true
+	return status, true, nil
+}
+
+// Over tells whether a job is known to be over, without asking the store.
+func (c *Catalog) Over(id string) bool {
+	_, over := c.ended(id)
+	return over
+}
--- a/internal/job/catalog.go
+++ b/internal/job/catalog.go
@@ -84,9 +84,20 @@
 	loaded   chan struct{} // closed once the records have been read
 	revision uint64
 	active   map[string]*Record
-	final    map[string]Final
+	final    map[string]*ending
 	progress map[string]Progress
 	listener Listener
+	witness  Witness
+
+	cancelled []learnt // in the order in which they were learnt
+	base      uint64   // all that are known and came after this revision are among them
+}
+
+// ending is how a job ended.
+type ending struct {
+	Final
+	revision  uint64 // of the store, at which it ended
+	witnessed bool   // a cancellation that users may be told of
 }
 
 // Progress is how far a job is, for display.
@@ -97,7 +108,7 @@
 // NewCatalog makes an empty catalog; Run fills it.
 func NewCatalog(client *state.Client, commit *state.Committer, log *slog.Logger) *Catalog {
 	return &Catalog{client: client, commit: commit, log: log, loaded: make(chan struct{}),
-		active: map[string]*Record{}, final: map[string]Final{}, progress: map[string]Progress{}}
+		active: map[string]*Record{}, final: map[string]*ending{}, progress: map[string]Progress{}}
 }
 
 // Ready tells whether the records have been read.
@@ -127,6 +138,13 @@
 	c.listener = l
 }
 
+// SetWitness sets who is told of cancellations before users are.
+func (c *Catalog) SetWitness(w Witness) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.witness = w
+}
+
 // Active returns an active job's record, nil if none is cached.
 func (c *Catalog) Active(id string) *Record {
 	c.mu.Lock()
@@ -183,12 +201,7 @@
 			pause(ctx)
 			continue
 		}
-		for _, e := range events.Events {
-			c.apply(e)
-		}
-		c.mu.Lock()
-		c.revision = max(c.revision, events.Revision)
-		c.mu.Unlock()
+		c.take(events, 0)
 	}
 	return nil
 }
@@ -229,7 +242,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.revision = revision
+	// Of what ended unseen before this, no name is known.
+	c.revision, c.base = max(c.revision, revision), max(c.base, revision)
 	if !c.Ready() {
 		close(c.loaded)
 	}
@@ -255,7 +269,7 @@
 				c.log.Error("job record unreadable", "key", e.Put, "err", err)
 				return
 			}
-			c.setFinal(e.Put[len(finalPrefix):], f)
+			c.setFinal(e.Put[len(finalPrefix):], f, e.Version)
 		}
 	}
 	// A removed active key comes with a final one, in the same revision.
@@ -263,7 +277,7 @@
 
 func (c *Catalog) setActive(id string, r *Record) {
 	c.mu.Lock()
-	if _, over := c.final[id]; over || c.active[id] != nil {
+	if c.final[id] != nil || c.active[id] != nil {
 		c.mu.Unlock()
 		return
 	}
@@ -275,9 +289,9 @@
 	}
 }
 
-func (c *Catalog) setFinal(id string, f Final) {
+func (c *Catalog) setFinal(id string, f Final, revision uint64) {
 	c.mu.Lock()
-	if _, over := c.final[id]; over {
+	if c.final[id] != nil {
 		c.mu.Unlock()
 		return
 	}
@@ -287,7 +301,10 @@
 			break
 		}
 	}
-	c.final[id] = f
+	c.final[id] = &ending{Final: f, revision: revision}
+	if f.State == wire.JobCancelled {
+		c.rememberLocked(Cancellation{Job: id, Revision: revision, Final: f})
+	}
 	delete(c.active, id)
 	delete(c.progress, id)
 	l := c.listener
@@ -302,8 +319,8 @@
 func (c *Catalog) cached(id string) (status wire.JobStatus, r *Record, final bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if f, ok := c.final[id]; ok {
-		return finalStatus(id, f), nil, true
+	if o := c.final[id]; o != nil {
+		return finalStatus(id, o.Final), nil, true
 	}
 	r = c.active[id]
 	if r != nil {
@@ -363,19 +380,24 @@
 // Resolve finds out about a job that is not cached: whether it is over, or
 // not known at all. An active one is told to the listener.
 func (c *Catalog) Resolve(ctx context.Context, id string) (f Final, over, found bool, err error) {
-	c.mu.Lock()
-	f, over = c.final[id]
-	c.mu.Unlock()
-	if over {
+	if f, over = c.ended(id); over {
 		return f, true, true, nil
 	}
 	if _, found, err = c.read(ctx, id); err != nil || !found {
 		return Final{}, false, false, err
 	}
+	f, over = c.ended(id)
+	return f, over, true, nil
+}
+
+// ended returns how a job ended, if it is known to be over.
+func (c *Catalog) ended(id string) (f Final, over bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	f, over = c.final[id]
-	return f, over, true, nil
+	if o := c.final[id]; o != nil {
+		return o.Final, true
+	}
+	return Final{}, false
 }
 
 // Status answers a poll. What memory says is confirmed by a transaction that
@@ -383,7 +405,7 @@
 func (c *Catalog) Status(ctx context.Context, id string) (status wire.JobStatus, found bool, err error) {
 	status, r, final := c.cached(id)
 	if final {
-		return status, true, nil
+		return c.told(ctx, id, status)
 	}
 	conditions := unknown(id)
 	if r != nil {
@@ -395,11 +417,19 @@
 	case err == nil:
 		return status, r != nil, nil
 	case errors.As(err, &conflict):
-		return c.read(ctx, id)
+		return c.readTold(ctx, id)
 	}
 	return wire.JobStatus{}, false, err
 }
 
+// readTold is read for a user.
+func (c *Catalog) readTold(ctx context.Context, id string) (status wire.JobStatus, found bool, err error) {
+	if status, found, err = c.read(ctx, id); err != nil || !found {
+		return status, found, err
+	}
+	return c.told(ctx, id, status)
+}
+
 // Submit accepts a job, or tells its state if that was done before.
 func (c *Catalog) Submit(ctx context.Context, j wire.Job) (status wire.JobStatus, created bool, err error) {
 	if !c.Ready() {
@@ -423,7 +453,7 @@
 		c.setActive(j.ID, r)
 		return wire.JobStatus{ID: j.ID, State: wire.JobQueued}, true, nil
 	case errors.As(err, &conflict):
-		status, found, err := c.read(ctx, j.ID)
+		status, found, err := c.readTold(ctx, j.ID)
 		if err == nil && !found {
 			err = fmt.Errorf("%w: job %s is neither known nor unknown", state.ErrUnavailable, j.ID)
 		}
@@ -432,13 +462,13 @@
 	return wire.JobStatus{}, false, err
 }
 
-// Cancel cancels a job unless it is over. The cancellation is in the store
-// before Cancel returns.
+// Cancel cancels a job unless it is over. Before it returns, the cancellation
+// is in the store and its witnesses know it.
 func (c *Catalog) Cancel(ctx context.Context, id string) (status wire.JobStatus, found bool, err error) {
 	for range 3 {
 		status, r, final := c.cached(id)
 		if final {
-			return status, true, nil
+			return c.told(ctx, id, status)
 		}
 		if r == nil {
 			if status, found, err = c.read(ctx, id); err != nil || !found {
@@ -470,7 +500,7 @@
 	if err != nil {
 		return fmt.Errorf("encoding the end of job %s: %w", j.ID, err)
 	}
-	_, err = c.commit.Commit(ctx, state.Write{
+	revision, err := c.commit.Commit(ctx, state.Write{
 		Priority: state.Safety,
 		If:       append(conditions, r.Condition(), wire.Condition{Key: finalPrefix + j.ID}),
 		Then: []wire.Change{
@@ -482,6 +512,6 @@
 	if err != nil {
 		return err
 	}
-	c.setFinal(j.ID, f)
+	c.setFinal(j.ID, f, revision)
 	return nil
 }
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -527,6 +527,11 @@
 			delete(s.returned, name)
 		}
 	}
+	for name, at := range s.doubted {
+		if now.Sub(at) > 10*time.Minute {
+			delete(s.doubted, name) // gone, or it would have been decided
+		}
+	}
 	var idle []*machine
 	for _, m := range s.machines {
 		if s.giveableLocked(m, now) {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,6 +71,7 @@
 	Listen(l job.Listener)
 	Active(id string) *job.Record
 	AllActive() []*job.Record
+	Over(id string) bool
 	Resolve(ctx context.Context, id string) (f job.Final, over, found bool, err error)
 	ReadDone(ctx context.Context) ([]job.DonePage, error)
 	Finish(ctx context.Context, r *job.Record, fence wire.Condition) error
@@ -202,6 +204,7 @@
 	building   bool
 	begun      uint64               // version of the epoch when the share began
 	early      map[string]time.Time // reports answered before the records were read
+	doubted    map[string]time.Time // since when machines have had tasks of unknown jobs
 	jobs       map[string]*jobState // the share's own
 	guests     map[string]*jobState // jobs of other shares that have, or want, tasks here
 	foreign    map[fleet.Key]*lent  // tasks of own jobs that may be on others' machines
@@ -248,7 +251,7 @@
 		opts: opts, log: opts.Log,
 		types: map[string]*wire.MachineType{}, teams: map[string]config.Team{},
 		wake:  make(chan struct{}, 1),
-		early: map[string]time.Time{}, jobs: map[string]*jobState{}, machines: map[string]*machine{},
+		early: map[string]time.Time{}, doubted: map[string]time.Time{}, jobs: map[string]*jobState{}, machines: map[string]*machine{},
 		used: map[string]placement.Resources{}, returned: map[string]time.Time{},
 		booting: map[string]*booting{}, refused: map[placement.Place]refusal{}, resolve: map[string]bool{},
 		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, barred: map[fleet.Key]time.Time{},
@@ -446,15 +449,19 @@
 	}
 	reply := &wire.ReportReply{Token: s.opts.Authority.Token(), Commands: []wire.Command{}}
 	if m == nil {
-		if !coming {
+		if !coming || s.doubtfulLocked(r, now) {
 			// Answering a machine that is another's would renew a lease that
 			// its owner counts as lapsed.
 			return nil
 		}
 		s.early[r.Machine] = now
+		reply.Commands = s.stopsOfOverLocked(r)
 		return reply // keeps its lease while its machine is being taken
 	}
 	fresh := s.applyLocked(m, r)
+	if s.doubtfulLocked(r, now) {
+		return nil
+	}
 	m.LastAnswer = now
 	if !fresh {
 		// Late or repeated: its reply will be dropped, and must not carry
@@ -469,6 +476,54 @@
 	return reply
 }
 
+// doubtFor is how long a worker is answered though it has tasks of jobs of which
+// nothing is known.
+func (s *Share) doubtFor() time.Duration { return s.opts.Settings.LeaseFor / 4 }
+
+// doubtfulLocked tells whether a worker has had tasks of unknown jobs for so
+// long that its lease must lapse. Such a job may be over: cancelled before this
+// controller read the jobs, while the state service, which would tell, is out
+// for longer than the tasks may stay.
+func (s *Share) doubtfulLocked(r *wire.Report, now time.Time) bool {
+	m := s.machines[r.Machine]
+	unknown := slices.ContainsFunc(r.Tasks, func(t wire.TaskReport) bool {
+		id, _, ok := wire.SplitTaskID(t.Task)
+		if !ok || t.State == wire.TaskExited || s.jobOf(id) != nil {
+			return false
+		}
+		if m != nil {
+			if a := m.Attempts[fleet.Key{Task: t.Task, Attempt: t.Attempt}]; a != nil && a.Stop {
+				return false
+			}
+		}
+		return s.opts.Jobs.Active(id) == nil && !s.opts.Jobs.Over(id)
+	})
+	since, doubted := s.doubted[r.Machine]
+	switch {
+	case !unknown && doubted:
+		delete(s.doubted, r.Machine)
+	case unknown && !doubted:
+		s.doubted[r.Machine] = now
+	case unknown:
+		return now.Sub(since) > s.doubtFor()
+	}
+	return false
+}
+
+// stopsOfOverLocked stops, of the tasks that a report shows, those whose jobs
+// are over: their machine's records may not be readable for long.
+func (s *Share) stopsOfOverLocked(r *wire.Report) []wire.Command {
+	stops := []wire.Command{}
+	for _, t := range r.Tasks {
+		id, _, ok := wire.SplitTaskID(t.Task)
+		if ok && t.State != wire.TaskExited && s.opts.Jobs.Over(id) && len(stops) < wire.MaxCommands {
+			grace := 0.0
+			stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
+		}
+	}
+	return stops
+}
+
 // applyLocked takes a report or the answer to a direct command.
 func (s *Share) applyLocked(m *machine, r *wire.Report) bool {
 	if s.machines[m.Name] != m || r.Machine != m.Name {
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -54,6 +54,7 @@
 }
 func (p *scripted) Active(id string) *job.Record     { return p.active[id] }
 func (p *scripted) AllActive() []*job.Record         { return nil }
+func (p *scripted) Over(string) bool                 { return false }
 func (p *scripted) Listen(job.Listener)              {}
 func (p *scripted) SetProgress(string, job.Progress) {}
 func (p *scripted) Resolve(context.Context, string) (job.Final, bool, bool, error) {
--- a/wire/worker.go
+++ b/wire/worker.go
@@ -7,6 +7,9 @@
 	PathStatus   = "/show"
 )
 
+// MaxCommands keeps a line to a worker below 64 KiB.
+const MaxCommands = 400
+
 // TaskState is what a worker says of a task on its machine.
 type TaskState string
 
