A share acts only for the membership in which it began, under the token of that moment

The controller was permitted again, so the old share sent starts of attempts that its successors had proven gone and placed elsewhere, now under the newest token.

Now a share's permission is that of its tenure, permission and token are read as of one moment, and a controller lets go of a share when its membership ends. Ruled out: late direct starts (workers drop the older token) and late replies (dropped after 4 s).

TestShareThatEndsSlowly seen failing first; random failures stall the cloud too.

--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -235,7 +235,7 @@
 }
 
 // runShare runs the share while this controller is a member.
-func (c *controller) runShare(ctx context.Context) error {
+func (c *controller) runShare(ctx context.Context, tenure *cluster.Tenure) error {
 	if err := c.offers.Wait(ctx); err != nil {
 		return err
 	}
@@ -243,11 +243,13 @@
 		return err
 	}
 	s := scheduler.New(scheduler.Options{
-		Node: c.settings.Node, Settings: c.settings, Authority: c.members, Workers: c.out.workers, Cloud: c.out.cloud,
+		Node: c.settings.Node, Settings: c.settings, Authority: tenure, Workers: c.out.workers, Cloud: c.out.cloud,
 		Peers: peerShares(c.out.peers), Jobs: c.catalog, Records: c.client, Committer: c.committer, Types: c.offers.Types(),
 		Resign: c.members.Resign, Elsewhere: c.members.WorkersElsewhere, Log: c.log,
 	})
 	c.share.Store(s)
+	// At once when its membership ends: its last work may take long to end.
+	defer context.AfterFunc(ctx, func() { c.share.CompareAndSwap(s, nil) })()
 	defer c.share.CompareAndSwap(s, nil)
 	return s.Run(ctx)
 }
@@ -315,6 +317,13 @@
 			Value: of(func(s *peerpb.Status) float64 { return s.FreeCpus })},
 		{Name: "heronwick_token", Help: "Token of the epoch that this controller knows.",
 			Value: func() float64 { return float64(c.members.Token()) }},
+		{Name: "heronwick_permitted", Help: "1 while this controller may answer workers.",
+			Value: func() float64 {
+				if c.members.Permitted() {
+					return 1
+				}
+				return 0
+			}},
 	}
 }
 
--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -575,17 +575,12 @@
 		owners := map[string]int{}
 		for m := 1; m <= 6; m++ {
 			machine := fmt.Sprintf("host-%06d", m)
-			answers := 0
-			for i := range tc.nodes {
-				// Older than all that was seen: it changes nothing.
-				status, _, _ := tc.call(i, "POST", "/checkin", &wire.Report{Machine: machine, Address: machine, Type: "m", Zone: "z", Session: 1, Seq: 1})
-				if status == 200 {
-					answers++
-					owners[tc.nodes[i].name]++
-				}
+			nodes := tc.answering(machine)
+			for _, node := range nodes {
+				owners[node]++
 			}
-			if answers != 1 {
-				t.Errorf("%d controllers answer the worker of %s", answers, machine)
+			if len(nodes) != 1 {
+				t.Errorf("%v answer the worker of %s", nodes, machine)
 			}
 		}
 		if len(owners) < 2 {
@@ -661,7 +656,7 @@
 		}
 		node, machine := random.IntN(3), fmt.Sprintf("host-%06d", 1+random.IntN(6))
 		heal := func() {}
-		switch random.IntN(15) {
+		switch random.IntN(16) {
 		case 0:
 			tc.crash(node)
 			heal = func() { tc.start(node) }
@@ -714,6 +709,9 @@
 		case 14:
 			tc.fleet.HoldRentals(true)
 			heal = func() { tc.fleet.HoldRentals(false) }
+		case 15: // what waits for the cloud's answer does not end soon
+			tc.fleet.StallCloud(true)
+			heal = func() { tc.fleet.StallCloud(false) }
 		}
 		time.Sleep(time.Duration(random.IntN(6000)) * time.Millisecond)
 		if random.IntN(3) == 0 {
--- /dev/null
+++ b/cmd/heronwick/meetings_test.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"heronwick/wire"
+)
+
+// answering returns which controllers answer a machine's worker.
+func (tc *testCluster) answering(machine string) (nodes []string) {
+	for i, n := range tc.nodes {
+		// Older than all that was seen: it changes nothing.
+		status, _, _ := tc.call(i, "POST", "/checkin", &wire.Report{Machine: machine, Address: machine, Type: "m", Zone: "z", Session: 1, Seq: 1})
+		if status == 200 {
+			nodes = append(nodes, n.name)
+		}
+	}
+	return nodes
+}
+
+// A leader loses its membership and is back as a member while work of its old
+// share still keeps that from ending: the old share must act for nobody, least
+// of all under the new token. It had the machines that now are another's, and
+// started tasks once more that run elsewhere (ran_twice, on a day of controllers
+// short of processor time).
+func TestShareThatEndsSlowly(t *testing.T) {
+	withCluster(t, 4, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 0 }
+	}, func(tc *testCluster) {
+		for id := range 3 {
+			tc.expect(0, "POST", "/submissions", submission(id, func(j map[string]any) { j["gait"] = "daemon" }), 201, "")
+		}
+		time.Sleep(3 * time.Second)
+		old := tc.leader()
+		tc.fleet.StallCloud(true)
+		time.Sleep(500 * time.Millisecond) // a question to the cloud is under way
+		tc.nodes[old].alone.Store(true)
+		tc.state.Refuse(tc.nodes[old].name, true)
+		time.Sleep(5 * time.Second)
+		tc.nodes[old].alone.Store(false)
+		tc.state.Refuse(tc.nodes[old].name, false)
+		for range 12 {
+			time.Sleep(500 * time.Millisecond)
+			for m := 1; m <= 4; m++ {
+				machine := fmt.Sprintf("host-%06d", m)
+				if nodes := tc.answering(machine); len(nodes) > 1 {
+					t.Fatalf("the worker of %s is answered by %v", machine, nodes)
+				}
+			}
+		}
+		if tc.leader() == old {
+			t.Error("the leader never changed, so this shows nothing")
+		}
+	})
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -125,7 +125,7 @@
 	Cancellations Cancellations
 	// Share runs while this controller is a member; its context ends when it
 	// no longer is.
-	Share func(ctx context.Context) error
+	Share func(ctx context.Context, t *Tenure) error
 	// Status fills in what the peers are told of the share.
 	Status func(*peerpb.Status)
 	// Changed is called, in no lock, when the epoch or an owner has changed.
@@ -277,9 +277,29 @@
 func (c *Cluster) Permitted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.permittedLocked()
+}
+
+func (c *Cluster) permittedLocked() bool {
 	return c.memberLocked() && time.Since(c.confirmed) < c.permission
 }
 
+// Tenure is the cluster as seen by the share of one membership. A share whose
+// membership is over may take long to end, and meanwhile its controller may be
+// a member again, under a newer token: what the old share knows is no more.
+type Tenure struct {
+	*Cluster
+	since uint64
+}
+
+// Permit tells whether the share of this tenure may answer workers' reports and
+// command them now, and under which token: both as of the same moment.
+func (t *Tenure) Permit() (token uint64, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.epoch.Token, t.permittedLocked() && t.epoch.Members[t.opts.Node].Since == t.since
+}
+
 // Fenced returns since when surely no controller has answered a worker under
 // an epoch older than token, if that is proven. See docs/design.md, "Fencing".
 func (c *Cluster) Fenced(token uint64) (time.Time, bool) {
@@ -722,7 +742,7 @@
 			shareCtx, c.stopShare = context.WithCancel(ctx)
 			previous := c.sharing
 			c.sharing = make(chan struct{})
-			go c.share(shareCtx, previous, c.sharing)
+			go c.share(shareCtx, &Tenure{c, c.epoch.Members[c.opts.Node].Since}, previous, c.sharing)
 		}
 		c.noteFenceLocked()
 		c.logPermissionLocked()
@@ -733,7 +753,7 @@
 // logPermissionLocked tells an operator when this controller, a member, begins
 // or ends to answer no worker.
 func (c *Cluster) logPermissionLocked() {
-	lapsed := c.memberLocked() && time.Since(c.confirmed) >= c.permission
+	lapsed := c.memberLocked() && !c.permittedLocked()
 	if lapsed == c.lapsed {
 		return
 	}
@@ -746,13 +766,13 @@
 	}
 }
 
-func (c *Cluster) share(ctx context.Context, previous, done chan struct{}) {
+func (c *Cluster) share(ctx context.Context, t *Tenure, previous, done chan struct{}) {
 	defer close(done)
 	if previous != nil {
 		<-previous
 	}
 	c.opts.Log.Info("share begins")
-	if err := c.opts.Share(ctx); err != nil && ctx.Err() == nil {
+	if err := c.opts.Share(ctx, t); err != nil && ctx.Err() == nil {
 		c.opts.Log.Error("share failed", "err", err)
 	}
 }
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -126,7 +126,7 @@
 		c := New(Options{
 			Node: "a", Client: client, Route: route, Peers: map[string]Beater{"b": b, "d": d}, LeaseFor: 20 * time.Second,
 			CancelIn: 40 * time.Second, Cancellations: &knowledge{revision: 1, client: client},
-			Share:   func(ctx context.Context) error { <-ctx.Done(); return nil },
+			Share:   func(ctx context.Context, _ *Tenure) error { <-ctx.Done(); return nil },
 			Status:  func(*peerpb.Status) {},
 			Changed: func() {}, Weights: func() map[string]float64 { return nil },
 			Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
--- a/internal/cluster/witness.go
+++ b/internal/cluster/witness.go
@@ -73,7 +73,7 @@
 // soleLocked tells whether all machines are this controller's and no other one
 // is a member: the others may have ended, and it stops the tasks itself.
 func (c *Cluster) soleLocked() bool {
-	return c.leadsLocked() && c.memberLocked() && len(c.epoch.Members) == 1 && time.Since(c.confirmed) < c.permission
+	return c.leadsLocked() && c.permittedLocked() && len(c.epoch.Members) == 1
 }
 
 // Witnessed implements job.Witness.
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -518,7 +518,7 @@
 // back to the leader, and lets the leader hand them to shares without one. A
 // share that starves gets them at once, see Place.
 func (s *Share) regroupLocked(now time.Time) {
-	if !s.loaded || !s.opts.Authority.Permitted() || now.Sub(s.grouped) < regroupEvery {
+	if !s.loaded || !s.permitted() || now.Sub(s.grouped) < regroupEvery {
 		return
 	}
 	s.grouped = now
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -71,7 +71,7 @@
 // lendLocked asks the other shares for room for what waits: the leader first,
 // which has the idle machines.
 func (s *Share) lendLocked(now time.Time) {
-	if !s.loaded || !s.opts.Authority.Permitted() || len(s.div.Members) < 2 {
+	if !s.loaded || !s.permitted() || len(s.div.Members) < 2 {
 		return
 	}
 	var waiting []*jobState
@@ -210,7 +210,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := &peerpb.PlaceReply{}
-	if !s.loaded || !s.opts.Authority.Permitted() || req.Token > s.div.Token || req.Token < s.div.from || s.opts.Authority.Token() != s.div.Token {
+	if !s.loaded || !s.permitted() || req.Token > s.div.Token || req.Token < s.div.from || s.opts.Authority.Token() != s.div.Token {
 		return reply // not of one mind about who owns what
 	}
 	if !s.newerLocked(req) {
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -182,7 +182,7 @@
 // watchMachinesLocked probes silent workers, settles what leases or returns
 // prove, drains what is noticed, and raises the token where only that helps.
 func (s *Share) watchMachinesLocked(now time.Time) {
-	if !s.loaded || !s.opts.Authority.Permitted() {
+	if !s.loaded || !s.permitted() {
 		return
 	}
 	silent, deaf := 0, 0
@@ -581,7 +581,7 @@
 // returnIdleLocked gives back a machine that has been idle for long, if more
 // are idle than are wanted in reserve.
 func (s *Share) returnIdleLocked(now time.Time) {
-	if !s.loaded || !s.opts.Authority.Permitted() {
+	if !s.loaded || !s.permitted() {
 		return
 	}
 	var idle []*machine
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -115,7 +115,7 @@
 // their guarantee, then what can be in time, the least work first. A job that
 // finds no room does not hold up the others.
 func (s *Share) scheduleLocked(now time.Time) {
-	if !s.loaded || !s.opts.Authority.Permitted() {
+	if !s.loaded || !s.permitted() {
 		return
 	}
 	var queue []*jobState
--- a/internal/scheduler/rent.go
+++ b/internal/scheduler/rent.go
@@ -93,7 +93,7 @@
 // machines that are on their way, then onto new ones, and a reserve is kept
 // for bursts and losses.
 func (s *Share) wantLocked(now time.Time) []wire.RentRequest {
-	if !s.loaded || !s.opts.Authority.Permitted() {
+	if !s.loaded || !s.permitted() {
 		return nil
 	}
 	perZone := map[string]int{}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -31,7 +31,9 @@
 type Authority interface {
 	Division() (cluster.Epoch, wire.Condition)
 	Token() uint64
-	Permitted() bool
+	// Permit tells whether the share may answer and command workers now, and
+	// under which token.
+	Permit() (token uint64, ok bool)
 	Fenced(token uint64) (time.Time, bool)
 	Raise(ctx context.Context) error
 	Owners() (mine map[string]cluster.Owner, orphans []string, fresh bool)
@@ -434,20 +436,27 @@
 	}
 }
 
+// permitted tells whether the share may act for its machines now.
+func (s *Share) permitted() bool {
+	_, ok := s.opts.Authority.Permit()
+	return ok
+}
+
 // Checkin takes a worker's report. It returns nil if this share has no right
 // to answer it.
 func (s *Share) Checkin(r *wire.Report) *wire.ReportReply {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.opts.Authority.Permitted() {
+	token, permitted := s.opts.Authority.Permit()
+	if !permitted {
 		return nil
 	}
 	m, coming := s.machines[r.Machine], false
 	if m == nil {
 		m, coming = s.joinLocked(r, now)
 	}
-	reply := &wire.ReportReply{Token: s.opts.Authority.Token(), Commands: []wire.Command{}}
+	reply := &wire.ReportReply{Token: token, Commands: []wire.Command{}}
 	if m == nil {
 		if !coming || s.doubtfulLocked(r, now) {
 			// Answering a machine that is another's would renew a lease that
@@ -964,10 +973,11 @@
 		m.sendAgain = true
 		return
 	}
-	if m.Address == "" || !m.Reported || !s.opts.Authority.Permitted() {
+	token, permitted := s.opts.Authority.Permit()
+	if m.Address == "" || !m.Reported || !permitted {
 		return
 	}
-	req := m.Direct(s.opts.Authority.Token())
+	req := m.Direct(token)
 	if req == nil {
 		return
 	}
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -37,7 +37,7 @@
 	return p.epoch, wire.Condition{Key: "epoch", Version: p.epoch.Token}
 }
 func (p *scripted) Token() uint64                                      { return p.epoch.Token }
-func (p *scripted) Permitted() bool                                    { return true }
+func (p *scripted) Permit() (uint64, bool)                             { return p.epoch.Token, true }
 func (p *scripted) Fenced(uint64) (time.Time, bool)                    { return p.fenced, !p.fenced.IsZero() }
 func (p *scripted) Raise(context.Context) error                        { return nil }
 func (p *scripted) Owners() (map[string]cluster.Owner, []string, bool) { return nil, nil, true }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -38,6 +38,7 @@
 	next     int
 	answered map[string][]string // rentals by request name
 	down     bool
+	stalled  bool
 	holding  bool
 	rentals  []wire.RentRequest // held back
 	blind    map[string]bool    // nodes that reach no worker, nor they them
@@ -220,7 +221,26 @@
 	}
 }
 
+// stallFor is how long the cloud keeps a caller waiting while it stalls, whatever
+// the caller's context: about as long as a real client's timeout.
+const stallFor = 15 * time.Second
+
+// StallCloud has the cloud keep its callers waiting, without an answer in the
+// end, or ends that.
+func (f *Fleet) StallCloud(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stalled = on
+}
+
 func (f *Fleet) cloudDown() error {
+	f.mu.Lock()
+	stalled := f.stalled
+	f.mu.Unlock()
+	if stalled {
+		time.Sleep(stallFor)
+		return cloud.ErrTrouble
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
