--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -68,6 +68,7 @@
 	state    *standin.State
 	fleet    *standin.Fleet
 	nodes    []*node
+	began    time.Time
 
 	mu     sync.Mutex
 	copies []*wire.Report // of reports so far, one in twenty
@@ -146,7 +147,7 @@
 func withCluster(t *testing.T, machines int, prepare func(*testCluster), f func(*testCluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		tc := &testCluster{t: t, ctx: ctx, state: standin.NewState()}
+		tc := &testCluster{t: t, ctx: ctx, state: standin.NewState(), began: time.Now()}
 		tc.fleet = &standin.Fleet{
 			Types:    []wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"z"}}},
 			Capacity: machines + 2, Boot: 10 * time.Second, Fetch: 300 * time.Millisecond,
@@ -164,6 +165,7 @@
 		tc.fleet.Checker = standin.NewChecker()
 		tc.fleet.Checker.Limits = map[string]float64{"red": 16}
 		tc.fleet.Checker.CancelIn = 25 * time.Second
+		tc.fleet.Checker.NoStartAfter = 3500 * time.Millisecond // a permission, and a little
 		tc.fleet.Start(ctx)
 		for i := range tc.nodes {
 			tc.start(i)
@@ -184,7 +186,7 @@
 func (tc *testCluster) start(i int) {
 	n := tc.nodes[i]
 	settings := &config.Settings{
-		Node: n.name, Zone: "z", Zones: []string{"z"},
+		Node: n.name, Zone: "z", Zones: tc.fleet.Types[0].Zones,
 		Teams:       []config.Team{{Name: "red", CPUsMax: 16}, {Name: "blue"}},
 		ReportEvery: 2 * time.Second, LeaseFor: 12 * time.Second, CancelIn: 25 * time.Second,
 		StateRPS: 150, StateWriteRPS: 60, ValueBytes: 16 << 10, TxnOps: 16, CloudRPS: 5, ListLag: 3 * time.Second,
@@ -622,138 +624,6 @@
 	})
 }
 
-// Controllers end and come back, machines are cut off and commands held, the
-// state service refuses one or all, at random: no task runs twice, no limit is
-// passed, and in the end every job is done.
-func TestRandomFailures(t *testing.T) {
-	for seed := range uint64(8) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			withCluster(t, 6, nil, func(tc *testCluster) { randomFailures(tc, rand.New(rand.NewPCG(seed, 1))) })
-		})
-	}
-}
-
-func randomFailures(tc *testCluster, random *rand.Rand) {
-	jobs := 0
-	cancelled := map[int]bool{}
-	submit := func() {
-		for i := range tc.nodes {
-			team := []string{"red", "blue"}[jobs%2]
-			status, _, _ := tc.call(i, "POST", "/submissions", submission(jobs, func(j map[string]any) { j["roost"], j["feathers"] = team, 1+jobs%5 }))
-			if status == 201 || status == 200 {
-				jobs++
-				return
-			}
-		}
-	}
-	var heals []func()
-	for range 60 {
-		submit()
-		if id := random.IntN(jobs + 1); random.IntN(8) == 0 && id < jobs {
-			if _, answer, _ := tc.call(random.IntN(3), "POST", fmt.Sprintf("/submissions/wk-%06d/withdraw", id), nil); answer["stance"] == "aborted" {
-				cancelled[id] = true
-			}
-		}
-		node, machine := random.IntN(3), fmt.Sprintf("host-%06d", 1+random.IntN(6))
-		heal := func() {}
-		switch random.IntN(16) {
-		case 0:
-			tc.crash(node)
-			heal = func() { tc.start(node) }
-		case 1:
-			tc.fleet.Cut(machine, true)
-			heal = func() { tc.fleet.Cut(machine, false) }
-		case 2:
-			tc.fleet.HoldCommands(machine, true)
-			heal = func() { tc.fleet.HoldCommands(machine, false) }
-		case 3:
-			tc.state.Refuse(tc.nodes[node].name, true)
-			heal = func() { tc.state.Refuse(tc.nodes[node].name, false) }
-		case 4:
-			tc.state.LoseResponses(1 + random.IntN(5))
-		case 5:
-			tc.state.SetOutage(true)
-			heal = func() { tc.state.SetOutage(false) }
-		case 6:
-			tc.fleet.Deafen(machine, true)
-			heal = func() { tc.fleet.Deafen(machine, false) }
-		case 7:
-			tc.fleet.Restart(machine)
-		case 8: // back within a moment
-			tc.crash(node)
-			time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
-			tc.start(node)
-		case 9: // alone with its workers
-			tc.nodes[node].alone.Store(true)
-			tc.state.Refuse(tc.nodes[node].name, true)
-			heal = func() {
-				tc.nodes[node].alone.Store(false)
-				tc.state.Refuse(tc.nodes[node].name, false)
-			}
-		case 10: // late copies, of whatever age
-			for range 20 {
-				if r := tc.anyCopy(random); r != nil {
-					tc.call(random.IntN(3), "POST", "/checkin", r)
-				}
-			}
-		case 11: // held, and carried out late
-			tc.state.HoldTxns(1 + random.IntN(3))
-			heal = func() {
-				tc.state.HoldTxns(0)
-				tc.state.ReleaseTxns()
-			}
-		case 12: // carried out a second time
-			tc.state.RepeatTxns()
-		case 13: // calls between controllers, also of a former life
-			tc.nodes[node].repeatCalls()
-		case 14:
-			tc.fleet.HoldRentals(true)
-			heal = func() { tc.fleet.HoldRentals(false) }
-		case 15: // what waits for the cloud's answer does not end soon
-			tc.fleet.StallCloud(true)
-			heal = func() { tc.fleet.StallCloud(false) }
-		}
-		time.Sleep(time.Duration(random.IntN(6000)) * time.Millisecond)
-		if random.IntN(3) == 0 {
-			// The next trouble begins before this one ends.
-			heals = append(heals, heal)
-			heal = func() {}
-		} else {
-			for _, late := range heals {
-				late()
-			}
-			heals = nil
-		}
-		heal()
-		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
-	}
-	for _, late := range heals {
-		late()
-	}
-	time.Sleep(75 * time.Second)
-	// No job is forgotten, whoever is asked.
-	for id := range jobs {
-		for i := range tc.nodes {
-			if status, answer, _ := tc.call(i, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil); status != 200 {
-				tc.t.Errorf("75 s after all troubles, %s answers %d %v about job %d", tc.nodes[i].name, status, answer, id)
-			}
-		}
-	}
-	time.Sleep(3 * time.Minute)
-	if jobs < 20 {
-		tc.t.Errorf("only %d jobs were accepted", jobs)
-	}
-	for id := range jobs {
-		for i := range tc.nodes {
-			_, answer, _ := tc.call(i, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil)
-			// A cancellation without an answer may have been carried out too.
-			if state := answer["stance"]; state != "done" && state != "aborted" || cancelled[id] && state != "aborted" {
-				tc.t.Errorf("%s answers %v about job %d in the end", tc.nodes[i].name, answer, id)
-			}
-		}
-	}
-}
-
 // A machine whose reports arrive, but which nothing reaches, is given no new
 // tasks and is returned; its tasks run elsewhere.
 func TestDeafMachine(t *testing.T) {
--- a/cmd/heronwick/meetings_test.go
+++ b/cmd/heronwick/meetings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,3 +57,37 @@
 		tc.fleet.StallCloud(false)
 	})
 }
+
+// A worker that reaches no controller, while direct commands reach it, starts
+// session after session. It gets nothing new, its replicas move before its lease
+// lapses, and in the end it is returned.
+func TestMuteMachine(t *testing.T) {
+	withCluster(t, 5, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 0 }
+	}, func(tc *testCluster) {
+		tc.expect(0, "POST", "/submissions", submission(1, func(j map[string]any) { j["gait"], j["feathers"] = "daemon", 4 }), 201, "")
+		time.Sleep(3 * time.Second)
+		machine := tc.fleet.Checker.Running()["wk-000001/0"]
+		tc.fleet.Mute(machine, true)
+		for range 5 {
+			time.Sleep(7 * time.Second)
+			old := tc.leader()
+			tc.crash(old)
+			time.Sleep(100 * time.Millisecond)
+			tc.start(old)
+		}
+		time.Sleep(40 * time.Second)
+		running := tc.fleet.Checker.Running()
+		for task, on := range running {
+			if on == machine {
+				t.Errorf("%s runs on %s, which reaches nobody", task, machine)
+			}
+		}
+		if len(running) != 4 {
+			t.Errorf("%d of 4 replicas run", len(running))
+		}
+		if !slices.Contains(tc.fleet.Returned, machine) {
+			t.Errorf("%s was not returned", machine)
+		}
+	})
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -100,6 +100,7 @@
 	Reported   bool      // a report came, in this epoch
 	LastReport time.Time // when the newest report or answer came
 	LastAnswer time.Time // when a report was last answered by this controller
+	SessionAt  time.Time // when the session was first seen: its lease began no later
 	Notice     time.Time // when the cloud takes it away; zero: not known to
 	lapsed     uint64    // this session's lease has surely run out
 
@@ -179,6 +180,9 @@
 		// The worker's lease ran out: it killed what it had.
 		events = m.lose(func(a *Attempt) bool { return a.session < r.Session })
 	}
+	if r.Session > m.Session {
+		m.SessionAt = now
+	}
 	m.Session, m.Seq = r.Session, r.Seq
 	m.Token = max(m.Token, r.Token)
 	m.Reported, m.LastReport = true, now
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -165,6 +165,18 @@
 	return !m.deaf.IsZero() && now.Sub(m.deaf) > s.deadAfter()+deadProbes*probeTimeout && now.Sub(m.LastReport) <= s.silentAfter()
 }
 
+// mute tells whether a worker that answers direct messages has not reported for
+// most of a lease: it reaches no controller, so its lease lapses again and again.
+func (s *Share) mute(m *machine, now time.Time) bool {
+	return now.Sub(m.heard) > s.opts.Settings.LeaseFor*3/4 && now.Sub(m.LastReport) <= s.silentAfter()
+}
+
+// muteForGood tells whether it has been so for so long that another machine is
+// worth its price.
+func (s *Share) muteForGood(m *machine, now time.Time) bool {
+	return s.mute(m, now) && now.Sub(m.heard) > 2*s.opts.Settings.LeaseFor
+}
+
 // cutPatience is how long a machine in a zone that is cut off is kept: its
 // tasks are gone once its lease has lapsed, and a new one takes a boot or two.
 func (s *Share) cutPatience(m *machine) time.Duration {
@@ -185,11 +197,14 @@
 	if !s.loaded || !s.permitted() {
 		return
 	}
-	silent, deaf := 0, 0
+	silent, deaf, mute := 0, 0, 0
 	for _, m := range s.machines {
 		if m.failures >= 2 {
 			silent++
 		}
+		if s.mute(m, now) {
+			mute++
+		}
 		if !m.deaf.IsZero() {
 			deaf++
 		}
@@ -227,10 +242,12 @@
 		case m.returning:
 		case dead, s.overdueLocked(m, now), deaf <= max(2, len(s.machines)/3) && s.deafForGood(m, now):
 			back = append(back, m)
-		case m.suspect && m.Live() == 0:
+		case m.suspect && m.Live() == 0, mute <= max(2, len(s.machines)/3) && m.Live() == 0 && s.muteForGood(m, now):
 			back = append(back, m)
 		}
-		s.drainLocked(m, now)
+		if !m.Notice.IsZero() || mute <= max(2, len(s.machines)/3) && s.mute(m, now) {
+			s.drainLocked(m)
+		}
 		raise = raise || m.WantsToken(token)
 		// Leftovers alone keep an idle machine from being given or returned.
 		raise = raise || m.Live() == 0 && len(m.Attempts) > 0 && now.Sub(s.div.at) > 20*time.Second && now.Sub(m.idleSince) > 2*time.Second
@@ -253,9 +270,14 @@
 
 // lapseLocked returns when the lease of the machine's worker has surely run
 // out: counted from the last answer that this or any other controller can
-// have given, with the drift of two clocks.
+// have given, or from when its session began, with the drift of two clocks. A
+// worker that reaches no controller starts session after session by itself, and
+// takes direct commands in each.
 func (s *Share) lapseLocked(m *machine) (time.Time, bool) {
 	last := m.LastAnswer
+	if m.SessionAt.After(last) {
+		last = m.SessionAt
+	}
 	if m.fence > 0 {
 		fenced, ok := s.opts.Authority.Fenced(m.fence)
 		if !ok {
@@ -358,13 +380,10 @@
 	}
 }
 
-// drainLocked empties a machine that the cloud will take away: replicas move
-// at once, and what can save is stopped in time. The rest runs on: it may
-// finish before, and stopping it would lose it anyway.
-func (s *Share) drainLocked(m *machine, now time.Time) {
-	if m.Notice.IsZero() {
-		return
-	}
+// drainLocked empties a machine that the cloud will take away, or whose lease
+// will lapse: replicas move at once, and what can save is stopped in time. The
+// rest runs on: it may finish before, and stopping it would lose it anyway.
+func (s *Share) drainLocked(m *machine) {
 	for _, a := range m.Attempts {
 		if a.Stop || a.Exited() || !a.Sized {
 			continue
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -541,7 +541,7 @@
 // acceptsLocked tells whether new tasks may go to the machine, if there is room.
 func (s *Share) acceptsLocked(m *machine, now time.Time) bool {
 	return s.synced(m) && m.Type != nil && !m.returning && !m.suspect && m.failures == 0 && m.deaf.IsZero() &&
-		m.Notice.IsZero() && !now.Before(m.cooling) && now.Sub(m.LastReport) < s.silentAfter()
+		m.Notice.IsZero() && !now.Before(m.cooling) && now.Sub(m.LastReport) < s.silentAfter() && !s.mute(m, now)
 }
 
 // usableLocked tells whether new tasks may go to the machine at all.
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -125,6 +125,7 @@
 	failures   int       // probes without answer since the last sign of life
 	failing    time.Time // when the first of them was sent
 	deaf       time.Time // since when no direct message was answered; zero: the last one was
+	heard      time.Time // when its last report came by itself
 	returning  bool
 	suspect    bool // fails what it starts: no new placements
 	failedJobs map[string]bool
@@ -349,7 +350,7 @@
 func (s *Share) addMachineLocked(fm *fleet.Machine, now time.Time) *machine {
 	m := &machine{Machine: fm, failedJobs: map[string]bool{}, idleSince: now}
 	m.Type = s.types[m.TypeName]
-	m.LastReport = now
+	m.LastReport, m.heard = now, now
 	m.base, m.fence = s.div.Token, s.div.Token
 	s.machines[m.Name] = m
 	delete(s.booting, m.Name)
@@ -472,7 +473,9 @@
 		return nil
 	}
 	m.LastAnswer = now
-	if !fresh {
+	if fresh {
+		m.heard = now
+	} else {
 		// Late or repeated: its reply will be dropped, and must not carry
 		// commands meant for the worker as it is now. Or the worker has
 		// started anew and counts from the beginning: asking it tells.
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -272,7 +272,7 @@
 			small := s.addJobLocked(p.add(fmt.Sprint("wk-", i), "ours", wire.PriorityNormal, 1, 8))
 			small.accepted = time.Now()
 			time.Sleep(time.Second)
-			m.LastReport = time.Now()
+			m.LastReport, m.heard = time.Now(), time.Now()
 			s.scheduleLocked(time.Now())
 			if len(large.live) == 0 {
 				for key, a := range m.Attempts {
@@ -588,3 +588,18 @@
 		t.Errorf("%d tasks of a newer request were taken", n)
 	}
 }
+
+// A lease lasts from the last answered report or from when its session began: a
+// worker that reaches nobody starts sessions by itself, and what it was commanded
+// directly since runs for a lease from then (ran_twice).
+func TestLeaseOfAnUnansweredSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, m := newTestShare(t)
+		m.fence, m.LastAnswer = 0, time.Now()
+		time.Sleep(10 * time.Second)
+		s.applyLocked(m, &wire.Report{Machine: "m1", Address: "m1", Type: "m", Zone: "z", Session: 2, Seq: 9, Token: 5})
+		if at, ok := s.lapseLocked(m); !ok || at.Before(time.Now().Add(s.opts.Settings.LeaseFor)) {
+			t.Errorf("a lease that began now counts as lapsed in %v", time.Until(at))
+		}
+	})
+}
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -18,6 +18,11 @@
 	Limits map[string]float64
 	// CancelIn is by when a cancelled job's tasks must be gone; 0: not checked.
 	CancelIn time.Duration
+	// NoStartAfter is after how long no controller may command a start of a
+	// cancelled job any more; 0: not checked.
+	NoStartAfter time.Duration
+	// Types are the machine types, which accepted jobs must fit; nil: not checked.
+	Types []wire.MachineType
 
 	mu      sync.Mutex
 	jobs    map[string]*watched
@@ -119,11 +124,98 @@
 	switch {
 	case status == 200 || status == 201:
 		c.toldLocked(id, w, answer.State)
+		if status == 201 {
+			c.acceptedLocked(id, body)
+		}
 	case w.accepted && (status == 404 || status == 400 || status == 422):
 		c.breakLocked("forgotten", "%s is answered %d", id, status)
 	}
 }
 
+// acceptedLocked judges whether the job that was accepted can run.
+func (c *Checker) acceptedLocked(id string, body []byte) {
+	j, err := wire.ParseJob(body)
+	switch limit, limited := c.Limits[j.Team]; {
+	case err != nil:
+		c.breakLocked("accepted", "%s, which is malformed: %v", id, err)
+	case c.Types != nil && !slices.ContainsFunc(c.Types, func(t wire.MachineType) bool { return allows(&j, &t) }):
+		c.breakLocked("accepted", "%s, which fits no machine type", id)
+	case limited && (j.CPUs > limit || j.Kind == wire.KindService && j.CPUs*float64(j.Tasks) > limit):
+		c.breakLocked("accepted", "%s, which needs more than its team's limit", id)
+	}
+}
+
+// allows tells whether a task of the job can ever run on machines of a type.
+func allows(j *wire.Job, t *wire.MachineType) bool {
+	return (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) && (j.Zone == nil || slices.Contains(t.Zones, *j.Zone)) &&
+		j.CPUs <= t.CPUs && j.GPUs <= t.GPUs && j.MemoryGB <= t.MemoryGB
+}
+
+// Commanded judges the starts that a controller commands.
+func (c *Checker) Commanded(commands []wire.Command) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, command := range commands {
+		id, _, _ := wire.SplitTaskID(command.Task)
+		if w := c.jobs[id]; w != nil && command.Op == wire.OpStart && c.NoStartAfter > 0 && !w.cancelled.IsZero() && time.Since(w.cancelled) > c.NoStartAfter {
+			c.breakLocked("ran_cancelled", "%s is to be started %v after its user was told that it is cancelled", command.Task, time.Since(w.cancelled))
+		}
+	}
+}
+
+// Job returns the job of a task, nil if no user has submitted it.
+func (c *Checker) Job(task string) *wire.Job {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id, _, _ := wire.SplitTaskID(task)
+	if w := c.jobs[id]; w != nil && w.submitted {
+		return &w.job
+	}
+	return nil
+}
+
+// Room is what a machine has room for, and what is on it.
+type Room struct {
+	Spot
+	CPUs, MemoryGB float64
+	Tasks          []string
+}
+
+// Waiting lists the accepted jobs, not over, that have a task on no machine
+// though one of these would take it.
+func (c *Checker) Waiting(rooms []Room) (waiting []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	on, used := map[string]bool{}, map[string]float64{}
+	for _, r := range rooms {
+		for _, task := range r.Tasks {
+			id, _, _ := wire.SplitTaskID(task)
+			on[task] = true
+			used[c.jobs[id].job.Team] += c.jobs[id].job.CPUs
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		w := c.jobs[id]
+		limit, limited := c.Limits[w.job.Team]
+		if !w.accepted || w.asked || w.told.Final() || limited && used[w.job.Team]+w.job.CPUs > limit {
+			continue
+		}
+		for i := range w.job.Tasks {
+			task := wire.TaskID(id, i)
+			if on[task] || w.done[task] {
+				continue
+			}
+			if slices.ContainsFunc(rooms, func(r Room) bool {
+				return w.job.CPUs <= r.CPUs && w.job.MemoryGB <= r.MemoryGB && c.allowsLocked(w, id, r.Spot)
+			}) {
+				waiting = append(waiting, task)
+				break
+			}
+		}
+	}
+	return waiting
+}
+
 func (c *Checker) toldLocked(id string, w *watched, state wire.JobState) {
 	if !w.submitted {
 		c.breakLocked("invented", "%s, which nobody has submitted, is %s", id, state)
--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -120,10 +121,39 @@
 			told(c, wire.JobQueued)
 		}},
 		{"went_back", func(c *Checker) { submit(c, nil); told(c, wire.JobCancelled) }},
+		{"ran_cancelled", func(c *Checker) { // goes on after a hang
+			submit(c, nil)
+			run(c, here, id+"/0")
+			cancel(c)
+			time.Sleep(25 * time.Second)
+			c.Ended(id+"/0", false)
+		}},
+		{"ran_cancelled", func(c *Checker) {
+			submit(c, nil)
+			cancel(c)
+			time.Sleep(6 * time.Second)
+			c.Commanded([]wire.Command{{Op: wire.OpStart, Task: id + "/0"}})
+		}},
+		{"", func(c *Checker) {
+			submit(c, nil)
+			cancel(c)
+			time.Sleep(time.Second)
+			c.Commanded([]wire.Command{{Op: wire.OpStart, Task: id + "/0"}})
+			time.Sleep(time.Minute)
+			c.Commanded([]wire.Command{{Op: wire.OpStop, Task: id + "/0"}})
+		}},
+		{"accepted", func(c *Checker) { submit(c, func(j map[string]any) { j["cores"] = 3.5 }) }},
+		{"accepted", func(c *Checker) { submit(c, func(j map[string]any) { j["marsh"] = "z" }) }},
+		{"accepted", func(c *Checker) { submit(c, func(j map[string]any) { j["gait"], j["feathers"] = "daemon", 3 }) }},
+		{"accepted", func(c *Checker) {
+			c.Answered(wire.PathJobs, []byte(`{"uid":"`+id+`"}`), 201, wire.JobStatus{ID: id, State: wire.JobQueued})
+			c.broken = slices.DeleteFunc(c.broken, func(b string) bool { return strings.HasPrefix(b, "invented") })
+		}},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			c := NewChecker()
-			c.Limits, c.CancelIn = map[string]float64{"red": 4}, 20*time.Second
+			c.Limits, c.CancelIn, c.NoStartAfter = map[string]float64{"red": 4}, 20*time.Second, 5*time.Second
+			c.Types = []wire.MachineType{{Name: "t", CPUs: 3, MemoryGB: 8, Zones: []string{"a", "b"}}, {Name: "other", CPUs: 3, MemoryGB: 8, Zones: []string{"a"}}}
 			test.do(c)
 			time.Sleep(time.Minute)
 			broken := c.Broken()
@@ -133,3 +163,37 @@
 		})
 	}
 }
+
+// A job that waits though a machine would take it is found, and none else.
+func TestCheckerFindsWaiting(t *testing.T) {
+	c := NewChecker()
+	c.Limits = map[string]float64{"red": 4}
+	submit := func(id string, change func(map[string]any)) {
+		j := map[string]any{"uid": id, "flight": "c", "roost": "blue", "gait": "array", "rank": "normal", "feathers": 1,
+			"cores": 2.0, "accelerators": 0.0, "ram_gb": 1.0, "plumage": "i", "pull_gb": 1.0, "same_place": false,
+			"spread": false, "drift": false, "flight_s": 1.0, "molt_s": 0.0, "preen_s": 0.0}
+		change(j)
+		body, err := json.Marshal(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Asked("POST", wire.PathJobs, body)
+		c.Answered(wire.PathJobs, body, 201, wire.JobStatus{ID: id, State: wire.JobQueued})
+	}
+	none := func(map[string]any) {}
+	submit("wk-000001", none) // waits
+	submit("wk-000002", none) // is on a machine
+	submit("wk-000003", none) // is done
+	submit("wk-000004", none) // is cancelled
+	submit("wk-000005", func(j map[string]any) { j["marsh"] = "b" })
+	submit("wk-000006", func(j map[string]any) { j["cores"] = 7.0 })
+	submit("wk-000007", func(j map[string]any) { j["roost"], j["cores"] = "red", 3.0 }) // is on a machine
+	submit("wk-000008", func(j map[string]any) { j["roost"] = "red" })                  // at its limit
+	c.Started("wk-000003/0", Spot{Machine: "m", Type: "t", Zone: "a"})
+	c.Ended("wk-000003/0", true)
+	c.Asked("POST", wire.PathJobs+"/wk-000004/"+wire.SuffixCancel, nil)
+	rooms := []Room{{Spot: Spot{Machine: "m", Type: "t", Zone: "a"}, CPUs: 6, MemoryGB: 8, Tasks: []string{"wk-000002/0", "wk-000007/0"}}}
+	if got := c.Waiting(rooms); !slices.Equal(got, []string{"wk-000001/0"}) {
+		t.Errorf("waiting: %v", got)
+	}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -21,8 +21,10 @@
 	Fetch       time.Duration
 	ReportEvery time.Duration
 	Lease       time.Duration
-	// RunFor tells how long a job's tasks run; 0: until stopped.
-	RunFor func(job string) time.Duration
+	// RunFor tells how long a task runs; 0: until stopped.
+	RunFor func(task string) time.Duration
+	// Ended, if set, hears of each task that is done.
+	Ended func(task string)
 	// Fails tells whether a task fails on a machine.
 	Fails func(job, machine string) bool
 	// Report delivers a report to a controller: its status, the reply (200)
@@ -42,6 +44,7 @@
 	holding  bool
 	rentals  []wire.RentRequest // held back
 	blind    map[string]bool    // nodes that reach no worker, nor they them
+	split    split
 	Returned []string
 	lapsed   int
 }
@@ -73,11 +76,17 @@
 	hold    bool
 	dead    bool
 	poke    chan struct{}
+
+	mute        bool // its reports reach nobody
+	hung        bool // nothing runs, nothing is sent or carried out
+	holdReports bool
+	lateReports []*wire.Report
 }
 
 type task struct {
 	wire.TaskReport
 	timer *time.Timer
+	due   bool // its timer fired while the machine hung
 }
 
 // Start begins the fleet's life; it ends with ctx.
@@ -87,13 +96,15 @@
 	if f.Checker == nil {
 		f.Checker = NewChecker()
 	}
+	f.Checker.Types = f.Types
 }
 
 // Add puts a machine up at once and returns its name.
 func (f *Fleet) Add(spot bool) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.addLocked(f.Types[0], f.Types[0].Zones[0], spot, 0)
+	zones := f.Types[0].Zones
+	return f.addLocked(f.Types[0], zones[f.next%len(zones)], spot, 0)
 }
 
 func (f *Fleet) addLocked(t wire.MachineType, zone string, spot bool, boot time.Duration) string {
@@ -177,19 +188,21 @@
 	node  string
 }
 
-func (l *Line) cut(ctx context.Context) bool {
+func (l *Line) cut(ctx context.Context, address string) bool {
 	l.fleet.mu.Lock()
-	blind := l.fleet.blind[l.node]
+	w := l.fleet.workers[address]
+	cut := w != nil && !l.fleet.reachesLocked(l.node, w)
 	l.fleet.mu.Unlock()
-	if blind {
+	if cut {
 		<-ctx.Done()
 	}
-	return blind
+	return cut
 }
 
 // Command sends commands to a worker.
 func (l *Line) Command(ctx context.Context, address string, req *wire.CommandRequest) (*wire.Report, error) {
-	if l.cut(ctx) {
+	l.fleet.Checker.Commanded(req.Commands)
+	if l.cut(ctx, address) {
 		return nil, errSilent
 	}
 	return l.fleet.command(ctx, address, req)
@@ -197,7 +210,7 @@
 
 // Status asks a worker for its report.
 func (l *Line) Status(ctx context.Context, address string) (*wire.Report, error) {
-	if l.cut(ctx) {
+	if l.cut(ctx, address) {
 		return nil, errSilent
 	}
 	return l.fleet.status(ctx, address)
@@ -339,10 +352,10 @@
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
 	w := f.workers[address]
-	if w != nil && w.hold {
+	if w != nil && (w.hold || w.hung) {
 		w.held = append(w.held, req)
 	}
-	if w == nil || w.cut || w.deaf || w.hold {
+	if w == nil || w.cut || w.deaf || w.hold || w.hung {
 		f.mu.Unlock()
 		<-ctx.Done()
 		return nil, errSilent
@@ -356,7 +369,7 @@
 func (f *Fleet) status(ctx context.Context, address string) (*wire.Report, error) {
 	f.mu.Lock()
 	w := f.workers[address]
-	if w == nil || w.cut || w.deaf {
+	if w == nil || w.cut || w.deaf || w.hung {
 		f.mu.Unlock()
 		<-ctx.Done()
 		return nil, errSilent
@@ -409,17 +422,23 @@
 		if t.State != wire.TaskFetching || w.dead {
 			return
 		}
+		if t.due = w.hung; t.due {
+			return
+		}
 		f.Checker.Started(c.Task, Spot{Machine: w.name, Type: w.typ.Name, Zone: w.zone, Spot: w.spot})
 		t.State = wire.TaskRunning
 		job, _, _ := wire.SplitTaskID(c.Task)
 		if f.Fails != nil && f.Fails(job, w.name) {
 			w.exitLocked(t, wire.WhyError)
-		} else if d := f.RunFor(job); d > 0 {
+		} else if d := f.RunFor(c.Task); d > 0 {
 			t.timer = time.AfterFunc(d, func() {
 				f.mu.Lock()
 				defer f.mu.Unlock()
-				if t.State == wire.TaskRunning {
+				if t.due = w.hung; !t.due && t.State == wire.TaskRunning {
 					w.exitLocked(t, wire.WhyDone)
+					if f.Ended != nil {
+						go f.Ended(c.Task)
+					}
 				}
 			})
 		}
@@ -460,6 +479,7 @@
 	f.mu.Lock()
 	w.renewed = time.Now()
 	f.mu.Unlock()
+	go w.watchLease()
 	for f.ctx.Err() == nil {
 		f.mu.Lock()
 		if w.dead {
@@ -467,16 +487,12 @@
 			return
 		}
 		now := time.Now()
-		if now.Sub(w.renewed) > f.Lease {
-			w.killLocked()
-			w.session++
-			w.renewed = now
-			f.lapsed++
+		if !w.hung {
+			w.seq++
 		}
-		w.seq++
-		r, cut := w.reportLocked(), w.cut
+		r, silent := w.reportLocked(), w.cut || w.hung
 		f.mu.Unlock()
-		if !cut {
+		if !silent {
 			w.exchange(r, now)
 		}
 		wait(f.ctx, 500*time.Millisecond)
@@ -490,16 +506,50 @@
 	}
 }
 
+// watchLease ends the session as soon as its lease has run out, whatever else
+// the worker waits for. A machine that hangs goes on within its lease or never.
+func (w *Worker) watchLease() {
+	f := w.fleet
+	for f.ctx.Err() == nil {
+		f.mu.Lock()
+		if w.dead {
+			f.mu.Unlock()
+			return
+		}
+		now := time.Now()
+		w.checkLeaseLocked(now)
+		left := w.renewed.Add(f.Lease).Sub(now)
+		f.mu.Unlock()
+		wait(f.ctx, left+time.Millisecond)
+	}
+}
+
+// checkLeaseLocked ends the session if the lease has run out.
+func (w *Worker) checkLeaseLocked(now time.Time) {
+	if now.Sub(w.renewed) > w.fleet.Lease {
+		w.killLocked()
+		w.session++
+		w.renewed = now
+		w.fleet.lapsed++
+	}
+}
+
+// maxLate bounds the reports of one machine that are held back.
+const maxLate = 50
+
 func (w *Worker) exchange(r *wire.Report, sent time.Time) {
 	f := w.fleet
 	node := f.Nodes[w.node%len(f.Nodes)]
 	f.mu.Lock()
-	blind, life := f.blind[node], w.life
+	silent, life := w.mute || w.holdReports || !f.reachesLocked(node, w), w.life
+	if w.holdReports && len(w.lateReports) < maxLate {
+		w.lateReports = append(w.lateReports, r)
+	}
 	f.mu.Unlock()
 	var status int
 	var reply *wire.ReportReply
 	var redirect string
-	if blind {
+	if silent {
 		wait(f.ctx, 4*time.Second) // no response comes
 	} else {
 		status, reply, redirect = f.Report(node, r)
@@ -507,8 +557,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case w.dead || w.cut || w.deaf || w.life != life:
+	case w.dead || w.cut || w.deaf || w.hung || w.life != life:
 	case status == 200:
+		f.Checker.Commanded(reply.Commands)
 		if reply.Token < w.token || r.Session != w.session {
 			return
 		}
