Writes that share a transaction do what they would do one after the other

Ruled out: late copies (their conditions fail) and the read-back after a lost response (it compares the state).

The group commit now leaves a write to the next transaction if one before it changes a key that it changes too or depends on.

--- a/cmd/heronwick/meetings_test.go
+++ b/cmd/heronwick/meetings_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -91,3 +92,71 @@
 		}
 	})
 }
+
+// A cancellation, a question and a repeated submission meet the end of a job's
+// last task, with no other trouble: what one user is told, all are told for ever.
+// One transaction cancelled the job and called it done (went_back).
+func TestCancelMeetsTheEnd(t *testing.T) {
+	withCluster(t, 6, func(tc *testCluster) {
+		tc.fleet.RunFor = func(task string) time.Duration {
+			if task >= "wk-001000" {
+				return 10 * time.Millisecond
+			}
+			return 5 * time.Second
+		}
+		var mu sync.Mutex
+		ended := map[string]int{} // tasks by job, as reports have told
+		others := 1000
+		tc.fleet.Report = func(node string, r *wire.Report) (int, *wire.ReportReply, string) {
+			if slices.ContainsFunc(r.Tasks, func(task wire.TaskReport) bool { return task.Why == wire.WhyDone && task.Task < "wk-001000" }) {
+				// As many writes under way as may be, so that what comes now waits.
+				mu.Lock()
+				for i := range 9 {
+					others++
+					body := submission(others, func(j map[string]any) { j["feathers"] = 1 })
+					go tc.call(i%3, "POST", "/submissions", body)
+				}
+				mu.Unlock()
+				time.Sleep(time.Millisecond)
+			}
+			status, reply, redirect := tc.report(node, r)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, task := range r.Tasks {
+				id, index, _ := wire.SplitTaskID(task.Task)
+				if status != 200 || task.Why != wire.WhyDone || id >= "wk-001000" || ended[id]&(1<<index) != 0 {
+					continue
+				}
+				if ended[id] |= 1 << index; ended[id] != 7 {
+					continue
+				}
+				for i := range 6 {
+					go func() {
+						time.Sleep(time.Duration(i/3*int(id[len(id)-1]%4)) * time.Millisecond)
+						tc.call(i%3, "POST", "/submissions/"+id+"/withdraw", nil)
+						tc.call(i%3, "GET", "/submissions/"+id, nil)
+						tc.call(i%3, "POST", "/submissions", submission(0, func(j map[string]any) { j["uid"] = id }))
+					}()
+				}
+			}
+			return status, reply, redirect
+		}
+	}, func(tc *testCluster) {
+		for id := range 40 {
+			tc.expect(id%3, "POST", "/submissions", submission(id, nil), 201, "")
+			time.Sleep(700 * time.Millisecond)
+		}
+		time.Sleep(40 * time.Second)
+		ended := map[any]int{}
+		for id := range 40 {
+			_, first, _ := tc.call(0, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil)
+			ended[first["stance"]]++
+			for i := range tc.nodes {
+				tc.expect(i, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil, 200, fmt.Sprint(first["stance"]))
+			}
+		}
+		if ended["done"]+ended["aborted"] != 40 {
+			t.Errorf("not all have ended: %v", ended)
+		}
+	})
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -147,6 +147,13 @@
 	return s.items[key].Value
 }
 
+// Version returns a key's version, 0 if it does not exist.
+func (s *State) Version(key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Version
+}
+
 // Node returns the service as one node reaches it.
 func (s *State) Node(node string) *Path { return &Path{state: s, node: node} }
 
--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -136,9 +136,18 @@
 	return p, writes
 }
 
+// dependsOn tells whether the write changes one of the keys, or depends on one.
+func (w *Write) dependsOn(changed map[string]bool) bool {
+	return len(changed) > 0 && (slices.ContainsFunc(w.If, func(c wire.Condition) bool { return changed[c.Key] }) ||
+		slices.ContainsFunc(w.Then, func(c wire.Change) bool { return changed[c.Put+c.Delete] }))
+}
+
 // takeLocked chooses the writes of the next transaction with at most so many
 // changes, the most urgent first, and removes them from the queue if it is to.
-// Those that cannot succeed any more end here.
+// Those that cannot succeed any more end here. Together they must do what they
+// would do one after the other: a write waits if one before it changes a key that
+// it changes too or depends on. In one transaction both would find the key as it
+// was: a job was cancelled and done at once.
 func (c *Committer) takeLocked(l *lane, maxOps int, remove bool) []*pending {
 	l.queue = slices.DeleteFunc(l.queue, func(w *pending) bool {
 		switch {
@@ -154,6 +163,7 @@
 		return false
 	})
 	var batch, rest []*pending
+	changed := map[string]bool{}
 	ops, conditions, size := 0, 0, 0
 	for p := range priorities {
 		for _, w := range l.queue {
@@ -166,10 +176,13 @@
 			}
 			bytes += 100 * len(w.If)
 			fits := ops+len(w.Then) <= maxOps && conditions+len(w.If) <= 4*c.ops && size+bytes <= maxTxnBytes
-			if !fits && (len(batch) > 0 || remove) {
+			if !fits && (len(batch) > 0 || remove) || w.dependsOn(changed) {
 				rest = append(rest, w)
 				continue
 			}
+			for _, change := range w.Then {
+				changed[change.Put+change.Delete] = true
+			}
 			ops, conditions, size = ops+len(w.Then), conditions+len(w.If), size+bytes
 			batch = append(batch, w)
 		}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -25,6 +25,38 @@
 	return client, state.NewCommitter(client, 16)
 }
 
+// Of writes that wait together, one that another makes impossible fails as it
+// would after it: in one transaction both would find the key as it was.
+func TestGroupCommitIsOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewState()
+		_, c := newCommitter(s)
+		ctx := context.Background()
+		var wg sync.WaitGroup
+		for i := range 30 {
+			won := make([]error, 3)
+			key := fmt.Sprintf("k%d", i)
+			for j := range 3 { // as many as may be under way, so that the others wait
+				wg.Go(func() { _, _ = c.Commit(ctx, put(fmt.Sprintf("%s/first%d", key, j), 0, 0)) })
+				time.Sleep(time.Millisecond)
+			}
+			// Two change the same key, the third depends on it.
+			wg.Go(func() { _, won[0] = c.Commit(ctx, put(key, 0, 1)) })
+			wg.Go(func() { _, won[1] = c.Commit(ctx, put(key, 0, 2)) })
+			third := put(key+"/other", 0, 3)
+			third.If = append(third.If, wire.Condition{Key: key})
+			wg.Go(func() { _, won[2] = c.Commit(ctx, third) })
+			wg.Wait()
+			if (won[0] == nil) == (won[1] == nil) {
+				t.Errorf("of two writes of one key that conflict, got %v and %v", won[0], won[1])
+			}
+			if a, b := s.Version(key), s.Version(key+"/other"); won[2] == nil && b > a {
+				t.Errorf("a write that depends on a key was made at %d, after its change at %d", b, a)
+			}
+		}
+	})
+}
+
 // Many writes share few transactions, and one conflict takes out only its
 // own write.
 func TestGroupCommitWithConflict(t *testing.T) {
