What may still run of cancelled jobs counts for their team's next owner; one division per rebuild

quota: a cancelled job's tasks on machines that cannot be asked counted only if their team was this share's when the job ended or the machine was taken over. When the team came to the share afterwards, it gained the active jobs alone. Now all that may run of jobs that are over is counted for whoever owns the team (TestTasksOfOverJobsCountForTheNextOwner fails without, tried), and a share that gains a team with a limit reads the records.

ran_twice: a rebuild went by its division, but asked the live epoch whose machine a record is about. The question now names the division (TestRebuildGoesByOneDivision). Ruled out: the journals' own writes and read-backs, and lent tasks being settled.

TestLimitOverCancellationAndTakeover plays the meeting in five variants; it does not fail without the guard by itself, since the stale membership that it needs is a matter of moments.

--- a/cmd/heronwick/meetings_test.go
+++ b/cmd/heronwick/meetings_test.go
@@ -160,3 +160,81 @@
 		}
 	})
 }
+
+// A team is at its limit, its machines cannot be asked, its job is cancelled, and
+// its owner, or everybody, ends: what may still run counts for whoever owns the
+// team next, until it is surely gone (quota).
+func TestLimitOverCancellationAndTakeover(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		do   func(tc *testCluster)
+	}{
+		{"the leader ends", func(tc *testCluster) { tc.crash(tc.leader()) }},
+		{"two end, one after the other", func(tc *testCluster) {
+			tc.crash(tc.leader())
+			time.Sleep(3500 * time.Millisecond)
+			tc.crash(tc.leader())
+		}},
+		{"all end and come back", func(tc *testCluster) {
+			for i := range tc.nodes {
+				tc.crash(i)
+			}
+			for i := range tc.nodes {
+				time.Sleep(700 * time.Millisecond)
+				tc.start(i)
+			}
+		}},
+		{"all but the leader end", func(tc *testCluster) {
+			leader := tc.leader()
+			for i := range tc.nodes {
+				if i != leader {
+					tc.crash(i)
+				}
+			}
+		}},
+		{"the leader is cut off from all but its workers", func(tc *testCluster) {
+			leader := tc.leader()
+			tc.nodes[leader].alone.Store(true)
+			tc.state.Refuse(tc.nodes[leader].name, true)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withCluster(t, 6, func(tc *testCluster) {
+				tc.fleet.RunFor = func(string) time.Duration { return 0 }
+			}, func(tc *testCluster) {
+				red := func(j map[string]any) { j["gait"], j["roost"], j["feathers"] = "daemon", "red", 4 }
+				tc.expect(0, "POST", "/submissions", submission(1, red), 201, "")
+				tc.expect(1, "POST", "/submissions", submission(2, red), 201, "")
+				time.Sleep(4 * time.Second)
+				before := tc.fleet.Checker.Running()
+				if len(before) != 8 {
+					t.Fatalf("%d of 8 tasks run", len(before))
+				}
+				tc.fleet.SetCloud(true)
+				for _, machine := range before {
+					tc.fleet.Cut(machine, true)
+				}
+				tc.expect(1, "POST", "/submissions/wk-000001/withdraw", nil, 200, "aborted")
+				test.do(tc)
+				for second := range 30 {
+					time.Sleep(time.Second)
+					for i := range tc.nodes { // whoever takes it
+						tc.call(i, "POST", "/submissions", submission(3, red))
+					}
+					if second == 4 {
+						tc.fleet.SetCloud(false)
+					}
+				}
+				running := 0
+				for task := range tc.fleet.Checker.Running() {
+					if task > "wk-000002" {
+						running++
+					}
+				}
+				if running != 8 {
+					t.Errorf("%d of 8 tasks run in the end", running)
+				}
+			})
+		})
+	}
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -753,7 +753,7 @@
 // logPermissionLocked tells an operator when this controller, a member, begins
 // or ends to answer no worker.
 func (c *Cluster) logPermissionLocked() {
-	lapsed := c.memberLocked() && !c.permittedLocked()
+	lapsed := c.memberLocked() && !c.confirmed.IsZero() && !c.permittedLocked()
 	if lapsed == c.lapsed {
 		return
 	}
--- a/internal/cluster/owners.go
+++ b/internal/cluster/owners.go
@@ -111,15 +111,15 @@
 	return o, named
 }
 
-// HostOf returns the member that owns a machine, or the leader, which takes
-// what has no owner.
-func (c *Cluster) HostOf(machine string) string {
+// HostOf returns the member that owns a machine in an epoch, or its leader,
+// which takes what has no owner.
+func (c *Cluster) HostOf(epoch *Epoch, machine string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o, ok := c.owners[machine]; ok && c.validLocked(o) {
+	if o, ok := c.owners[machine]; ok && o.Since != 0 && epoch.Members[o.Node].Since == o.Since {
 		return o.Node
 	}
-	return c.epoch.Leader
+	return epoch.Leader
 }
 
 // Fresh tells whether every owner's write of an older epoch has been seen.
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -119,7 +119,7 @@
 
 	var r records
 	var err error
-	if first || leads || len(adopt) > 0 || len(gained) > 0 {
+	if first || leads || len(adopt) > 0 || len(gained) > 0 || s.gainsLimit(&epoch) {
 		r, err = s.readRecords(ctx)
 	}
 
@@ -154,6 +154,7 @@
 			}
 		}
 	}
+	s.countOverLocked()
 	adopted := s.placeRecordsLocked(r, adopt, isGained, now)
 	s.adopted = epoch.Token
 	if first || len(gained)+adopted > 0 {
@@ -173,6 +174,34 @@
 	}
 }
 
+// gainsLimit tells whether a team whose limit this share now keeps was
+// another's: what may still run of it, also of jobs that are over, counts.
+func (s *Share) gainsLimit(epoch *cluster.Epoch) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, t := range s.teams {
+		if (t.CPUsMax > 0 || t.GPUsMax > 0) && epoch.Teams[name] == s.opts.Node && s.div.Teams[name] != s.opts.Node {
+			return true
+		}
+	}
+	return false
+}
+
+// countOverLocked counts what may still run on the share's machines of jobs that
+// are over, of teams that are now its own. Nobody accepts, gains or places such
+// a job, but its tasks use up the team's limit until they are surely gone.
+func (s *Share) countOverLocked() {
+	for _, m := range s.machines {
+		for _, a := range m.Attempts {
+			if !a.Counted && a.Sized && !a.Exited() && s.jobs[a.Job] == nil && s.opts.Jobs.Active(a.Job) == nil &&
+				s.div.OwnerOf(a.Team, a.Job) == s.opts.Node {
+				a.Guest = false
+				s.countLocked(m.Zone, a)
+			}
+		}
+	}
+}
+
 func (s *Share) takeDivisionLocked(epoch cluster.Epoch, condition wire.Condition) {
 	if !s.loaded || !same(&epoch, &s.div.Epoch) {
 		s.div.since, s.div.from = condition, epoch.Token
@@ -337,7 +366,10 @@
 	for _, rp := range r.pages {
 		p := s.takePageLocked(rp)
 		for name, record := range rp.Machines {
-			host := s.opts.Authority.HostOf(name)
+			// By this division, also while the next one begins: a machine that is
+			// ours only by that one, without the page that holds its record, had
+			// that record removed as nobody's (ran_twice).
+			host := s.opts.Authority.HostOf(&s.div.Epoch, name)
 			switch {
 			case s.machines[name] != nil || s.moving[name] || s.isGoneLocked(name):
 			case host == s.opts.Node:
@@ -502,7 +534,7 @@
 				delete(s.moving, m.Name)
 				var conflict *state.Conflict
 				if (errors.As(err, &conflict) || err != nil && ctx.Err() == nil) &&
-					s.opts.Authority.HostOf(m.Name) == s.opts.Node && s.machines[m.Name] == nil {
+					s.opts.Authority.HostOf(&s.div.Epoch, m.Name) == s.opts.Node && s.machines[m.Name] == nil {
 					s.machines[m.Name] = m // not carried out: it is still ours
 				}
 			}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -38,7 +38,7 @@
 	Raise(ctx context.Context) error
 	Owners() (mine map[string]cluster.Owner, orphans []string, fresh bool)
 	Home(machine string) (node string, owned bool)
-	HostOf(machine string) string
+	HostOf(epoch *cluster.Epoch, machine string) string
 	OwnerOf(machine string) (o cluster.Owner, named bool)
 	Fresh() bool
 	TransferWrite(node string, machines map[string]json.RawMessage) (wire.Condition, wire.Change, bool)
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -31,6 +31,8 @@
 	mu     sync.Mutex
 	writes []state.Write
 	wants  []*peerpb.Want
+	since  map[string]uint64 // machines that the peer owns, and its membership
+	items  []wire.Item       // records
 }
 
 func (p *scripted) Division() (cluster.Epoch, wire.Condition) {
@@ -42,13 +44,24 @@
 func (p *scripted) Raise(context.Context) error                        { return nil }
 func (p *scripted) Owners() (map[string]cluster.Owner, []string, bool) { return nil, nil, true }
 func (p *scripted) Home(string) (string, bool)                         { return "me", true }
-func (p *scripted) HostOf(string) string                               { return "me" }
-func (p *scripted) Totals() (int, int, float64, float64)               { return 0, 0, 0, 0 }
-func (p *scripted) Idle(string) int                                    { return 0 }
-func (p *scripted) Wants() []*peerpb.Want                              { return p.wants }
-func (p *scripted) NoteOwner(wire.Change, uint64)                      {}
-func (p *scripted) Fresh() bool                                        { return true }
-func (p *scripted) OwnerOf(string) (cluster.Owner, bool)               { return cluster.Owner{}, false }
+func (p *scripted) HostOf(epoch *cluster.Epoch, machine string) string {
+	if since := p.since[machine]; since > 0 && epoch.Members["peer"].Since == since {
+		return "peer"
+	}
+	return "me"
+}
+func (p *scripted) Get(context.Context, state.Priority, string) (wire.Item, error) {
+	return wire.Item{}, state.ErrNotFound
+}
+func (p *scripted) List(context.Context, state.Priority, string) ([]wire.Item, uint64, error) {
+	return p.items, 1, nil
+}
+func (p *scripted) Totals() (int, int, float64, float64) { return 0, 0, 0, 0 }
+func (p *scripted) Idle(string) int                      { return 0 }
+func (p *scripted) Wants() []*peerpb.Want                { return p.wants }
+func (p *scripted) NoteOwner(wire.Change, uint64)        {}
+func (p *scripted) Fresh() bool                          { return true }
+func (p *scripted) OwnerOf(string) (cluster.Owner, bool) { return cluster.Owner{}, false }
 func (p *scripted) TransferWrite(string, map[string]json.RawMessage) (wire.Condition, wire.Change, bool) {
 	return wire.Condition{}, wire.Change{}, false
 }
@@ -85,7 +98,7 @@
 		Teams:   map[string]string{"ours": "me", "theirs": "peer"},
 	}}
 	s := New(Options{
-		Node: "me", Authority: p, Workers: p, Jobs: p, Committer: p,
+		Node: "me", Authority: p, Workers: p, Jobs: p, Committer: p, Records: p,
 		Settings: &config.Settings{ReportEvery: time.Second, LeaseFor: 10 * time.Second, CancelIn: 20 * time.Second, ValueBytes: 16 << 10, TxnOps: 16},
 		Types:    []wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 10, Zones: []string{"z"}}},
 		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -603,3 +616,61 @@
 		}
 	})
 }
+
+// What may still run of a cancelled job counts for whoever owns its team next,
+// though nobody gains the job (quota: a team at its limit, machines that cannot
+// be asked, a cancellation, and a change of leader).
+func TestTasksOfOverJobsCountForTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestShare(t)
+		for i, id := range []string{"wk-000001", "wk-000002"} { // one is over, the other active and another's
+			a := &fleet.Attempt{Key: fleet.Key{Task: id + "/0", Attempt: uint64(7 + i)}, Job: id, Team: "theirs", Sized: true,
+				Size: placement.Resources{CPUs: 2}, Durable: true, Guest: true, Stop: i == 0}
+			m.Add(a, time.Now())
+		}
+		p.active["wk-000002"] = &job.Record{}
+		epoch, condition := p.Division()
+		epoch.Token++
+		epoch.Teams = map[string]string{"ours": "me", "theirs": "me"}
+		p.epoch = epoch
+		s.rebuild(context.Background(), epoch, condition, nil, nil)
+		if used := s.used["theirs"].CPUs; used != 2 {
+			t.Errorf("%v CPUs count for the team, want those of the job that is over: 2", used)
+		}
+	})
+}
+
+// A rebuild goes by one division, though the next begins under way. By the old
+// one a machine and the journal with its record are a peer's; had the machine
+// been taken by the new one, the journal would have been removed as nobody's, and
+// the next to take the machine over would not know what runs there (ran_twice).
+func TestRebuildGoesByOneDivision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newTestShare(t)
+		s.loaded = false
+		value, err := json.Marshal(fleet.Page{Machines: map[string]fleet.Record{"m9": {Address: "m9", Session: 1, Attempts: map[string]uint64{"wk-000001/0": 7}}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.active["wk-000001"] = &job.Record{Job: wire.Job{ID: "wk-000001", Team: "ours", Tasks: 1}}
+		p.items = []wire.Item{{Key: fleet.JournalKey("peer", 3, 0), Value: value, Version: 9}}
+		p.since = map[string]uint64{"m9": 3}
+		old, condition := p.Division()
+		old.Leader = "me"
+		old.Members = map[string]cluster.Member{"me": {Incarnation: 1, Since: 1}, "peer": {Incarnation: 2, Since: 3}}
+		p.epoch = old
+		s.rebuild(context.Background(), old, condition, nil, nil)
+		if s.machines["m9"] != nil || s.pages[p.items[0].Key] != nil {
+			t.Error("a machine or a journal of a member was taken")
+		}
+		next := old
+		next.Token++
+		next.Members = map[string]cluster.Member{"me": {Incarnation: 1, Since: 1}}
+		p.epoch = next
+		_, condition = p.Division()
+		s.rebuild(context.Background(), next, condition, nil, []string{"m9"})
+		if m, journal := s.machines["m9"], s.pages[p.items[0].Key]; m == nil || journal == nil || journal.leftover["m9"].Attempts["wk-000001/0"] != 7 {
+			t.Errorf("machine %v, journal %v: the record is not kept with the machine", m, journal)
+		}
+	})
+}
