--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -103,7 +103,7 @@
 	}
 	c.members = cluster.New(cluster.Options{
 		Node: settings.Node, Client: c.client, Route: c.route, Peers: beaters,
-		LeaseFor: settings.LeaseFor, CancelIn: settings.CancelIn, Cancellations: c.catalog,
+		LeaseFor: settings.LeaseFor, CancelIn: settings.CancelIn, Cancellations: c.catalog, Slowness: settings.Slowness(),
 		Share: c.runShare, Status: c.status, Changed: c.changed, Weights: c.weights,
 		Progress: c.progress, OnProgress: c.takeProgress, Log: log,
 	})
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -35,21 +35,31 @@
 	leaderKey = prefix + "leader"
 )
 
-// leaderTTL is how long a silent leader keeps the others waiting. Renewing
-// four times within it rides out a lost request.
 const (
-	leaderTTL   = 3 * time.Second
-	renewEvery  = leaderTTL / 4
-	beatEvery   = time.Second
-	watchFor    = 4 * time.Second // a refused controller's open watch stays silent: look elsewhere soon
-	peerOKFor   = 3 * beatEvery
-	beatTimeout = time.Second
-	// deadAfter is when a member that does not answer loses its share.
-	deadAfter = 2500 * time.Millisecond
+	beatEvery = time.Second
+	watchFor  = 4 * time.Second // a refused controller's open watch stays silent: look elsewhere soon
 	// shunFor keeps out a member that could not reach its workers.
 	shunFor = 15 * time.Second
 )
 
+// patience is how long this controller waits for the others. One that is short of
+// processor time falls silent for seconds when work comes at once; were it taken
+// for dead, taking over from it would be the next such work, and so on.
+type patience struct {
+	// leaderTTL is how long a silent leader keeps the others waiting. Renewing
+	// four times within it rides out a lost request.
+	leaderTTL   time.Duration
+	beatTimeout time.Duration
+	peerOKFor   time.Duration // a peer counts as heard from
+	deadAfter   time.Duration // when a member that does not answer loses its share
+}
+
+func newPatience(slowness float64) patience {
+	times := func(d time.Duration) time.Duration { return time.Duration(float64(d) * max(1, slowness)) }
+	return patience{leaderTTL: times(3 * time.Second), beatTimeout: times(time.Second),
+		peerOKFor: times(3 * beatEvery), deadAfter: times(2500 * time.Millisecond)}
+}
+
 // Epoch says who commands workers, and under which token.
 type Epoch struct {
 	Token       uint64 `json:"token"`
@@ -123,6 +133,8 @@
 	// CancelIn is by when a cancelled job's tasks must be gone.
 	CancelIn      time.Duration
 	Cancellations Cancellations
+	// Slowness is how many times longer than usual the controllers may be busy.
+	Slowness float64
 	// Share runs while this controller is a member; its context ends when it
 	// no longer is.
 	Share func(ctx context.Context, t *Tenure) error
@@ -143,6 +155,7 @@
 	opts        Options
 	incarnation uint64
 	begun       time.Time
+	patience    patience
 	permission  time.Duration
 	inTime      bool          // after a permission a lease lapses within CancelIn
 	changed     chan struct{} // poked when the epoch or the leader key changes
@@ -190,6 +203,7 @@
 		opts:         opts,
 		incarnation:  rand.Uint64(),
 		begun:        time.Now(),
+		patience:     newPatience(opts.Slowness),
 		changed:      make(chan struct{}, 1),
 		peers:        map[string]*peer{},
 		workersHeard: map[string]time.Time{},
@@ -346,7 +360,7 @@
 	defer c.mu.Unlock()
 	most := 0
 	for _, p := range c.peers {
-		if time.Since(p.lastSeen) < peerOKFor {
+		if time.Since(p.lastSeen) < c.patience.peerOKFor {
 			most = max(most, int(p.workers))
 		}
 	}
@@ -359,7 +373,7 @@
 	defer c.mu.Unlock()
 	var nodes []string
 	for _, p := range c.peers {
-		if p.stateOK && time.Since(p.lastSeen) < peerOKFor {
+		if p.stateOK && time.Since(p.lastSeen) < c.patience.peerOKFor {
 			nodes = append(nodes, p.node)
 		}
 	}
@@ -376,22 +390,19 @@
 func (c *Cluster) peersAliveLocked() int {
 	n := 0
 	for _, p := range c.peers {
-		if time.Since(p.lastSeen) < peerOKFor {
+		if time.Since(p.lastSeen) < c.patience.peerOKFor {
 			n++
 		}
 	}
 	return n
 }
 
-// lonelyAfter is how long a controller that is no member must have heard no
-// other to count as cut off: longer than it takes to lead if they have ended.
-const lonelyAfter = 8 * time.Second
-
 // Lonely tells whether this controller has long been cut off from all others
-// and is no member.
+// and is no member: for longer than it takes to lead if they have ended.
 func (c *Cluster) Lonely() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	lonelyAfter := c.patience.leaderTTL + 5*time.Second
 	for _, p := range c.peers {
 		if time.Since(p.lastSeen) < lonelyAfter {
 			return false
@@ -406,7 +417,7 @@
 	defer c.mu.Unlock()
 	var all []*peerpb.Status
 	for _, p := range c.peers {
-		if time.Since(p.lastSeen) < peerOKFor {
+		if time.Since(p.lastSeen) < c.patience.peerOKFor {
 			all = append(all, p.status)
 		}
 	}
@@ -537,7 +548,7 @@
 			mine.Progress = c.opts.Progress()
 		}
 		sent := time.Now()
-		bctx, cancel := context.WithTimeout(ctx, beatTimeout)
+		bctx, cancel := context.WithTimeout(ctx, c.patience.beatTimeout)
 		theirs, err := p.client.Beat(bctx, mine)
 		cancel()
 		if err == nil {
@@ -703,7 +714,7 @@
 
 // stand runs for leader when nobody leads, and keeps leading.
 func (c *Cluster) stand(ctx context.Context) error {
-	tick := time.NewTicker(renewEvery)
+	tick := time.NewTicker(min(c.patience.leaderTTL, c.permission) / 4)
 	defer tick.Stop()
 	for {
 		select {
@@ -798,7 +809,7 @@
 		return
 	}
 	c.mu.Lock()
-	resigned := time.Since(c.resigned) < 2*leaderTTL
+	resigned := time.Since(c.resigned) < 2*c.patience.leaderTTL
 	keyless := c.leaderVersion == 0 && !resigned
 	c.mu.Unlock()
 	if err := c.opts.Client.Renew(ctx, lease); (errors.Is(err, state.ErrNotFound) || keyless) && !resigned {
@@ -831,7 +842,7 @@
 // claimLease takes the leader key again within the same epoch, if nobody else
 // has claimed the epoch since.
 func (c *Cluster) claimLease(ctx context.Context) {
-	lease, err := c.opts.Client.Grant(ctx, leaderTTL)
+	lease, err := c.opts.Client.Grant(ctx, c.patience.leaderTTL)
 	if err != nil {
 		return
 	}
@@ -864,7 +875,7 @@
 	if !free {
 		return
 	}
-	lease, err := c.opts.Client.Grant(ctx, leaderTTL)
+	lease, err := c.opts.Client.Grant(ctx, c.patience.leaderTTL)
 	if err != nil {
 		c.opts.Log.Debug("no lease", "err", err)
 		return
--- a/internal/cluster/division.go
+++ b/internal/cluster/division.go
@@ -102,7 +102,7 @@
 	changed := false
 	for node, p := range c.peers {
 		member := next.Members[node].Incarnation
-		alive := !p.lastSeen.IsZero() && now.Sub(p.lastSeen) < deadAfter
+		alive := !p.lastSeen.IsZero() && now.Sub(p.lastSeen) < c.patience.deadAfter
 		if alive && member != 0 && p.status.Cut && p.status.Incarnation == member && p.workersElsewhere(c) {
 			p.shunned = now.Add(shunFor)
 		}
@@ -144,7 +144,7 @@
 func (p *peer) workersElsewhere(c *Cluster) bool {
 	heard := len(c.workersHeard)
 	for _, other := range c.peers {
-		if other != p && time.Since(other.lastSeen) < peerOKFor {
+		if other != p && time.Since(other.lastSeen) < c.patience.peerOKFor {
 			heard = max(heard, int(other.workers))
 		}
 	}
@@ -180,7 +180,7 @@
 	defer c.mu.Unlock()
 	var all []*peerpb.Want
 	for node, p := range c.peers {
-		if c.epoch.Members[node].Since != 0 && time.Since(p.lastSeen) < peerOKFor {
+		if c.epoch.Members[node].Since != 0 && time.Since(p.lastSeen) < c.patience.peerOKFor {
 			all = append(all, p.status.Wants...)
 		}
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,7 +40,8 @@
 	CloudRPS float64
 	ListLag  time.Duration
 
-	Cores          int // whole cores that the process may use at once
+	Cores          int     // whole cores that the process may use at once
+	CoreShare      float64 // of a core's time that the process has
 	MemoryBytes    int64
 	MaxConnections int
 }
@@ -167,6 +168,9 @@
 		MemoryBytes:    int64(c.number("cluster.machine_limits.ram_mb", f.Cluster.Limits.RAMMB, 16) * (1 << 20)),
 		MaxConnections: int(c.integer("cluster.machine_limits.max_connections", f.Cluster.Limits.MaxConnections, 32)),
 	}
+	if f.Cluster.Limits.CoreShare != nil {
+		s.CoreShare = *f.Cluster.Limits.CoreShare
+	}
 	if len(s.Zones) == 0 {
 		c.add("cluster.zones", "is missing")
 	}
@@ -202,6 +206,19 @@
 	return s, nil
 }
 
+// amplyCore is the share of a core from which on a controller answers its peers
+// without delay, also while it takes over what another had.
+const amplyCore = 0.15
+
+// Slowness is how many times longer than usual a controller with this share of a
+// core may be busy with what comes at once, a takeover for example: 1 to 3.
+func (s *Settings) Slowness() float64 {
+	if s.CoreShare <= 0 {
+		return 1
+	}
+	return min(3, max(1, amplyCore/s.CoreShare))
+}
+
 // checker collects what is wrong, so that an operator sees all of it at once.
 type checker struct {
 	errs []error
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -10,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/segmentio/encoding/json"
 	"github.com/valyala/fasthttp"
 
 	"heronwick/wire"
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -1,13 +1,14 @@
 package fleet
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"heronwick/wire"
 )
 
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"heronwick/internal/cluster"
 	"heronwick/internal/cluster/peerpb"
@@ -229,6 +230,8 @@
 	moving     map[string]bool   // machines whose owner is being written
 	unsynced   []*machine        // whose workers are to be shown the token
 	syncing    int               // that are being shown it
+	syncRate   *rate.Limiter
+	syncWaits  bool // for that
 	list       placement.List
 	pass       pass
 	used       map[string]placement.Resources // by team, all that may be on machines
@@ -260,6 +263,7 @@
 		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, barred: map[fleet.Key]time.Time{},
 		asking: map[string]*asking{}, newest: map[string]uint64{}, moving: map[string]bool{}, pages: map[string]*page{}, shelves: map[string]*shelf{},
 	}
+	s.syncRate = syncRate(opts.Settings.CoreShare)
 	for i := range opts.Types {
 		s.types[opts.Types[i].Name] = &opts.Types[i]
 	}
@@ -295,6 +299,11 @@
 // must not keep all others waiting.
 const maxSyncs = 512
 
+// syncsPerCore is how many workers a second may be shown a new token for each
+// core that this controller has: about half of its time, the rest is for the
+// reports of those that come by themselves.
+const syncsPerCore = 4000
+
 // syncLocked shows a worker the new token soon and takes its report: until then
 // nothing may be placed on its machine.
 func (s *Share) syncLocked(m *machine) {
@@ -306,10 +315,18 @@
 func (s *Share) syncNextLocked() {
 	for s.syncing < maxSyncs && len(s.unsynced) > 0 {
 		m := s.unsynced[0]
-		s.unsynced = s.unsynced[1:]
 		if m.Address == "" || m.probing || s.machines[m.Name] != m || s.synced(m) {
+			s.unsynced = s.unsynced[1:]
 			continue
 		}
+		if !s.syncRate.Allow() {
+			if !s.syncWaits {
+				s.syncWaits = true
+				time.AfterFunc(syncPause, s.syncAgain)
+			}
+			return
+		}
+		s.unsynced = s.unsynced[1:]
 		m.probing = true
 		s.syncing++
 		address := m.Address
@@ -332,6 +349,24 @@
 	}
 }
 
+func syncRate(coreShare float64) *rate.Limiter {
+	if coreShare <= 0 {
+		return rate.NewLimiter(rate.Inf, maxSyncs)
+	}
+	return rate.NewLimiter(rate.Limit(syncsPerCore*coreShare), max(1, min(maxSyncs, int(syncsPerCore*coreShare/4))))
+}
+
+// syncPause is how long showing the token waits where it went too fast.
+const syncPause = 50 * time.Millisecond
+
+func (s *Share) syncAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.syncWaits = false; s.ctx.Err() == nil {
+		s.syncNextLocked()
+	}
+}
+
 // answeredLocked notes whether a direct message was answered. Reports that
 // arrive are no proof that anything reaches the worker: one that does not
 // answer gets nothing new.
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -674,3 +674,34 @@
 		}
 	})
 }
+
+// A controller with little of a core shows the token no faster than half of its
+// time allows: the workers that report by themselves come first.
+func TestTakeoverIsPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newTestShare(t)
+		w := &busyWorkers{asked: map[string]int{}}
+		s.opts.Workers = w
+		s.syncRate = syncRate(0.05)
+		s.mu.Lock()
+		for i := range 600 {
+			r := fleet.Record{Address: fmt.Sprint("n", i), Type: "m", Zone: "z", Session: 1}
+			s.adoptMachineLocked(fleet.FromRecord(r.Address, r, 5, time.Now()), nil, nil, time.Now())
+		}
+		s.mu.Unlock()
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		if n := len(w.asked); n < 100 || n > 300 {
+			t.Errorf("%d workers were asked within a second", n)
+		}
+		s.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for name, m := range s.machines {
+			if !s.synced(m) {
+				t.Fatalf("%s was never asked", name)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/server/bench_test.go
@@ -0,0 +1,44 @@
+package server
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"heronwick/internal/config"
+	"heronwick/wire"
+)
+
+// A worker's report and its answer, without what the share does with it.
+func BenchmarkReportRequest(b *testing.B) {
+	s := New(Options{
+		Settings: &config.Settings{MaxConnections: 1000},
+		Checkin: func(r *wire.Report) (*wire.ReportReply, string) {
+			return &wire.ReportReply{Token: r.Token, Commands: []wire.Command{}}, ""
+		},
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	report := wire.Report{Machine: "host-000231", Address: "10.1.0.232:9000", Type: "g8", Zone: "a", Session: 1, Seq: 88, Token: 41}
+	for i := range 4 {
+		report.Tasks = append(report.Tasks, wire.TaskReport{Task: wire.TaskID("wk-000412", i), Attempt: 2_000_000, State: wire.TaskRunning})
+	}
+	body, err := json.Marshal(report)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var ctx fasthttp.RequestCtx
+	ctx.Request.Header.SetMethod("POST")
+	ctx.Request.SetRequestURI(wire.PathReport)
+	ctx.Request.SetBody(body)
+	b.ReportAllocs()
+	for b.Loop() {
+		ctx.Response.Reset()
+		s.Handle(&ctx)
+		if ctx.Response.StatusCode() != 200 {
+			b.Fatal(ctx.Response.StatusCode())
+		}
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"net"
@@ -12,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/segmentio/encoding/json"
 	"github.com/valyala/fasthttp"
 
 	"heronwick/internal/config"
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/segmentio/encoding/json"
+
 	"heronwick/wire"
 )
 
