A listing that comes late undoes no transfer; a request for room that was refused is refused for ever

Newer transfers now outlive a listing (TestLateListKeepsNewerTransfers fails without, tried), and a report is checked against the known owner first.

What has come is now remembered whatever was answered, and also while there is no share (TestRequestForRoomCountsOnce, extended, failed).

Ruled out on the way: strings of the JSON library that share the request's buffer (none do), permission and fence (the other controller was a proper member).

The store can answer slowly in the random failures.

--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -65,6 +65,7 @@
 	share     atomic.Pointer[scheduler.Share]
 	spare     atomic.Pointer[spare]
 	told      atomic.Pointer[[]*peerpb.Progress] // progress
+	requests  scheduler.Requests
 	cutAt     atomic.Int64                       // when the share last could not reach most workers
 }
 
@@ -244,7 +245,7 @@
 	}
 	s := scheduler.New(scheduler.Options{
 		Node: c.settings.Node, Settings: c.settings, Authority: tenure, Workers: c.out.workers, Cloud: c.out.cloud,
-		Peers: peerShares(c.out.peers), Jobs: c.catalog, Records: c.client, Committer: c.committer, Types: c.offers.Types(),
+		Peers: peerShares(c.out.peers), Requests: &c.requests, Jobs: c.catalog, Records: c.client, Committer: c.committer, Types: c.offers.Types(),
 		Resign: c.members.Resign, Elsewhere: c.members.WorkersElsewhere, Log: c.log,
 	})
 	c.share.Store(s)
@@ -286,6 +287,7 @@
 	if s := c.share.Load(); s != nil {
 		return s.Place(req)
 	}
+	c.requests.Newer(req) // it has come: refused, and so for ever
 	return &peerpb.PlaceReply{}
 }
 
--- a/cmd/heronwick/random_test.go
+++ b/cmd/heronwick/random_test.go
@@ -214,6 +214,10 @@
 			r.state.SetOutage(false)
 			return func() { refuse(node, false) }
 		}},
+		{"the store answers slowly", func() func() {
+			r.state.SlowAnswers(time.Duration(100+r.random.IntN(900)) * time.Millisecond)
+			return func() { r.state.SlowAnswers(0) }
+		}},
 		{"responses lost", func() func() { r.state.LoseResponses(1 + r.random.IntN(5)); return nothing }},
 		{"transactions carried out late", func() func() {
 			r.state.HoldTxns(1 + r.random.IntN(3))
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -605,11 +605,19 @@
 	}
 	c.revision, c.known = revision, true
 	c.leaderVersion, c.leader = 0, leaderRecord{}
-	clear(c.owners)
-	clear(c.transfers)
+	newer := c.transfers
+	c.owners, c.transfers = map[string]Owner{}, map[string]transfer{}
 	for _, item := range items {
 		c.takeLocked(item.Key, item.Value, item.Version)
 	}
+	// What was written while the list was on its way is not in it, and the
+	// watch may bring it late: a machine given a moment ago was nobody's, so
+	// taken again, and two controllers answered its worker (ran_twice).
+	for key, t := range newer {
+		if t.version > revision {
+			c.addTransferLocked(key, t)
+		}
+	}
 	if caughtUp {
 		c.caughtUp = sent
 		if c.memberLocked() && sent.After(c.confirmed) {
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -361,3 +363,48 @@
 		}
 	}
 }
+
+// lateList holds back the answer to a listing until it is let go.
+type lateList struct {
+	state.Doer
+	hold chan struct{}
+}
+
+func (d *lateList) Do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
+	status, reply, err := d.Doer.Do(ctx, method, target, body)
+	if d.hold != nil && method == "GET" && strings.HasPrefix(target, wire.PathKeys+"?") {
+		<-d.hold
+	}
+	return status, reply, err
+}
+
+// A listing that was on its way while a machine was given does not undo that:
+// its owner before would take it for nobody's and answer its worker (ran_twice).
+func TestLateListKeepsNewerTransfers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		path := &lateList{Doer: standin.NewState().Node("a")}
+		client := state.NewClient(path, state.NewBudget(150, 60, 16))
+		c := New(Options{Node: "a", Client: client, LeaseFor: 20 * time.Second, CancelIn: 40 * time.Second,
+			Cancellations: &knowledge{client: client}, Weights: func() map[string]float64 { return nil },
+			Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		c.claim(ctx)
+		path.hold = make(chan struct{})
+		done := make(chan error)
+		go func() { done <- c.refresh(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		condition, change, _ := c.TransferWrite("a", map[string]json.RawMessage{"m1": json.RawMessage("{}")})
+		version, err := client.Txn(ctx, state.Urgent, wire.Txn{If: []wire.Condition{condition}, Then: []wire.Change{change}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.NoteOwner(change, version)
+		close(path.hold)
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		if o, named := c.OwnerOf("m1"); !named || o.Node != "a" {
+			t.Errorf("after a listing from before its transfer, the machine's owner is %+v", o)
+		}
+	})
+}
--- a/internal/cluster/owners.go
+++ b/internal/cluster/owners.go
@@ -60,6 +60,11 @@
 	if t.Machines == nil {
 		t.Machines = map[string]json.RawMessage{name: t.Machine}
 	}
+	c.addTransferLocked(key, t)
+}
+
+func (c *Cluster) addTransferLocked(key string, t transfer) {
+	version := t.version
 	c.transfers[key] = t
 	for machine, about := range t.Machines {
 		if version > c.owners[machine].Version {
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"heronwick/internal/cluster/peerpb"
@@ -210,12 +211,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := &peerpb.PlaceReply{}
+	if !s.opts.Requests.Newer(req) {
+		return reply // a late copy: what it asks for may have been taken, ended and taken elsewhere since
+	}
 	if !s.loaded || !s.permitted() || req.Token > s.div.Token || req.Token < s.div.from || s.opts.Authority.Token() != s.div.Token {
 		return reply // not of one mind about who owns what
 	}
-	if !s.newerLocked(req) {
-		return reply // a late copy: what it asks for may have been taken, ended and taken elsewhere since
-	}
 	reply.Ready = true
 	now := time.Now()
 	s.beginPassLocked()
@@ -228,10 +229,21 @@
 	return reply
 }
 
-// newerLocked tells whether all attempts that a peer asks about are newer than
-// those of its requests before: their numbers rise, and it asks once for each.
-func (s *Share) newerLocked(req *peerpb.PlaceRequest) bool {
-	before := s.newest[req.Node]
+// Requests remembers which requests for room have come, whatever they were
+// answered and whether there was a share: what was refused is placed elsewhere,
+// and a late copy must not be taken then (ran_twice). It lasts as long as the
+// process; requests to a former life are from before this one's membership.
+type Requests struct {
+	mu     sync.Mutex
+	newest map[string]uint64 // by peer, the newest attempt that it has asked about
+}
+
+// Newer tells whether all attempts that a peer asks about are newer than those
+// of its requests before: their numbers rise, and it asks once for each.
+func (r *Requests) Newer(req *peerpb.PlaceRequest) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.newest[req.Node]
 	newest := before
 	for _, w := range req.Wanted {
 		for _, at := range w.Attempts {
@@ -241,7 +253,10 @@
 			newest = max(newest, at.Attempt)
 		}
 	}
-	s.newest[req.Node] = newest
+	if r.newest == nil {
+		r.newest = map[string]uint64{}
+	}
+	r.newest[req.Node] = newest
 	return true
 }
 
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -100,6 +100,7 @@
 	Workers   Workers
 	Cloud     Cloud
 	Peers     Peers
+	Requests  *Requests // for room, that have come
 	Jobs      Jobs
 	Records   Records
 	Committer Committer
@@ -214,7 +215,6 @@
 	foreign    map[fleet.Key]*lent  // tasks of own jobs that may be on others' machines
 	barred     map[fleet.Key]time.Time
 	asking     map[string]*asking
-	newest     map[string]uint64 // by peer, the newest attempt that it has asked about
 	machines   map[string]*machine
 	pages      map[string]*page  // the keys that hold the machines' records
 	journals   []*page           // hold what the pages do not hold yet
@@ -261,7 +261,7 @@
 		used: map[string]placement.Resources{}, returned: map[string]time.Time{},
 		booting: map[string]*booting{}, refused: map[placement.Place]refusal{}, resolve: map[string]bool{},
 		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, barred: map[fleet.Key]time.Time{},
-		asking: map[string]*asking{}, newest: map[string]uint64{}, moving: map[string]bool{}, pages: map[string]*page{}, shelves: map[string]*shelf{},
+		asking: map[string]*asking{}, moving: map[string]bool{}, pages: map[string]*page{}, shelves: map[string]*shelf{},
 	}
 	s.syncRate = syncRate(opts.Settings.CoreShare)
 	for i := range opts.Types {
@@ -488,6 +488,9 @@
 	if !permitted {
 		return nil
 	}
+	if node, owned := s.opts.Authority.Home(r.Machine); owned && node != s.opts.Node {
+		return nil // given since, whatever this share has not followed yet
+	}
 	m, coming := s.machines[r.Machine], false
 	if m == nil {
 		m, coming = s.joinLocked(r, now)
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -98,7 +98,7 @@
 		Teams:   map[string]string{"ours": "me", "theirs": "peer"},
 	}}
 	s := New(Options{
-		Node: "me", Authority: p, Workers: p, Jobs: p, Committer: p, Records: p,
+		Node: "me", Authority: p, Workers: p, Jobs: p, Committer: p, Records: p, Requests: &Requests{},
 		Settings: &config.Settings{ReportEvery: time.Second, LeaseFor: 10 * time.Second, CancelIn: 20 * time.Second, ValueBytes: 16 << 10, TxnOps: 16},
 		Types:    []wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 10, Zones: []string{"z"}}},
 		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -600,6 +600,16 @@
 	if n := ask(); n != 1 {
 		t.Errorf("%d tasks of a newer request were taken", n)
 	}
+	// Refused, so its tasks are placed elsewhere: a copy is refused as well.
+	req.Wanted[0].Attempts[0].Attempt = 9
+	s.loaded = false
+	if n := ask(); n != 0 {
+		t.Fatalf("%d tasks were taken before the records were read", n)
+	}
+	s.loaded = true
+	if n := ask(); n != 0 {
+		t.Error("a copy of a request that was refused was carried out")
+	}
 }
 
 // A lease lasts from the last answered report or from when its session began: a
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -31,6 +31,7 @@
 	nextID   uint64
 	changed  chan struct{}
 	outage   bool
+	slow     time.Duration
 	refused  map[string]bool
 	lose     int // responses of this many transactions get lost, though carried out
 	hold     int // this many transactions are held back, unanswered
@@ -163,8 +164,24 @@
 	node  string
 }
 
+// SlowAnswers has answers arrive so much later than they were true; 0 ends that.
+func (s *State) SlowAnswers(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = by
+}
+
 // Do carries out one request.
 func (p *Path) Do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
+	status, reply, err := p.do(ctx, method, target, body)
+	p.state.mu.Lock()
+	slow := p.state.slow
+	p.state.mu.Unlock()
+	time.Sleep(slow)
+	return status, reply, err
+}
+
+func (p *Path) do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
 	s := p.state
 	u, err := url.Parse(target)
 	if err != nil {
