A report that shows a lower token than its worker had is from before

A late copy of a report from the machine's former life, which had counted further, then counted as new and showed none of the tasks. A worker's token never falls, so such a report is refused (TestReportOfAFormerLife fails without, tried).

The stand-in's store drops answers that nobody waits for any more.

--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -170,9 +170,11 @@
 
 // Apply takes a report, or the answer to a direct command. It returns false
 // for one that is older than what is known already, and for one that claims
-// a session whose lease has surely lapsed: it was under way for long.
+// a session whose lease has surely lapsed: it was under way for long. A worker
+// never shows a lower token than before: such a report is from before, maybe from
+// a former life of the machine, which had counted further (ran_twice).
 func (m *Machine) Apply(r *wire.Report, now time.Time) ([]Event, bool) {
-	if r.Session <= m.lapsed || r.Session < m.Session || r.Session == m.Session && r.Seq <= m.Seq {
+	if r.Token < m.Token || r.Session <= m.lapsed || r.Session < m.Session || r.Session == m.Session && r.Seq <= m.Seq {
 		return nil, false
 	}
 	var events []Event
--- a/internal/fleet/machine_test.go
+++ b/internal/fleet/machine_test.go
@@ -161,3 +161,16 @@
 		t.Errorf("not settled under the new token: %v", kinds(events))
 	}
 }
+
+// A copy of a report from a former life of the machine, which had counted
+// further, shows a token from then: it proves nothing about what runs now.
+func TestReportOfAFormerLife(t *testing.T) {
+	m, a := machineWith(t)
+	m.Apply(report(1, 2, 7, shown(a, wire.TaskRunning, "")), t0)
+	if events, fresh := m.Apply(report(1, 900, 6), t0); fresh {
+		t.Errorf("a report from before token 7 was taken: %v", kinds(events))
+	}
+	if _, fresh := m.Apply(report(1, 3, 7, shown(a, wire.TaskRunning, "")), t0); !fresh || m.Attempts[a.Key] == nil {
+		t.Error("the worker's next report was not taken")
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -177,7 +177,10 @@
 	p.state.mu.Lock()
 	slow := p.state.slow
 	p.state.mu.Unlock()
-	time.Sleep(slow)
+	wait(ctx, slow)
+	if slow > 0 && ctx.Err() != nil {
+		return 0, nil, errLost // the caller had given up
+	}
 	return status, reply, err
 }
 
