--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -700,11 +700,11 @@
 		}
 		s.mu.Unlock()
 		time.Sleep(time.Second)
-		s.mu.Lock()
+		w.mu.Lock()
 		if n := len(w.asked); n < 100 || n > 300 {
 			t.Errorf("%d workers were asked within a second", n)
 		}
-		s.mu.Unlock()
+		w.mu.Unlock()
 		time.Sleep(5 * time.Second)
 		s.mu.Lock()
 		defer s.mu.Unlock()
