--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -66,7 +66,7 @@
 	spare     atomic.Pointer[spare]
 	told      atomic.Pointer[[]*peerpb.Progress] // progress
 	requests  scheduler.Requests
-	cutAt     atomic.Int64                       // when the share last could not reach most workers
+	cutAt     atomic.Int64 // when the share last could not reach most workers
 }
 
 // peerShares are the other controllers' shares.
