--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -61,6 +62,13 @@
 	p.status = status
 }
 
+// tells returns what the peer has been told.
+func (p *scriptedPeer) tells() []*peerpb.Cancelled {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.told)
+}
+
 // silence ends the peer.
 func (p *scriptedPeer) silence() {
 	p.mu.Lock()
@@ -191,8 +199,8 @@
 				if got := c.Permitted(); got != test.want {
 					t.Errorf("permitted: %v, want %v", got, test.want)
 				}
-				if learns := len(k.learnt) > 0; learns != test.learns {
-					t.Errorf("learnt %v", k.learnt)
+				if learnt := k.Known(0).Named; len(learnt) > 0 != test.learns {
+					t.Errorf("learnt %v", learnt)
 				}
 				s.SetOutage(false)
 				time.Sleep(5 * time.Second)
@@ -236,8 +244,8 @@
 		d.say(1, true)
 		time.Sleep(3 * time.Second)
 		witnessed("all can be told", true)
-		if len(b.told) != 1 || len(d.told) != 1 || b.told[0].Job != cancellation.Job {
-			t.Errorf("told %v and %v", b.told, d.told)
+		if toB, toD := b.tells(), d.tells(); len(toB) != 1 || len(toD) != 1 || toB[0].Job != cancellation.Job {
+			t.Errorf("told %v and %v", toB, toD)
 		}
 		d.silence()
 		witnessed("one can be told", true)
