A controller short of processor time blames no worker; leftovers of done jobs return no machine

Now: the runtime's scheduling latency (internal/overload) above 0.1 s makes a missing answer tell nothing; probes are paced by the share of a core; only what was cancelled must be gone by a time, and its workers are shown the token first.

Tests: overload_test.go, each seen failing without its guard.

--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -14,6 +14,7 @@
 	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/config"
 	"heronwick/internal/job"
+	"heronwick/internal/overload"
 	"heronwick/internal/scheduler"
 	"heronwick/internal/server"
 	"heronwick/internal/state"
@@ -61,6 +62,7 @@
 	catalog   *job.Catalog
 	offers    *cloud.Offers
 	members   *cluster.Cluster
+	overload  overload.Meter
 	front     *server.Server
 	share     atomic.Pointer[scheduler.Share]
 	spare     atomic.Pointer[spare]
@@ -246,7 +248,7 @@
 	s := scheduler.New(scheduler.Options{
 		Node: c.settings.Node, Settings: c.settings, Authority: tenure, Workers: c.out.workers, Cloud: c.out.cloud,
 		Peers: peerShares(c.out.peers), Requests: &c.requests, Jobs: c.catalog, Records: c.client, Committer: c.committer, Types: c.offers.Types(),
-		Resign: c.members.Resign, Elsewhere: c.members.WorkersElsewhere, Log: c.log,
+		Resign: c.members.Resign, Elsewhere: c.members.WorkersElsewhere, Latency: c.overload.Latency, Log: c.log,
 	})
 	c.share.Store(s)
 	// At once when its membership ends: its last work may take long to end.
--- a/cmd/heronwick/main.go
+++ b/cmd/heronwick/main.go
@@ -108,5 +108,6 @@
 	})
 	g.Go(func() error { return c.run(ctx) })
 	g.Go(func() error { return every(ctx, trimEvery, workers.Trim) })
+	g.Go(func() error { return c.overload.Run(ctx) })
 	return g.Wait()
 }
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -9,6 +9,8 @@
 	"sort"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/fleet"
 	"heronwick/internal/placement"
@@ -41,10 +43,41 @@
 	wait  time.Duration
 }
 
+// probesPerCore is how many probes a second are sent for each core that this
+// controller has. Without the bound a controller that answers late, and so takes
+// its workers for silent, uses all of its time to probe them.
+const probesPerCore = 1000
+
+func probeRate(coreShare float64) *rate.Limiter {
+	if coreShare <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	perSecond := probesPerCore * coreShare
+	return rate.NewLimiter(rate.Limit(perSecond), max(2*sampled, int(perSecond)))
+}
+
+// busyLatency is the scheduling latency from which on a missing answer says more
+// of this controller than of the worker.
+const busyLatency = 100 * time.Millisecond
+
+// latency is how long goroutines of this process lately waited for the processor.
+func (s *Share) latency() time.Duration {
+	if s.opts.Latency == nil {
+		return 0
+	}
+	return s.opts.Latency()
+}
+
+// busy tells whether this controller is too short of processor time to judge by
+// an answer's absence.
+func (s *Share) busy() bool { return s.latency() > busyLatency }
+
 // silentAfter is how long a healthy worker can be silent: reports come every
-// ReportEvery plus or minus a quarter, and one may be lost and resent.
+// ReportEvery plus or minus a quarter, one may be lost and resent, and this
+// controller may be late to read it.
 func (s *Share) silentAfter() time.Duration {
-	return s.opts.Settings.ReportEvery*5/4 + 750*time.Millisecond
+	every := s.opts.Settings.ReportEvery
+	return every*5/4 + 750*time.Millisecond + min(s.latency(), every)
 }
 
 // deadAfter is when a silent worker that does not answer probes either counts
@@ -162,7 +195,7 @@
 // for so long that it counts as lost: its lease lapses, since replies do not
 // reach it either, and what it is sent does not start.
 func (s *Share) deafForGood(m *machine, now time.Time) bool {
-	return !m.deaf.IsZero() && now.Sub(m.deaf) > s.deadAfter()+deadProbes*probeTimeout && now.Sub(m.LastReport) <= s.silentAfter()
+	return !m.deaf.IsZero() && !s.busy() && now.Sub(m.deaf) > s.deadAfter()+deadProbes*probeTimeout && now.Sub(m.LastReport) <= s.silentAfter()
 }
 
 // mute tells whether a worker that answers direct messages has not reported for
@@ -209,8 +242,9 @@
 			deaf++
 		}
 	}
-	// Many at once: rather this controller is cut off than all of them dead.
-	cut := silent > max(2, len(s.machines)/3)
+	// Many at once: rather this controller is cut off than all of them dead, or
+	// it is so busy that it does not hear them, and the next leader would be too.
+	cut := silent > max(2, len(s.machines)/3) && !s.busy()
 	s.cut = cut
 	if cut && s.leadsLocked() && now.Sub(s.resigned) > 10*time.Second && s.opts.Elsewhere() > len(s.machines)/3 {
 		s.resigned = now
@@ -218,11 +252,11 @@
 	}
 	raise := false
 	token := s.opts.Authority.Token()
-	var back []*machine
+	back := map[string][]*machine{} // by why they are returned
 	var heard *census
 	for _, m := range s.machines {
 		silence := now.Sub(m.LastReport)
-		if (silence > s.probeAfter(m) || !m.deaf.IsZero()) && now.Sub(m.probed) >= s.probeEvery(m) && !m.probing {
+		if (silence > s.probeAfter(m) || !m.deaf.IsZero()) && now.Sub(m.probed) >= s.probeEvery(m) && !m.probing && s.probeRate.Allow() {
 			s.probeLocked(m, now)
 		}
 		if m.Live() > 0 && silence > s.silentAfter() {
@@ -240,10 +274,16 @@
 		}
 		switch {
 		case m.returning:
-		case dead, s.overdueLocked(m, now), deaf <= max(2, len(s.machines)/3) && s.deafForGood(m, now):
-			back = append(back, m)
-		case m.suspect && m.Live() == 0, mute <= max(2, len(s.machines)/3) && m.Live() == 0 && s.muteForGood(m, now):
-			back = append(back, m)
+		case dead:
+			back["lost"] = append(back["lost"], m)
+		case s.overdueLocked(m, now):
+			back["a cancelled task may still be on it"] = append(back["a cancelled task may still be on it"], m)
+		case deaf <= max(2, len(s.machines)/3) && s.deafForGood(m, now):
+			back["nothing reaches it"] = append(back["nothing reaches it"], m)
+		case m.suspect && m.Live() == 0:
+			back["set aside"] = append(back["set aside"], m)
+		case mute <= max(2, len(s.machines)/3) && m.Live() == 0 && s.muteForGood(m, now):
+			back["it reaches nobody"] = append(back["it reaches nobody"], m)
 		}
 		if !m.Notice.IsZero() || mute <= max(2, len(s.machines)/3) && s.mute(m, now) {
 			s.drainLocked(m)
@@ -252,8 +292,8 @@
 		// Leftovers alone keep an idle machine from being given or returned.
 		raise = raise || m.Live() == 0 && len(m.Attempts) > 0 && now.Sub(s.div.at) > 20*time.Second && now.Sub(m.idleSince) > 2*time.Second
 	}
-	if len(back) > 0 {
-		s.returnLocked(back, "lost or set aside")
+	for why, machines := range back {
+		s.returnLocked(machines, why)
 	}
 	if raise && !s.raising && now.Sub(s.raised) > 2*time.Second {
 		s.raising, s.raised = true, now
@@ -326,7 +366,7 @@
 	}
 	s.log.Info("load", "jobs", len(s.jobs), "lent", len(s.foreign), "waiting", waiting, "tasks", tasks, "machines", len(s.machines), "usable", usable,
 		"open", open, "booting", len(s.booting), "cpus", total.CPUs, "free_cpus", free.CPUs, "free_memory_gb", free.MemoryGB,
-		"passes", s.passes.count, "pass_time", s.passes.total, "longest_pass", s.passes.longest)
+		"latency", s.latency(), "passes", s.passes.count, "pass_time", s.passes.total, "longest_pass", s.passes.longest)
 	s.passes = passTimes{}
 }
 
@@ -346,8 +386,8 @@
 		defer s.mu.Unlock()
 		m.probing = false
 		if !s.answeredLocked(m, err) {
-			if errors.Is(err, fleet.ErrNoSocket) {
-				return
+			if errors.Is(err, fleet.ErrNoSocket) || s.busy() {
+				return // it tells nothing of the worker
 			}
 			m.failures++
 			if m.failures == 1 {
@@ -373,7 +413,7 @@
 func (s *Share) sweepLocked(now time.Time) {
 	asked := map[string]int{}
 	for _, m := range s.machines {
-		if now.Sub(m.LastReport) > probeTimeout && now.Sub(m.probed) > probeTimeout && !m.probing && asked[m.Zone] < sampled {
+		if now.Sub(m.LastReport) > probeTimeout && now.Sub(m.probed) > probeTimeout && !m.probing && asked[m.Zone] < sampled && s.probeRate.Allow() {
 			asked[m.Zone]++
 			s.probeLocked(m, now)
 		}
--- /dev/null
+++ b/internal/scheduler/overload_test.go
@@ -0,0 +1,158 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heronwick/internal/fleet"
+	"heronwick/internal/job"
+	"heronwick/wire"
+)
+
+// silentWorkers answers nothing, after as long as it is asked to wait, and
+// counts the probes.
+type silentWorkers struct {
+	scripted
+	probes atomic.Int64
+}
+
+func (w *silentWorkers) Status(ctx context.Context, _ string) (*wire.Report, error) {
+	w.probes.Add(1)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// addSilent adds machines whose workers have reported once and answer nothing.
+func addSilent(s *Share, count int) *silentWorkers {
+	w := &silentWorkers{}
+	s.opts.Workers = w
+	for i := range count {
+		name := fmt.Sprint("n", i)
+		m := s.addMachineLocked(fleet.NewMachine(name), time.Now())
+		s.applyLocked(m, &wire.Report{Machine: name, Address: name, Type: "m", Zone: "z", Session: 1, Seq: 1, Token: 5})
+	}
+	return w
+}
+
+// watchFor looks after the machines for so long, as the share's loop does.
+func watchFor(s *Share, duration time.Duration) {
+	for began := time.Now(); time.Since(began) < duration; time.Sleep(200 * time.Millisecond) {
+		s.mu.Lock()
+		s.watchMachinesLocked(time.Now())
+		s.mu.Unlock()
+	}
+}
+
+// A controller that is itself late does not take a missing answer for the
+// worker's silence: it returned hundreds of healthy machines in overload, and
+// resigned for the next leader to do the same.
+func TestBusyControllerBlamesNoWorker(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		latency time.Duration
+		silent  bool
+	}{
+		{"calm", 0, true},
+		{"busy", time.Second, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, _, first := newTestShare(t)
+				s.opts.Latency = func() time.Duration { return test.latency }
+				s.opts.Elsewhere = func() int { return 0 }
+				addSilent(s, 11)
+				watchFor(s, 6*time.Second)
+				time.Sleep(time.Second)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				failing := 0
+				for _, m := range s.machines {
+					if m != first && (m.failures > 0 || !m.deaf.IsZero()) {
+						failing++
+					}
+				}
+				if test.silent && failing != 11 || !test.silent && failing != 0 {
+					t.Errorf("%d of 11 workers count as silent", failing)
+				}
+				if s.cut != test.silent {
+					t.Errorf("the controller counts as cut off: %v, want %v", s.cut, test.silent)
+				}
+			})
+		})
+	}
+}
+
+// Probes take no more than their part of a small controller's time, however many
+// workers are silent: each of hundreds was asked again after 0.7 s, which left no
+// time to read the reports of any.
+func TestProbesArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newTestShare(t)
+		s.probeRate = probeRate(0.05)
+		var cancel context.CancelFunc
+		s.ctx, cancel = context.WithCancel(s.ctx)
+		s.opts.Elsewhere = func() int { return 0 }
+		w := addSilent(s, 600)
+		watchFor(s, 12*time.Second)
+		n := w.probes.Load()
+		cancel()
+		synctest.Wait()
+		if n < 400 || n > 12*50+100 {
+			t.Errorf("%d probes in 12 s", n)
+		}
+	})
+}
+
+// What the records still name of a job that is done needs no haste: at a
+// takeover, machines were returned because their workers had not yet shown
+// within two seconds that such tasks are gone. A cancelled job's must be gone.
+func TestLeftoversOfDoneJobsReturnNoMachine(t *testing.T) {
+	for state, want := range map[wire.JobState]bool{wire.JobDone: false, wire.JobCancelled: true} {
+		synctest.Test(t, func(t *testing.T) {
+			s, _, _ := newTestShare(t)
+			r := fleet.Record{Address: "m9", Type: "m", Zone: "z", Session: 1, Attempts: map[string]uint64{"wk-000001/0": 7}}
+			ended := map[string]job.Final{"wk-000001": {State: state, Tasks: 1, Team: "ours", CPUs: 1}}
+			s.mu.Lock()
+			s.adoptMachineLocked(fleet.FromRecord("m9", r, 5, time.Now()), nil, ended, time.Now())
+			s.mu.Unlock()
+			time.Sleep(3 * s.opts.Settings.ReportEvery)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if got := s.overdueLocked(s.machines["m9"], time.Now()); got != want {
+				t.Errorf("%s: overdue %v, want %v", state, got, want)
+			}
+		})
+	}
+}
+
+// A worker that may have a cancelled job's task is shown the new token, and the
+// stop with it, before all others and without waiting for the pace.
+func TestTakeoverStopsCancelledFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newTestShare(t)
+		w := &busyWorkers{asked: map[string]int{}}
+		s.opts.Workers = w
+		s.syncRate = syncRate(0.05)
+		ended := map[string]job.Final{"wk-000001": {State: wire.JobCancelled, Tasks: 1, Team: "ours", CPUs: 1}}
+		s.mu.Lock()
+		for i := range 600 {
+			r := fleet.Record{Address: fmt.Sprint("n", i), Type: "m", Zone: "z", Session: 1}
+			if i == 599 {
+				r.Attempts = map[string]uint64{"wk-000001/0": 7}
+			}
+			s.adoptMachineLocked(fleet.FromRecord(r.Address, r, 5, time.Now()), nil, ended, time.Now())
+		}
+		s.mu.Unlock()
+		time.Sleep(time.Millisecond)
+		w.mu.Lock()
+		if w.asked["n599"] != 1 {
+			t.Error("the worker with a cancelled task waits for its turn")
+		}
+		w.mu.Unlock()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -107,6 +107,7 @@
 	Types     []wire.MachineType
 	Resign    func(ctx context.Context) // gives up leading
 	Elsewhere func() int                // workers that lately came to a peer instead
+	Latency   func() time.Duration      // how long goroutines lately waited for the processor; nil: not measured
 	Log       *slog.Logger
 }
 
@@ -231,6 +232,7 @@
 	unsynced   []*machine        // whose workers are to be shown the token
 	syncing    int               // that are being shown it
 	syncRate   *rate.Limiter
+	probeRate  *rate.Limiter
 	syncWaits  bool // for that
 	list       placement.List
 	pass       pass
@@ -263,7 +265,7 @@
 		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, barred: map[fleet.Key]time.Time{},
 		asking: map[string]*asking{}, moving: map[string]bool{}, pages: map[string]*page{}, shelves: map[string]*shelf{},
 	}
-	s.syncRate = syncRate(opts.Settings.CoreShare)
+	s.syncRate, s.probeRate = syncRate(opts.Settings.CoreShare), probeRate(opts.Settings.CoreShare)
 	for i := range opts.Types {
 		s.types[opts.Types[i].Name] = &opts.Types[i]
 	}
@@ -307,10 +309,25 @@
 // syncLocked shows a worker the new token soon and takes its report: until then
 // nothing may be placed on its machine.
 func (s *Share) syncLocked(m *machine) {
-	s.unsynced = append(s.unsynced, m)
+	if m.mustStop() {
+		s.unsynced = slices.Insert(s.unsynced, 0, m)
+	} else {
+		s.unsynced = append(s.unsynced, m)
+	}
 	s.syncNextLocked()
 }
 
+// mustStop tells whether a cancelled job's task may be on the machine: showing
+// its worker the token, and with it the stop, does not wait for its turn.
+func (m *machine) mustStop() bool {
+	for _, a := range m.Attempts {
+		if !a.MustGoBy.IsZero() && !a.Exited() {
+			return true
+		}
+	}
+	return false
+}
+
 // syncNextLocked goes on with the workers that still have not reported.
 func (s *Share) syncNextLocked() {
 	for s.syncing < maxSyncs && len(s.unsynced) > 0 {
@@ -319,7 +336,7 @@
 			s.unsynced = s.unsynced[1:]
 			continue
 		}
-		if !s.syncRate.Allow() {
+		if !m.mustStop() && !s.syncRate.Allow() {
 			if !s.syncWaits {
 				s.syncWaits = true
 				time.AfterFunc(syncPause, s.syncAgain)
@@ -375,7 +392,7 @@
 		m.deaf = time.Time{}
 		return true
 	}
-	if m.deaf.IsZero() && !errors.Is(err, fleet.ErrNoSocket) {
+	if m.deaf.IsZero() && !errors.Is(err, fleet.ErrNoSocket) && !s.busy() {
 		m.deaf = time.Now()
 	}
 	s.log.Debug("no answer from worker", "machine", m.Name, "err", err)
@@ -631,7 +648,11 @@
 		case fleet.Exited:
 			s.exitedLocked(m, a)
 		case fleet.Lost:
-			s.log.Info("task lost", "task", a.Task, "attempt", a.Attempt, "machine", m.Name)
+			log := s.log.Info
+			if a.Recovered {
+				log = s.log.Debug // most of those had ended before the takeover
+			}
+			log("task lost", "task", a.Task, "attempt", a.Attempt, "machine", m.Name)
 			s.uncountLocked(a)
 		}
 	}
@@ -975,6 +996,9 @@
 }
 
 func (s *Share) endTasksOnLocked(m *machine, id string, f job.Final, goneBy time.Time) {
+	if f.State == wire.JobDone {
+		goneBy = time.Time{} // nobody was told that its tasks are gone
+	}
 	touched := false
 	for key, a := range m.Attempts {
 		if a.Job != id {
