--- /dev/null
+++ b/internal/fleet/attempts.go
@@ -0,0 +1,68 @@
+package fleet
+
+import "slices"
+
+// Attempts holds what may be on one machine, in the order in which it came. A
+// machine has a handful, which each report and each pass looks through, so they
+// are a slice rather than a map.
+type Attempts struct {
+	all []*Attempt
+}
+
+// All returns every attempt. It stays as it is when attempts are put or deleted
+// afterwards, so that a loop over it may do either.
+func (as *Attempts) All() []*Attempt { return as.all }
+
+// Len counts the attempts.
+func (as *Attempts) Len() int { return len(as.all) }
+
+// Get returns the attempt with the key, nil if there is none.
+func (as *Attempts) Get(key Key) *Attempt {
+	if i := as.index(key); i >= 0 {
+		return as.all[i]
+	}
+	return nil
+}
+
+// Put adds an attempt, in place of one with the same key.
+func (as *Attempts) Put(a *Attempt) {
+	if i := as.index(a.Key); i >= 0 {
+		as.all = slices.Clone(as.all)
+		as.all[i] = a
+		return
+	}
+	as.all = append(as.all, a)
+}
+
+// Delete removes the attempt with the key, if there is one.
+func (as *Attempts) Delete(key Key) {
+	if i := as.index(key); i >= 0 {
+		as.all = slices.Concat(as.all[:i], as.all[i+1:])
+	}
+}
+
+// removeIf removes the attempts that match and returns them.
+func (as *Attempts) removeIf(match func(*Attempt) bool) []*Attempt {
+	if !slices.ContainsFunc(as.all, match) {
+		return nil
+	}
+	var kept, removed []*Attempt
+	for _, a := range as.all {
+		if match(a) {
+			removed = append(removed, a)
+		} else {
+			kept = append(kept, a)
+		}
+	}
+	as.all = kept
+	return removed
+}
+
+func (as *Attempts) index(key Key) int {
+	for i, a := range as.all {
+		if a.Attempt == key.Attempt && a.Task == key.Task {
+			return i
+		}
+	}
+	return -1
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -58,6 +58,7 @@
 	Epoch uint64
 
 	session    uint64
+	shownIn    uint64 // number of the last report taken that showed it
 	replied    uint64 // Seq of the report whose reply last held its start
 	inReply    bool
 	direct     int    // direct commands with its start that are under way
@@ -103,8 +104,9 @@
 	SessionAt  time.Time // when the session was first seen: its lease began no later
 	Notice     time.Time // when the cloud takes it away; zero: not known to
 	lapsed     uint64    // this session's lease has surely run out
+	reports    uint64    // reports taken
 
-	Attempts map[Key]*Attempt
+	Attempts Attempts
 	Images   map[string]Held // what the machine has fetched, as far as known
 }
 
@@ -116,7 +118,7 @@
 
 // NewMachine makes a machine that nothing is known to be on.
 func NewMachine(name string) *Machine {
-	return &Machine{Name: name, Attempts: map[Key]*Attempt{}, Images: map[string]Held{}}
+	return &Machine{Name: name, Images: map[string]Held{}}
 }
 
 // Place returns where the machine stands and what it is.
@@ -132,7 +134,7 @@
 		return placement.Resources{}, false
 	}
 	free, sized = placement.Capacity(m.Type), true
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if !a.Exited() {
 			free, sized = free.Minus(a.Size), sized && a.Sized
 		}
@@ -149,7 +151,7 @@
 // Live counts the attempts that may be on the machine.
 func (m *Machine) Live() int {
 	n := 0
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if !a.Exited() {
 			n++
 		}
@@ -165,7 +167,7 @@
 // Add books a new attempt. Nothing is sent before it is Durable.
 func (m *Machine) Add(a *Attempt, now time.Time) {
 	a.session, a.Placed = m.Session, now
-	m.Attempts[a.Key] = a
+	m.Attempts.Put(a)
 }
 
 // Apply takes a report, or the answer to a direct command. It returns false
@@ -193,24 +195,24 @@
 	if r.NoticeS != nil {
 		m.Notice = now.Add(time.Duration(*r.NoticeS * float64(time.Second)))
 	}
-	shown := make(map[Key]bool, len(r.Tasks))
+	m.reports++
 	for _, t := range r.Tasks {
 		key := Key{t.Task, t.Attempt}
-		shown[key] = true
-		a := m.Attempts[key]
+		a := m.Attempts.Get(key)
 		if a == nil {
 			job, index, ok := wire.SplitTaskID(t.Task)
 			if !ok {
 				continue
 			}
-			a = &Attempt{Key: key, Job: job, Index: index, Durable: true, session: r.Session, Placed: now, State: t.State, Why: t.Why}
+			a = &Attempt{Key: key, Job: job, Index: index, Durable: true, session: r.Session, Placed: now, State: t.State, Why: t.Why, shownIn: m.reports}
 			if t.State == wire.TaskRunning {
 				a.Running = now
 			}
-			m.Attempts[key] = a
+			m.Attempts.Put(a)
 			events = append(events, Event{Found, a})
 			continue
 		}
+		a.shownIn = m.reports
 		if a.Exited() {
 			continue
 		}
@@ -224,7 +226,7 @@
 			events = append(events, Event{Started, a})
 		}
 	}
-	events = append(events, m.lose(func(a *Attempt) bool { return !shown[a.Key] && m.surelyAbsent(a) })...)
+	events = append(events, m.lose(func(a *Attempt) bool { return a.shownIn != m.reports && m.surelyAbsent(a) })...)
 	return events, true
 }
 
@@ -249,11 +251,7 @@
 // known.
 func (m *Machine) lose(match func(*Attempt) bool) []Event {
 	var events []Event
-	for key, a := range m.Attempts {
-		if !match(a) {
-			continue
-		}
-		delete(m.Attempts, key)
+	for _, a := range m.Attempts.removeIf(match) {
 		if !a.Exited() {
 			events = append(events, Event{Lost, a})
 		}
@@ -262,7 +260,7 @@
 }
 
 // Quiet tells whether nothing is on the machine and nothing can still come.
-func (m *Machine) Quiet() bool { return len(m.Attempts) == 0 }
+func (m *Machine) Quiet() bool { return m.Attempts.Len() == 0 }
 
 // Gone takes the proof that nothing is on the machine any more: it was
 // returned.
@@ -322,7 +320,7 @@
 // commands lists what the worker should be told now: what makes room first.
 func (m *Machine) commands() []wire.Command {
 	var stops, forgets, starts []wire.Command
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		c := wire.Command{Task: a.Task, Attempt: a.Attempt}
 		switch {
 		case m.forgettable(a):
@@ -353,7 +351,7 @@
 	}
 	for _, c := range commands {
 		if c.Op == wire.OpStart {
-			a := m.Attempts[Key{c.Task, c.Attempt}]
+			a := m.Attempts.Get(Key{c.Task, c.Attempt})
 			a.inReply, a.replied = true, m.Seq
 		}
 	}
@@ -372,7 +370,7 @@
 	}
 	for _, c := range commands {
 		if c.Op == wire.OpStart {
-			a := m.Attempts[Key{c.Task, c.Attempt}]
+			a := m.Attempts.Get(Key{c.Task, c.Attempt})
 			a.direct++
 			a.startToken = max(a.startToken, token)
 		}
@@ -384,7 +382,7 @@
 // be carried out, while token and session match.
 func (m *Machine) DirectDone(req *wire.CommandRequest, answered bool) {
 	for _, c := range req.Commands {
-		a := m.Attempts[Key{c.Task, c.Attempt}]
+		a := m.Attempts.Get(Key{c.Task, c.Attempt})
 		if c.Op != wire.OpStart || a == nil {
 			continue
 		}
@@ -403,7 +401,7 @@
 // seen a higher token than this one.
 func (m *Machine) WantsToken(token uint64) bool {
 	leftovers := 0
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if a.doubt >= token && (a.Stop && a.State == "" || a.Exited()) {
 			return true
 		}
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -95,12 +95,12 @@
 // are left out.
 func (m *Machine) Record(leaveOut func(*Attempt) bool) Record {
 	r := Record{Address: m.Address, Type: m.TypeName, Zone: m.Zone, Spot: m.Spot, Session: m.Session}
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if a.Exited() || leaveOut(a) {
 			continue
 		}
 		if r.Attempts == nil {
-			r.Attempts = make(map[string]uint64, len(m.Attempts))
+			r.Attempts = make(map[string]uint64, m.Attempts.Len())
 		}
 		r.Attempts[a.Task] = max(r.Attempts[a.Task], a.Attempt)
 	}
@@ -119,7 +119,7 @@
 	if !paged {
 		r.Address, r.Type, r.Zone, r.Spot = m.Address, m.TypeName, m.Zone, m.Spot
 	}
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if a.Journal != journal || a.Exited() {
 			continue
 		}
@@ -166,7 +166,7 @@
 		}
 		key := Key{task, attempt}
 		// An older leader may have sent it directly, under any older token.
-		m.Attempts[key] = &Attempt{Key: key, Job: job, Index: index, Durable: true, session: r.Session,
-			Placed: now, Recovered: true, doubt: token - 1}
+		m.Attempts.Put(&Attempt{Key: key, Job: job, Index: index, Durable: true, session: r.Session,
+			Placed: now, Recovered: true, doubt: token - 1})
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -99,24 +99,24 @@
 
 // List is a Move To Front list: the open machines, the most recently used
 // first.
-type List struct {
-	machines []string
-	open     map[string]bool
+type List[M comparable] struct {
+	machines []M
+	open     map[M]bool
 }
 
 // Find returns the first machine that fits and leaves the list as it is.
-func (l *List) Find(fits func(machine string) bool) (machine string, ok bool) {
+func (l *List[M]) Find(fits func(machine M) bool) (machine M, ok bool) {
 	for _, m := range l.machines {
 		if fits(m) {
 			return m, true
 		}
 	}
-	return "", false
+	return machine, false
 }
 
 // Walk calls fits from the front on and returns the first machine that fits,
 // which it moves to the front.
-func (l *List) Walk(fits func(machine string) bool) (machine string, ok bool) {
+func (l *List[M]) Walk(fits func(machine M) bool) (machine M, ok bool) {
 	machine, ok = l.Find(fits)
 	if ok {
 		l.MoveToFront(machine)
@@ -125,7 +125,7 @@
 }
 
 // MoveToFront puts a machine first; one that is not listed is opened so.
-func (l *List) MoveToFront(machine string) {
+func (l *List[M]) MoveToFront(machine M) {
 	at := len(l.machines)
 	if l.Has(machine) {
 		at = slices.Index(l.machines, machine)
@@ -137,19 +137,19 @@
 }
 
 // Append adds a machine at the end, when a list is rebuilt.
-func (l *List) Append(machine string) {
+func (l *List[M]) Append(machine M) {
 	if l.Has(machine) {
 		return
 	}
 	if l.open == nil {
-		l.open = map[string]bool{}
+		l.open = map[M]bool{}
 	}
 	l.open[machine] = true
 	l.machines = append(l.machines, machine)
 }
 
 // Close removes a machine whose last task has ended.
-func (l *List) Close(machine string) {
+func (l *List[M]) Close(machine M) {
 	if !l.Has(machine) {
 		return
 	}
@@ -159,7 +159,7 @@
 }
 
 // Has tells whether the machine is open.
-func (l *List) Has(machine string) bool { return l.open[machine] }
+func (l *List[M]) Has(machine M) bool { return l.open[machine] }
 
 // Order returns the machines, front first.
-func (l *List) Order() []string { return slices.Clone(l.machines) }
+func (l *List[M]) Order() []M { return slices.Clone(l.machines) }
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -192,7 +192,7 @@
 // a job, but its tasks use up the team's limit until they are surely gone.
 func (s *Share) countOverLocked() {
 	for _, m := range s.machines {
-		for _, a := range m.Attempts {
+		for _, a := range m.Attempts.All() {
 			if !a.Counted && a.Sized && !a.Exited() && s.jobs[a.Job] == nil && s.opts.Jobs.Active(a.Job) == nil &&
 				s.div.OwnerOf(a.Team, a.Job) == s.opts.Node {
 				a.Guest = false
@@ -230,7 +230,7 @@
 		return
 	}
 	for _, m := range s.machines {
-		for _, a := range m.Attempts {
+		for _, a := range m.Attempts.All() {
 			if lost[a.Job] {
 				a.Guest, a.Epoch = true, 0
 				s.uncountLocked(a)
@@ -247,9 +247,9 @@
 // dropStaleGuestsLocked removes guests that were not recorded under the
 // division in which their owner asked: it finds that they are not here.
 func (s *Share) dropStaleGuestsLocked(m *machine) {
-	for key, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if a.Guest && !a.Durable && a.Epoch < s.div.from {
-			delete(m.Attempts, key)
+			m.Attempts.Delete(a.Key)
 		}
 	}
 	s.closeIfEmptyLocked(m)
@@ -352,7 +352,7 @@
 func (s *Share) placeRecordsLocked(r records, adopt []string, gained map[string]bool, now time.Time) int {
 	// Guests here whose jobs have become ours.
 	for _, m := range s.machines {
-		for _, a := range m.Attempts {
+		for _, a := range m.Attempts.All() {
 			if gained[a.Job] {
 				s.adoptLocked(m, a)
 				if a.Exited() && !a.Handled {
@@ -419,7 +419,7 @@
 
 // lendRecordLocked takes in what another's machine may hold of own jobs.
 func (s *Share) lendRecordLocked(fm *fleet.Machine, host string, ended map[string]job.Final, gained map[string]bool) {
-	for _, a := range fm.Attempts {
+	for _, a := range fm.Attempts.All() {
 		if f, over := ended[a.Job]; over && s.div.OwnerOf(f.Team, a.Job) == s.opts.Node {
 			a.Team, a.Size, a.Sized = f.Team, sizeOf(f), true
 			s.lendTrackLocked(a, host, fm.Zone)
@@ -453,7 +453,7 @@
 	m.elsewhere = on
 	m.due = len(m.elsewhere) > 0
 	over := map[string]job.Final{}
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if f, ok := ended[a.Job]; ok {
 			over[a.Job] = f
 			continue
@@ -514,7 +514,7 @@
 			machines = machines[1:]
 			about[m.Name] = value
 			batch = append(batch, m)
-			s.list.Close(m.Name)
+			s.list.Close(m)
 			s.leavePageLocked(m)
 			delete(s.machines, m.Name)
 			s.moving[m.Name] = true
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -333,7 +333,7 @@
 	var idle []*machine
 	if want > 1 {
 		for _, m := range s.machines {
-			if m != first && !s.list.Has(m.Name) && s.giveableLocked(m, now) && s.fitsLocked(js, m, now) {
+			if m != first && !s.list.Has(m) && s.giveableLocked(m, now) && s.fitsLocked(js, m, now) {
 				idle = append(idle, m)
 			}
 		}
@@ -344,6 +344,34 @@
 	return len(giving)
 }
 
+// hosted is an attempt and the machine that it is on.
+type hosted struct {
+	machine *machine
+	attempt *fleet.Attempt
+}
+
+// hostedLocked finds the attempts that a request names. A peer asks about
+// hundreds at once, of thousands that are here: their numbers alone, which only
+// a gang's tasks share, tell most of the others apart.
+func (s *Share) hostedLocked(req *peerpb.SettleRequest) map[fleet.Key]hosted {
+	numbers := make(map[uint64]bool, len(req.Attempts)+len(req.Handled))
+	for _, at := range req.Attempts {
+		numbers[at.Attempt] = true
+	}
+	for _, at := range req.Handled {
+		numbers[at.Attempt] = true
+	}
+	here := make(map[fleet.Key]hosted, len(numbers))
+	for _, m := range s.machines {
+		for _, a := range m.Attempts.All() {
+			if numbers[a.Attempt] {
+				here[a.Key] = hosted{m, a}
+			}
+		}
+	}
+	return here
+}
+
 // Settle tells what became of attempts that this share may have taken, and
 // lets go of those whose end is recorded. What is not known here never will
 // be: a request that is still under way must not bring it later.
@@ -356,25 +384,17 @@
 	}
 	reply.Ready = true
 	now := time.Now()
-	// A peer asks about hundreds at once.
-	here := map[fleet.Key]*machine{}
-	for _, m := range s.machines {
-		for key := range m.Attempts {
-			here[key] = m
-		}
-	}
+	here := s.hostedLocked(req)
 	for _, at := range req.Handled {
-		key := fleet.Key{Task: at.Task, Attempt: at.Attempt}
-		if m := here[key]; m != nil && m.Attempts[key].Exited() {
-			m.Attempts[key].Handled = true
+		if h := here[fleet.Key{Task: at.Task, Attempt: at.Attempt}]; h.attempt != nil && h.attempt.Exited() {
+			h.attempt.Handled = true
 		}
 	}
 	for _, at := range req.Attempts {
 		h := &peerpb.Hosted{Attempt: at}
 		key := fleet.Key{Task: at.Task, Attempt: at.Attempt}
-		if m := here[key]; m != nil {
-			a := m.Attempts[key]
-			h.Known, h.Zone, h.State, h.Why = true, m.Zone, string(a.State), string(a.Why)
+		if found := here[key]; found.attempt != nil {
+			h.Known, h.Zone, h.State, h.Why = true, found.machine.Zone, string(found.attempt.State), string(found.attempt.Why)
 		} else {
 			s.barred[key] = now
 		}
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -183,7 +183,7 @@
 
 // serves tells whether replicas may be on the machine.
 func (m *machine) serves() bool {
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if a.Service && !a.Exited() {
 			return true
 		}
@@ -290,7 +290,7 @@
 		}
 		raise = raise || m.WantsToken(token)
 		// Leftovers alone keep an idle machine from being given or returned.
-		raise = raise || m.Live() == 0 && len(m.Attempts) > 0 && now.Sub(s.div.at) > 20*time.Second && now.Sub(m.idleSince) > 2*time.Second
+		raise = raise || m.Live() == 0 && m.Attempts.Len() > 0 && now.Sub(s.div.at) > 20*time.Second && now.Sub(m.idleSince) > 2*time.Second
 	}
 	for why, machines := range back {
 		s.returnLocked(machines, why)
@@ -334,7 +334,7 @@
 // overdueLocked tells whether a cancelled job's task may still be there when
 // it must be gone soon, and its lease does not surely lapse before.
 func (s *Share) overdueLocked(m *machine, now time.Time) bool {
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if a.MustGoBy.IsZero() || a.Exited() || now.Before(a.MustGoBy.Add(-3*time.Second)) {
 			continue
 		}
@@ -353,7 +353,7 @@
 	usable, open, tasks, waiting := 0, 0, 0, 0
 	for _, m := range s.machines {
 		tasks += m.Live()
-		if s.list.Has(m.Name) {
+		if s.list.Has(m) {
 			open++
 		}
 		if s.usableLocked(m, now) {
@@ -424,7 +424,7 @@
 // will lapse: replicas move at once, and what can save is stopped in time. The
 // rest runs on: it may finish before, and stopping it would lose it anyway.
 func (s *Share) drainLocked(m *machine) {
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if a.Stop || a.Exited() || !a.Sized {
 			continue
 		}
@@ -479,7 +479,7 @@
 // goneLocked drops a machine that was returned.
 func (s *Share) goneLocked(m *machine) {
 	s.handleLocked(m, m.Gone())
-	s.list.Close(m.Name)
+	s.list.Close(m)
 	s.leavePageLocked(m)
 	delete(s.machines, m.Name)
 	if _, named := s.opts.Authority.OwnerOf(m.Name); named {
@@ -626,15 +626,35 @@
 	return idle, total, free
 }
 
-// Status fills in what the peers are told of the share.
-func (s *Share) Status(status *peerpb.Status) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
+// summary is what the peers are told of the share.
+type summary struct {
+	machines, idle int
+	cpus, freeCPUs float64
+	cut            bool
+	wants          []*peerpb.Want
+}
+
+// summarizeEvery is how often the summary is made: as often as heartbeats go out
+// to each of two peers.
+const summarizeEvery = 500 * time.Millisecond
+
+func (s *Share) summarizeLocked(now time.Time) {
 	idle, total, free := s.statusLocked(now)
-	status.Machines, status.Idle = uint32(len(s.machines)), uint32(idle)
-	status.Cpus, status.FreeCpus, status.Cut = total.CPUs, free.CPUs, s.cut
-	status.Wants = s.wantsLocked(now)
+	s.summary.Store(&summary{machines: len(s.machines), idle: idle, cpus: total.CPUs, freeCPUs: free.CPUs,
+		cut: s.cut, wants: s.wantsLocked(now)})
+}
+
+// Status fills in what the peers are told of the share, as last summarized. It
+// takes no lock: a heartbeat must not wait behind passes and reports, or a busy
+// controller is taken for dead.
+func (s *Share) Status(status *peerpb.Status) {
+	sum := s.summary.Load()
+	if sum == nil {
+		return
+	}
+	status.Machines, status.Idle = uint32(sum.machines), uint32(sum.idle)
+	status.Cpus, status.FreeCpus, status.Cut = sum.cpus, sum.freeCPUs, sum.cut
+	status.Wants = sum.wants
 }
 
 // returnIdleLocked gives back a machine that has been idle for long, if more
@@ -645,7 +665,7 @@
 	}
 	var idle []*machine
 	for _, m := range s.machines {
-		if m.returning || m.Live() > 0 || len(m.Attempts) > 0 || m.dirty || m.writing() || !s.synced(m) {
+		if m.returning || m.Live() > 0 || m.Attempts.Len() > 0 || m.dirty || m.writing() || !s.synced(m) {
 			continue
 		}
 		idle = append(idle, m)
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -270,7 +270,7 @@
 	held := map[string]int{}
 	for _, m := range s.machines {
 		seen := ""
-		for _, a := range m.Attempts {
+		for _, a := range m.Attempts.All() {
 			if a.Journal == "" || a.Exited() {
 				continue
 			}
@@ -318,7 +318,7 @@
 	for _, m := range dirty {
 		s.dropStaleGuestsLocked(m)
 		m.dirty = false
-		for _, a := range m.Attempts {
+		for _, a := range m.Attempts.All() {
 			if a.Durable || a.Exited() {
 				continue
 			}
@@ -411,7 +411,7 @@
 			if len(m.elsewhere) > 0 {
 				pw.recorded = append(pw.recorded, m)
 			}
-			for _, a := range m.Attempts {
+			for _, a := range m.Attempts.All() {
 				switch {
 				case a.Exited():
 				case a.Durable:
@@ -539,9 +539,9 @@
 // was sent.
 func (s *Share) dropUnsentLocked(pw *pageWrite, id string) {
 	for m := range pw.attempts {
-		for k, a := range m.Attempts {
+		for _, a := range m.Attempts.All() {
 			if a.Job == id && a.Unsent() {
-				delete(m.Attempts, k)
+				m.Attempts.Delete(a.Key)
 				s.uncountLocked(a)
 			}
 		}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -107,7 +107,7 @@
 	if s.pass.idle == nil {
 		s.pass.idle = []*machine{}
 		for _, m := range s.machines {
-			if s.list.Has(m.Name) {
+			if s.list.Has(m) {
 				continue
 			}
 			if s.lookLocked(m, now); m.usable {
@@ -126,7 +126,7 @@
 func (s *Share) idleLocked(js *jobState, now time.Time) *machine {
 	var first *machine
 	for _, m := range s.idleMachinesLocked(now) {
-		if s.list.Has(m.Name) || s.machines[m.Name] != m || !s.fitsLocked(js, m, now) {
+		if s.list.Has(m) || s.machines[m.Name] != m || !s.fitsLocked(js, m, now) {
 			continue
 		}
 		if m.HoldsImage(js.rec.Job.Image) {
@@ -145,7 +145,7 @@
 	if p := &s.pass; !p.victims {
 		p.victims = true
 		for _, m := range s.machines {
-			for _, a := range m.Attempts {
+			for _, a := range m.Attempts.All() {
 				if !a.Exited() && !a.Stop {
 					p.lowest = max(p.lowest, a.Rank)
 				}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -217,19 +217,19 @@
 		return
 	}
 	keep := func(m *machine) {
-		for wants > 0 && m != nil && (!held || m.HoldsImage(g.rec.Job.Image)) && s.fitsLocked(g, m, now) && g.size.Within(s.roomLocked(m, "", now)) {
+		for wants > 0 && (!held || m.HoldsImage(g.rec.Job.Image)) && s.fitsLocked(g, m, now) && g.size.Within(s.roomLocked(m, "", now)) {
 			m.kept = append(m.kept, keptRoom{job: id, size: g.size, until: now.Add(keepFor)})
 			kept[id]++
 			wants--
 		}
 	}
-	for _, name := range s.list.Order() {
-		keep(s.machines[name])
+	for _, m := range s.list.Order() {
+		keep(m)
 	}
 	// Also where nothing runs any more: whose tasks all end together would
 	// otherwise never be a guest's.
 	for _, m := range s.idleMachinesLocked(now) {
-		if !s.list.Has(m.Name) {
+		if !s.list.Has(m) {
 			keep(m)
 		}
 	}
@@ -352,9 +352,9 @@
 		a := s.placeLocked(js, index, m, now)
 		if len(booked) > 0 {
 			// Peers find each other by the number of their attempt.
-			delete(m.Attempts, a.Key)
+			m.Attempts.Delete(a.Key)
 			a.Attempt = booked[0].a.Attempt
-			m.Attempts[a.Key] = a
+			m.Attempts.Put(a)
 		}
 		booked = append(booked, booking{m, a, dirty})
 	}
@@ -365,7 +365,7 @@
 	// Without waking the scheduler or writing records: that would set off the
 	// next try at once, for as long as the gang waits.
 	for _, b := range slices.Backward(booked) {
-		delete(b.m.Attempts, b.a.Key)
+		b.m.Attempts.Delete(b.a.Key)
 		b.m.looked = 0
 		b.m.dirty = b.dirty
 		s.releaseLocked(b.a)
@@ -425,11 +425,8 @@
 	}
 }
 
-func (s *Share) fitsByName(js *jobState, now time.Time) func(string) bool {
-	return func(name string) bool {
-		m := s.machines[name]
-		return m != nil && s.fitsLocked(js, m, now)
-	}
+func (s *Share) fits(js *jobState, now time.Time) func(*machine) bool {
+	return func(m *machine) bool { return s.fitsLocked(js, m, now) }
 }
 
 // findHeldLocked chooses among machines that hold the image, which come first
@@ -441,27 +438,25 @@
 	if s.lacksRoomLocked(js.size, now) {
 		return nil, js.service() && s.preemptLocked(js, now, true, guaranteed)
 	}
-	fits := s.fitsByName(js, now)
-	holds := func(name string) bool {
-		return s.machines[name].HoldsImage(js.rec.Job.Image) && fits(name)
-	}
+	fits := s.fits(js, now)
+	holds := func(m *machine) bool { return fits(m) && m.HoldsImage(js.rec.Job.Image) }
 	service := js.rec.Job.Kind == wire.KindService
 	first := holds
 	if service {
-		first = func(name string) bool { return s.belowHalfLocked(js, s.machines[name]) && holds(name) }
+		first = func(m *machine) bool { return holds(m) && s.belowHalfLocked(js, m) }
 	}
-	if name, ok := s.list.Walk(first); ok {
-		return s.machines[name], false
+	if m, ok := s.list.Walk(first); ok {
+		return m, false
 	}
 	if idle := s.idleLocked(js, now); idle != nil && idle.HoldsImage(js.rec.Job.Image) {
-		s.list.MoveToFront(idle.Name)
+		s.list.MoveToFront(idle)
 		return idle, false
 	}
 	if !service {
 		return nil, false
 	}
-	if name, ok := s.list.Walk(holds); ok {
-		return s.machines[name], false
+	if m, ok := s.list.Walk(holds); ok {
+		return m, false
 	}
 	return nil, s.preemptLocked(js, now, true, guaranteed)
 }
@@ -473,23 +468,23 @@
 	if s.lacksRoomLocked(js.size, now) {
 		return nil
 	}
-	fits := s.fitsByName(js, now)
+	fits := s.fits(js, now)
 	idle := s.idleLocked(js, now)
 	if js.rec.Job.Kind == wire.KindService {
-		roomy := func(name string) bool { return s.belowHalfLocked(js, s.machines[name]) && fits(name) }
-		if name, ok := s.list.Walk(roomy); ok {
-			return s.machines[name]
+		roomy := func(m *machine) bool { return fits(m) && s.belowHalfLocked(js, m) }
+		if m, ok := s.list.Walk(roomy); ok {
+			return m
 		}
 		if idle != nil {
-			s.list.MoveToFront(idle.Name)
+			s.list.MoveToFront(idle)
 			return idle
 		}
 	}
-	if name, ok := s.list.Walk(fits); ok {
-		return s.machines[name]
+	if m, ok := s.list.Walk(fits); ok {
+		return m
 	}
 	if idle != nil {
-		s.list.MoveToFront(idle.Name)
+		s.list.MoveToFront(idle)
 	}
 	return idle
 }
@@ -502,7 +497,7 @@
 	if s.idleLocked(js, now) != nil {
 		return true
 	}
-	_, ok := s.list.Find(s.fitsByName(js, now))
+	_, ok := s.list.Find(s.fits(js, now))
 	return ok
 }
 
@@ -530,7 +525,7 @@
 		return false
 	}
 	sum := js.size
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if a.Service && !a.Exited() {
 			sum = sum.Plus(a.Size)
 		}
@@ -567,7 +562,7 @@
 	if js.failedOn[m.Name] && !js.mistaken() {
 		return false
 	}
-	return len(m.Attempts) < s.maxAttempts()
+	return m.Attempts.Len() < s.maxAttempts()
 }
 
 // maxAttempts keeps a machine's record within the size of a value.
@@ -627,7 +622,7 @@
 			continue
 		}
 		var may []*fleet.Attempt
-		for _, a := range m.Attempts {
+		for _, a := range m.Attempts.All() {
 			if !a.Exited() && !a.Stop && s.mayPreempt(js, a, guaranteed) {
 				may = append(may, a)
 			}
@@ -679,7 +674,7 @@
 
 func (s *Share) stoppingLocked() bool {
 	for _, m := range s.machines {
-		for _, a := range m.Attempts {
+		for _, a := range m.Attempts.All() {
 			if a.Stop && !a.Exited() {
 				return true
 			}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -200,6 +200,7 @@
 	// divided is cleared when the epoch, an owner or a job may ask for another
 	// division: looking for that takes as long as the fleet is large.
 	divided atomic.Bool
+	summary atomic.Pointer[summary]
 	ctx     context.Context
 	group   *errgroup.Group
 
@@ -234,7 +235,7 @@
 	syncRate   *rate.Limiter
 	probeRate  *rate.Limiter
 	syncWaits  bool // for that
-	list       placement.List
+	list       placement.List[*machine]
 	pass       pass
 	used       map[string]placement.Resources // by team, all that may be on machines
 	number     uint64                         // last attempt number
@@ -320,7 +321,7 @@
 // mustStop tells whether a cancelled job's task may be on the machine: showing
 // its worker the token, and with it the stop, does not wait for its turn.
 func (m *machine) mustStop() bool {
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if !a.MustGoBy.IsZero() && !a.Exited() {
 			return true
 		}
@@ -410,6 +411,10 @@
 	return m
 }
 
+// divideEvery is how often the share looks for who owns what though nothing has
+// told it of a change.
+const divideEvery = time.Second
+
 // logLoadEvery is how often the share logs how full it is.
 const logLoadEvery = 10 * time.Second
 
@@ -418,17 +423,24 @@
 func (s *Share) loop(ctx context.Context) error {
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
-	var logged, tidied time.Time
+	var logged, tidied, summarized, divided time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.wake:
 		case now := <-tick.C:
-			s.divided.Store(false) // in case that a change went unnoticed
+			if now.Sub(divided) >= divideEvery {
+				divided = now
+				s.divided.Store(false) // in case that a change went unnoticed
+			}
 			s.mu.Lock()
 			s.regroupLocked(now)
 			s.watchMachinesLocked(now)
+			if now.Sub(summarized) >= summarizeEvery {
+				summarized = now
+				s.summarizeLocked(now)
+			}
 			s.flushLocked(now)
 			s.tellGoneLocked()
 			if now.Sub(tidied) > tidyEvery {
@@ -559,7 +571,7 @@
 			return false
 		}
 		if m != nil {
-			if a := m.Attempts[fleet.Key{Task: t.Task, Attempt: t.Attempt}]; a != nil && a.Stop {
+			if a := m.Attempts.Get(fleet.Key{Task: t.Task, Attempt: t.Attempt}); a != nil && a.Stop {
 				return false
 			}
 		}
@@ -618,7 +630,7 @@
 // wantsDirectLocked tells whether waiting for the next report would cost
 // time: stops make room for what waits.
 func (s *Share) wantsDirectLocked(m *machine) bool {
-	for _, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if a.Stop && a.State != "" && !a.Exited() && a.State != wire.TaskSaving {
 			return true
 		}
@@ -662,13 +674,13 @@
 // closeIfEmptyLocked takes a machine whose last task has ended off the list.
 func (s *Share) closeIfEmptyLocked(m *machine) {
 	if m.Live() > 0 {
-		if !s.list.Has(m.Name) {
-			s.list.Append(m.Name)
+		if !s.list.Has(m) {
+			s.list.Append(m)
 		}
 		return
 	}
-	if s.list.Has(m.Name) {
-		s.list.Close(m.Name)
+	if s.list.Has(m) {
+		s.list.Close(m)
 		m.idleSince = time.Now()
 	}
 }
@@ -839,7 +851,7 @@
 		return
 	}
 	for _, m := range s.machines {
-		for _, a := range m.Attempts {
+		for _, a := range m.Attempts.All() {
 			if a.Task == done.Task && a != done && !a.Exited() {
 				a.Stop = true
 				s.sendLocked(m)
@@ -899,7 +911,7 @@
 		s.addJobLocked(r)
 	}
 	for _, m := range s.machines {
-		for _, a := range m.Attempts {
+		for _, a := range m.Attempts.All() {
 			if a.Job == r.Job.ID && !a.Sized {
 				s.adoptLocked(m, a)
 				if a.Exited() && !a.Handled {
@@ -1000,7 +1012,7 @@
 		goneBy = time.Time{} // nobody was told that its tasks are gone
 	}
 	touched := false
-	for key, a := range m.Attempts {
+	for _, a := range m.Attempts.All() {
 		if a.Job != id {
 			continue
 		}
@@ -1010,7 +1022,7 @@
 		}
 		touched = true
 		if a.Unsent() {
-			delete(m.Attempts, key)
+			m.Attempts.Delete(a.Key)
 			s.uncountLocked(a)
 			continue
 		}
@@ -1085,7 +1097,7 @@
 	now := time.Now()
 	running := map[string]int{}
 	for _, m := range s.machines {
-		for _, a := range m.Attempts {
+		for _, a := range m.Attempts.All() {
 			if a.State == wire.TaskRunning {
 				running[a.Job]++
 			}
