A long pass or wait for the lock counts as being busy; unreachable only after three probes

Their commands had timed out while passes took 0.3 to 0.6 s, and the probes that would have cleared them had not had their turn; the scheduling latency was short between the passes.

Now a pass or a wait for the share's lock of over 0.1 s counts as being busy for as long as a command and its probes take, and a worker counts as unreachable only after three unanswered probes of its own.

Tests: overload_test.go, each seen failing without its guard.

--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -68,9 +68,23 @@
 	return s.opts.Latency()
 }
 
+// busyFor is how long a delay of the share's own loop counts: as long as a
+// command waits for its answer, and the probes after it.
+const busyFor = commandTimeout + deadProbes*probeTimeout
+
+// noteDelay takes how long the loop waited for the share's lock, or held it:
+// whoever reads an answer meanwhile waits for it too.
+func (s *Share) noteDelay(delay time.Duration) {
+	if delay > busyLatency {
+		s.busyUntil.Store(time.Now().Add(busyFor).UnixNano())
+	}
+}
+
 // busy tells whether this controller is too short of processor time to judge by
 // an answer's absence.
-func (s *Share) busy() bool { return s.latency() > busyLatency }
+func (s *Share) busy() bool {
+	return s.latency() > busyLatency || time.Now().UnixNano() < s.busyUntil.Load()
+}
 
 // silentAfter is how long a healthy worker can be silent: reports come every
 // ReportEvery plus or minus a quarter, one may be lost and resent, and this
@@ -195,7 +209,7 @@
 // for so long that it counts as lost: its lease lapses, since replies do not
 // reach it either, and what it is sent does not start.
 func (s *Share) deafForGood(m *machine, now time.Time) bool {
-	return !m.deaf.IsZero() && !s.busy() && now.Sub(m.deaf) > s.deadAfter()+deadProbes*probeTimeout && now.Sub(m.LastReport) <= s.silentAfter()
+	return !m.deaf.IsZero() && m.unanswered >= deadProbes && !s.busy() && now.Sub(m.deaf) > s.deadAfter()+deadProbes*probeTimeout && now.Sub(m.LastReport) <= s.silentAfter()
 }
 
 // mute tells whether a worker that answers direct messages has not reported for
@@ -390,6 +404,7 @@
 				return // it tells nothing of the worker
 			}
 			m.failures++
+			m.unanswered++
 			if m.failures == 1 {
 				m.failing = now
 				s.sweepLocked(time.Now())
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -53,11 +53,13 @@
 func TestBusyControllerBlamesNoWorker(t *testing.T) {
 	for _, test := range []struct {
 		name    string
-		latency time.Duration
+		latency time.Duration // of scheduling
+		delay   time.Duration // of the share's loop
 		silent  bool
 	}{
-		{"calm", 0, true},
-		{"busy", time.Second, false},
+		{"calm", 0, 0, true},
+		{"short of processor time", time.Second, 0, false},
+		{"long passes", 0, time.Second, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -65,7 +67,10 @@
 				s.opts.Latency = func() time.Duration { return test.latency }
 				s.opts.Elsewhere = func() int { return 0 }
 				addSilent(s, 11)
-				watchFor(s, 6*time.Second)
+				for range 6 {
+					s.noteDelay(test.delay)
+					watchFor(s, time.Second)
+				}
 				time.Sleep(time.Second)
 				s.mu.Lock()
 				defer s.mu.Unlock()
@@ -156,3 +161,24 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// A worker counts as one that nothing reaches only after probes of its own have
+// failed: a command that timed out while this controller was busy, and the turn
+// for a probe that did not come since, were proof enough to return 143 machines.
+func TestUnreachableOnlyAfterProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, m := newTestShare(t)
+		m.deaf = time.Now()
+		time.Sleep(20 * time.Second)
+		m.LastReport = time.Now()
+		for probes := range deadProbes + 1 {
+			m.unanswered = probes
+			if got, want := s.deafForGood(m, time.Now()), probes == deadProbes; got != want {
+				t.Errorf("after %d probes it counts as unreachable: %v", probes, got)
+			}
+		}
+		if s.answeredLocked(m, nil); m.unanswered != 0 || s.deafForGood(m, time.Now()) {
+			t.Error("it still counts as unreachable after an answer")
+		}
+	})
+}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -128,6 +128,7 @@
 	failures   int       // probes without answer since the last sign of life
 	failing    time.Time // when the first of them was sent
 	deaf       time.Time // since when no direct message was answered; zero: the last one was
+	unanswered int       // probes without answer since the last direct answer
 	heard      time.Time // when its last report came by itself
 	returning  bool
 	suspect    bool // fails what it starts: no new placements
@@ -201,8 +202,10 @@
 	// division: looking for that takes as long as the fleet is large.
 	divided atomic.Bool
 	summary atomic.Pointer[summary]
-	ctx     context.Context
-	group   *errgroup.Group
+	// busyUntil is until when the loop's last long delay counts, in Unix nanoseconds.
+	busyUntil atomic.Int64
+	ctx       context.Context
+	group     *errgroup.Group
 
 	mu         sync.Mutex
 	div        division
@@ -390,7 +393,7 @@
 // answer gets nothing new.
 func (s *Share) answeredLocked(m *machine, err error) bool {
 	if err == nil {
-		m.deaf = time.Time{}
+		m.deaf, m.unanswered = time.Time{}, 0
 		return true
 	}
 	if m.deaf.IsZero() && !errors.Is(err, fleet.ErrNoSocket) && !s.busy() {
@@ -455,6 +458,7 @@
 		}
 		began := time.Now()
 		s.mu.Lock()
+		locked := time.Now()
 		if !s.divided.Swap(true) {
 			s.divideLocked()
 		}
@@ -463,6 +467,7 @@
 		s.lendLocked(time.Now())
 		s.mu.Unlock()
 		took := time.Since(began)
+		s.noteDelay(max(locked.Sub(began), time.Since(locked)))
 		s.passes.add(took)
 		if !pause(ctx, max(passEvery, 2*took)) {
 			return nil
