--- a/internal/cluster/division.go
+++ b/internal/cluster/division.go
@@ -174,6 +174,25 @@
 	return 0
 }
 
+// Load is what a member's share has to look after.
+type Load struct {
+	Machines   int
+	Overloaded bool // it was short of processor time lately
+}
+
+// Loads returns the loads of the other members that were heard from lately.
+func (c *Cluster) Loads() map[string]Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	loads := map[string]Load{}
+	for node, p := range c.peers {
+		if c.epoch.Members[node].Since != 0 && p.status != nil && time.Since(p.lastSeen) < c.patience.peerOKFor {
+			loads[node] = Load{Machines: int(p.status.Machines), Overloaded: p.status.Overloaded}
+		}
+	}
+	return loads
+}
+
 // Wants tells what finds no room in the other members' shares.
 func (c *Cluster) Wants() []*peerpb.Want {
 	c.mu.Lock()
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -585,7 +585,9 @@
 		return
 	}
 	if s.div.Leader != s.opts.Node {
-		s.giveLocked(idle[keep:], s.div.Leader)
+		if !s.opts.Authority.Loads()[s.div.Leader].Overloaded {
+			s.giveLocked(idle[keep:], s.div.Leader)
+		}
 		return
 	}
 	var poor []string
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -277,6 +277,7 @@
 		g.zones[zone] = int(n)
 	}
 	left := len(w.Attempts)
+	overloaded := s.opts.Authority.Loads()[from].Overloaded
 	for _, at := range w.Attempts {
 		key := fleet.Key{Task: at.Task, Attempt: at.Attempt}
 		_, index, ok := wire.SplitTaskID(at.Task)
@@ -302,7 +303,7 @@
 			reply.Making = reply.Making || wait
 			break
 		}
-		if s.giveableLocked(m, now) {
+		if !overloaded && s.giveableLocked(m, now) {
 			// The asking share places there itself.
 			reply.Given += uint32(s.giveForLocked(g, m, from, int(w.Pending)-(len(w.Attempts)-left), now))
 			break
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -646,6 +646,7 @@
 	machines, idle int
 	cpus, freeCPUs float64
 	cut            bool
+	overloaded     bool
 	wants          []*peerpb.Want
 }
 
@@ -656,7 +657,7 @@
 func (s *Share) summarizeLocked(now time.Time) {
 	idle, total, free := s.statusLocked(now)
 	s.summary.Store(&summary{machines: len(s.machines), idle: idle, cpus: total.CPUs, freeCPUs: free.CPUs,
-		cut: s.cut, wants: s.wantsLocked(now)})
+		cut: s.cut, overloaded: s.overloadedLocked(now), wants: s.wantsLocked(now)})
 }
 
 // Status fills in what the peers are told of the share, as last summarized. It
@@ -669,7 +670,7 @@
 	}
 	status.Machines, status.Idle = uint32(sum.machines), uint32(sum.idle)
 	status.Cpus, status.FreeCpus, status.Cut = sum.cpus, sum.freeCPUs, sum.cut
-	status.Wants = sum.wants
+	status.Overloaded, status.Wants = sum.overloaded, sum.wants
 }
 
 // returnIdleLocked gives back a machine that has been idle for long, if more
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -46,6 +46,7 @@
 	NoteOwner(change wire.Change, version uint64)
 	Totals() (machines, idle int, cpus, free float64)
 	Idle(node string) int
+	Loads() map[string]cluster.Load
 	Wants() []*peerpb.Want
 }
 
@@ -252,6 +253,8 @@
 	spare      int             // idle and booting machines wanted beyond the demand
 	resigned   time.Time
 	grouped    time.Time // when idle machines were last regrouped
+	relieved   time.Time // when some were last given away for want of processor time
+	overloaded time.Time // when this controller was last short of processor time
 	toldAll    time.Time // when the progress of all jobs was last told
 	passes     passTimes // since the load was last logged
 	cut        bool      // most workers cannot be reached
@@ -439,6 +442,7 @@
 			}
 			s.mu.Lock()
 			s.regroupLocked(now)
+			s.relieveLocked(now)
 			s.watchMachinesLocked(now)
 			if now.Sub(summarized) >= summarizeEvery {
 				summarized = now
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -31,6 +31,7 @@
 	mu     sync.Mutex
 	writes []state.Write
 	wants  []*peerpb.Want
+	loads  map[string]cluster.Load
 	since  map[string]uint64 // machines that the peer owns, and its membership
 	items  []wire.Item       // records
 }
@@ -58,6 +59,7 @@
 }
 func (p *scripted) Totals() (int, int, float64, float64) { return 0, 0, 0, 0 }
 func (p *scripted) Idle(string) int                      { return 0 }
+func (p *scripted) Loads() map[string]cluster.Load       { return p.loads }
 func (p *scripted) Wants() []*peerpb.Want                { return p.wants }
 func (p *scripted) NoteOwner(wire.Change, uint64)        {}
 func (p *scripted) Fresh() bool                          { return true }
