A share short of processor time gives idle machines to members that are not

Idle machines were regrouped only to members without any.

Now each tells with its heartbeat whether it was short of processor time in the last minute; such a share gives half of its idle machines to the member with the fewest every 5 s, gets none back, and asks for room there, where its tasks are then placed instead of a machine being given. The mechanism of giving is the one there was.

Tests in overload_test.go, each seen failing without its guard.

--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -63,6 +63,7 @@
 	offers    *cloud.Offers
 	members   *cluster.Cluster
 	overload  overload.Meter
+	latency   func() time.Duration // of scheduling in this process, as overload measures it
 	front     *server.Server
 	share     atomic.Pointer[scheduler.Share]
 	spare     atomic.Pointer[spare]
@@ -94,6 +95,7 @@
 
 func newController(settings *config.Settings, out outside, log *slog.Logger) *controller {
 	c := &controller{settings: settings, out: out, log: log}
+	c.latency = c.overload.Latency
 	c.route = state.NewRoute(out.state, c.statePeers)
 	c.budget = state.NewBudget(settings.StateRPS*otherPart, settings.StateWriteRPS*otherPart, settings.TxnOps)
 	c.client = state.NewClient(c.route, c.budget)
@@ -248,7 +250,7 @@
 	s := scheduler.New(scheduler.Options{
 		Node: c.settings.Node, Settings: c.settings, Authority: tenure, Workers: c.out.workers, Cloud: c.out.cloud,
 		Peers: peerShares(c.out.peers), Requests: &c.requests, Jobs: c.catalog, Records: c.client, Committer: c.committer, Types: c.offers.Types(),
-		Resign: c.members.Resign, Elsewhere: c.members.WorkersElsewhere, Latency: c.overload.Latency, Log: c.log,
+		Resign: c.members.Resign, Elsewhere: c.members.WorkersElsewhere, Latency: c.latency, Log: c.log,
 	})
 	c.share.Store(s)
 	// At once when its membership ends: its last work may take long to end.
--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -31,12 +31,21 @@
 	name    string
 	current atomic.Pointer[controller]
 	alone   atomic.Bool // cut off from its peers
+	busy    atomic.Bool // short of processor time
 	stop    context.CancelFunc
 
 	mu    sync.Mutex
 	calls []func(c *controller) // the last that peers made
 }
 
+// latency is the scheduling latency that the node's controller measures.
+func (n *node) latency() time.Duration {
+	if n.busy.Load() {
+		return time.Second
+	}
+	return 0
+}
+
 // maxCalls bounds the calls of peers that can be repeated.
 const maxCalls = 50
 
@@ -204,6 +213,7 @@
 	}
 	ctx, stop := context.WithCancel(tc.ctx)
 	c := newController(settings, out, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c.latency = n.latency
 	n.stop = stop
 	n.current.Store(c)
 	go func() { _ = c.run(ctx) }()
--- a/cmd/heronwick/random_test.go
+++ b/cmd/heronwick/random_test.go
@@ -266,6 +266,7 @@
 			return func() { r.atEnd.Store(false) }
 		}},
 		{"odd requests", func() func() { r.oddRequests(); return nothing }},
+		onNode("short of processor time", func(node int, on bool) { r.nodes[node].busy.Store(on) }),
 	}
 }
 
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"heronwick/internal/cluster"
 	"heronwick/internal/fleet"
 	"heronwick/internal/job"
 	"heronwick/wire"
@@ -162,6 +163,80 @@
 	})
 }
 
+// A share that is short of processor time gives idle machines to the member with
+// the fewest that is not: after a takeover one controller had all machines, and
+// their reports took more than it had while the others had nothing to do.
+func TestOverloadedShareGivesIdleMachines(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		latency time.Duration
+		loads   map[string]cluster.Load
+		given   int
+	}{
+		{"calm", 0, map[string]cluster.Load{"peer": {}}, 0},
+		{"busy", time.Second, map[string]cluster.Load{"peer": {}}, 10},
+		{"the other has nearly as many", time.Second, map[string]cluster.Load{"peer": {Machines: 15}}, 3},
+		{"the other is busy too", time.Second, map[string]cluster.Load{"peer": {Overloaded: true}}, 0},
+		{"alone", time.Second, nil, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, p, _ := newTestShare(t)
+				s.opts.Latency = func() time.Duration { return test.latency }
+				p.loads = test.loads
+				addSilent(s, 20)
+				s.mu.Lock()
+				s.relieveLocked(time.Now())
+				given := len(s.moving)
+				s.mu.Unlock()
+				synctest.Wait()
+				if given != test.given {
+					t.Errorf("%d of 21 idle machines were given away, want %d", given, test.given)
+				}
+			})
+		})
+	}
+}
+
+// A member that is asked for room by one short of processor time takes the tasks
+// itself: an idle machine that it gave away would bring its reports back to the
+// one that cannot read them.
+func TestOverloadedPeerGetsRoomNotMachines(t *testing.T) {
+	for overloaded, given := range map[bool]uint32{false: 1, true: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			s, p, _ := newTestShare(t)
+			p.loads = map[string]cluster.Load{"peer": {Overloaded: overloaded}}
+			p.add("wk-000001", "theirs", wire.PriorityNormal, 1, 2)
+			reply := s.Place(wanted("wk-000001", 7))
+			synctest.Wait()
+			if reply.Given != given || len(reply.Taken) != 1-int(given) {
+				t.Errorf("overloaded %v: %d machines given, %d tasks taken", overloaded, reply.Given, len(reply.Taken))
+			}
+		})
+	}
+}
+
+// A member keeps its idle machines while the leader is short of processor time,
+// instead of giving back at the next regrouping what it was just given.
+func TestNothingGoesBackToAnOverloadedLeader(t *testing.T) {
+	for overloaded, given := range map[bool]int{false: 16, true: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			s, p, _ := newTestShare(t)
+			s.div.Leader = "peer"
+			p.loads = map[string]cluster.Load{"peer": {Overloaded: overloaded}}
+			addSilent(s, 16)
+			s.mu.Lock()
+			s.regroupLocked(time.Now())
+			got := len(s.moving)
+			s.mu.Unlock()
+			synctest.Wait()
+			if got != given {
+				t.Errorf("overloaded %v: %d machines went to the leader, want %d", overloaded, got, given)
+			}
+		})
+	}
+}
+
 // A worker counts as one that nothing reaches only after probes of its own have
 // failed: a command that timed out while this controller was busy, and the turn
 // for a probe that did not come since, were proof enough to return 143 machines.
