--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -253,7 +253,8 @@
 	default:
 		text, err := json.Marshal(b)
 		if err != nil {
-			tc.t.Fatal(err)
+			tc.t.Error(err) // not Fatal: goroutines of a test call this too
+			return 0, nil, nil
 		}
 		ctx.Request.SetBody(text)
 	}
--- /dev/null
+++ b/internal/scheduler/attempts.go
@@ -0,0 +1,184 @@
+package scheduler
+
+import (
+	"time"
+
+	"heronwick/internal/fleet"
+	"heronwick/internal/placement"
+	"heronwick/wire"
+)
+
+// adoptLocked takes in an attempt that was recorded before or that a report
+// shows unexpectedly.
+func (s *Share) adoptLocked(m *machine, a *fleet.Attempt) {
+	js := s.jobs[a.Job]
+	if js == nil {
+		r := s.opts.Jobs.Active(a.Job)
+		if r == nil || s.mineLocked(&r.Job) {
+			s.resolveLocked(a.Job)
+			return
+		}
+		s.describe(a, &r.Job)
+		a.Guest = true
+		s.closeIfEmptyLocked(m)
+		return
+	}
+	a.Guest = false
+	if f := s.foreign[a.Key]; f != nil {
+		s.forgetLentLocked(f) // it was another's, and its machine is now ours
+	}
+	s.describe(a, &js.rec.Job)
+	if a.Exited() {
+		return
+	}
+	if a.Index >= js.rec.Job.Tasks || js.done.Has(a.Index) || js.live[a.Index] > 0 {
+		// Its result is known, or another attempt may be elsewhere: never two.
+		a.Stop = true
+	}
+	s.countLocked(m.Zone, a)
+	s.closeIfEmptyLocked(m)
+}
+
+func (s *Share) describe(a *fleet.Attempt, j *wire.Job) {
+	a.Team, a.Rank, a.Service = j.Team, j.Priority.Rank(), j.Kind == wire.KindService
+	a.Image, a.ImageGB = j.Image, j.ImageGB
+	a.Size, a.Sized = placement.Of(j), true
+	if j.CheckpointS > 0 {
+		a.GraceS = graceFor(j)
+	}
+}
+
+// graceFor leaves a task a little more than its owner says it needs to save.
+func graceFor(j *wire.Job) float64 { return j.SaveS*1.25 + 0.5 }
+
+func (s *Share) countLocked(zone string, a *fleet.Attempt) {
+	if a.Counted {
+		return
+	}
+	a.Counted, a.Zone = true, zone
+	s.used[a.Team] = s.used[a.Team].Plus(a.Size)
+	if js := s.jobs[a.Job]; js != nil {
+		js.live[a.Index]++
+		js.zones[a.Zone]++
+	}
+}
+
+// uncountLocked takes an attempt out of all sums: it is surely gone. Its task
+// is queued again, unless it is done or may be elsewhere.
+func (s *Share) uncountLocked(a *fleet.Attempt) {
+	s.releaseLocked(a)
+	s.poke()
+}
+
+// releaseLocked is uncountLocked without waking the scheduler.
+func (s *Share) releaseLocked(a *fleet.Attempt) {
+	if !a.Counted {
+		return
+	}
+	a.Counted = false
+	s.used[a.Team] = s.used[a.Team].Minus(a.Size)
+	js := s.jobs[a.Job]
+	if js == nil {
+		return
+	}
+	js.zones[a.Zone]--
+	if js.live[a.Index]--; js.live[a.Index] <= 0 {
+		delete(js.live, a.Index)
+		if !js.done.Has(a.Index) && a.Index < js.next {
+			js.retry = append(js.retry, a.Index)
+		}
+	}
+}
+
+// exitedLocked takes the end of an attempt on a machine of the share.
+func (s *Share) exitedLocked(m *machine, a *fleet.Attempt) {
+	now := time.Now()
+	s.log.Debug("exited", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "why", a.Why, "since_placed", now.Sub(a.Placed))
+	if a.Why == wire.WhyError {
+		s.failedLocked(m, s.jobOf(a.Job), a, now)
+	}
+	if a.Why == wire.WhyDone {
+		clear(m.failedJobs)
+		if js := s.jobOf(a.Job); js != nil {
+			js.succeeded = true
+		}
+	}
+	if a.Why == wire.WhyNoRoom || a.Why == wire.WhyBusy {
+		m.cooling = now.Add(time.Second)
+	}
+	s.endedLocked(a, now)
+}
+
+// endedLocked draws the consequences of an attempt's end for its job, on
+// whoever's machine it was.
+func (s *Share) endedLocked(a *fleet.Attempt, now time.Time) {
+	js := s.jobs[a.Job]
+	if js == nil {
+		// Its owner, which asks, decides what follows; without one, nothing.
+		a.Handled = !a.Guest
+		s.uncountLocked(a)
+		return
+	}
+	if a.Why == wire.WhyDone && !a.Service {
+		js.succeeded = true
+		chunk := js.done.Add(a.Index)
+		js.dirty[chunk] = true
+		js.awaiting[chunk] = append(js.awaiting[chunk], a)
+		s.uncountLocked(a)
+		s.stopOthersLocked(a)
+		s.finishLocked(js)
+		return
+	}
+	a.Handled = true
+	switch a.Why {
+	case wire.WhyStopped, wire.WhyDone, wire.WhyError, wire.WhyPeers, wire.WhyAlone:
+	default:
+		s.log.Info("start refused", "task", a.Task, "attempt", a.Attempt, "why", a.Why)
+		js.notBefore = now.Add(500 * time.Millisecond)
+	}
+	s.uncountLocked(a)
+}
+
+// stopOthersLocked stops other attempts of a task that is done.
+func (s *Share) stopOthersLocked(done *fleet.Attempt) {
+	js := s.jobs[done.Job]
+	if js == nil || js.live[done.Index] == 0 {
+		return
+	}
+	for _, m := range s.machines {
+		for _, a := range m.Attempts.All() {
+			if a.Task == done.Task && a != done && !a.Exited() {
+				a.Stop = true
+				s.sendLocked(m)
+			}
+		}
+	}
+}
+
+// failedLocked judges a failure: is it the machine or the job? A machine on
+// which several jobs fail that do not fail elsewhere is set aside; a job that
+// fails on several machines and succeeds on none is tried again ever later.
+func (s *Share) failedLocked(m *machine, js *jobState, a *fleet.Attempt, now time.Time) {
+	s.log.Info("task failed", "task", a.Task, "attempt", a.Attempt, "machine", m.Name)
+	if js == nil {
+		return
+	}
+	js.failedOn[m.Name] = true
+	m.failedJobs[a.Job] = true
+	if n := len(js.failedOn); n >= 2 && !js.succeeded {
+		js.notBefore = now.Add(min(30*time.Second, time.Second<<min(n-2, 5)))
+	}
+	evidence := 0
+	for id := range m.failedJobs {
+		if other := s.jobOf(id); other != nil && !other.mistaken() {
+			evidence++
+		}
+	}
+	if evidence >= 2 && !m.suspect {
+		m.suspect = true
+		s.log.Info("machine set aside: jobs fail on it that do not fail elsewhere", "machine", m.Name)
+	}
+}
+
+// mistaken tells whether the job seems to fail everywhere.
+func (js *jobState) mistaken() bool { return len(js.failedOn) >= 2 && !js.succeeded }
--- /dev/null
+++ b/internal/scheduler/failures.go
@@ -0,0 +1,353 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sort"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"heronwick/internal/fleet"
+)
+
+// probesPerCore is how many probes a second are sent for each core that this
+// controller has. Without the bound a controller that answers late, and so takes
+// its workers for silent, uses all of its time to probe them.
+const probesPerCore = 1000
+
+func probeRate(coreShare float64) *rate.Limiter {
+	if coreShare <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	perSecond := probesPerCore * coreShare
+	return rate.NewLimiter(rate.Limit(perSecond), max(2*sampled, int(perSecond)))
+}
+
+// silentAfter is how long a healthy worker can be silent: reports come every
+// ReportEvery plus or minus a quarter, one may be lost and resent, and this
+// controller may be late to read it.
+func (s *Share) silentAfter() time.Duration {
+	every := s.opts.Settings.ReportEvery
+	return every*5/4 + 750*time.Millisecond + min(s.latency(), every)
+}
+
+// deadAfter is when a silent worker that does not answer probes either counts
+// as lost, and its machine is returned for proof: a report is surely missing.
+func (s *Share) deadAfter() time.Duration {
+	return s.opts.Settings.ReportEvery*5/4 + 250*time.Millisecond
+}
+
+// probeAfter is how long a worker may be silent before it is asked: soon
+// where replicas would be down, since the probes then end with deadAfter.
+func (s *Share) probeAfter(m *machine) time.Duration {
+	if m.serves() {
+		return s.deadAfter() - deadProbes*probeTimeout
+	}
+	return s.silentAfter()
+}
+
+// probeEvery is how long to wait between two probes of a worker: what could be
+// learnt soon is known after a few, and hundreds may be silent for minutes.
+func (s *Share) probeEvery(m *machine) time.Duration {
+	if m.failures <= 2*deadProbes {
+		return probeTimeout
+	}
+	return max(probeTimeout, s.opts.Settings.ReportEvery/2)
+}
+
+// census tells how many workers were last heard since when, and of those that
+// fail to answer, how many were not. It is taken once for all that may be dead:
+// hundreds can fail at once.
+type census struct {
+	all   hearing
+	zones map[string]*hearing
+}
+
+// hearing is when workers were last heard, of all and of those that fail, in
+// order.
+type hearing struct {
+	last, failing []time.Time
+}
+
+func (h *hearing) add(m *machine) {
+	h.last = append(h.last, m.LastReport)
+	if m.failures > 0 {
+		h.failing = append(h.failing, m.LastReport)
+	}
+}
+
+func (h *hearing) sort() {
+	slices.SortFunc(h.last, time.Time.Compare)
+	slices.SortFunc(h.failing, time.Time.Compare)
+}
+
+// since tells how many were heard after t, and how many of those that fail
+// were not.
+func (h *hearing) since(t time.Time) (heard, failed int) {
+	after := func(times []time.Time) int {
+		return sort.Search(len(times), func(i int) bool { return times[i].After(t) })
+	}
+	return len(h.last) - after(h.last), after(h.failing)
+}
+
+func (s *Share) censusLocked() *census {
+	c := &census{zones: map[string]*hearing{}}
+	for _, m := range s.machines {
+		zone := c.zones[m.Zone]
+		if zone == nil {
+			zone = &hearing{}
+			c.zones[m.Zone] = zone
+		}
+		c.all.add(m)
+		zone.add(m)
+	}
+	c.all.sort()
+	for _, zone := range c.zones {
+		zone.sort()
+	}
+	return c
+}
+
+// silentForLong tells whether the worker has answered neither a report's time
+// nor its probes.
+func (s *Share) silentForLong(m *machine, now time.Time) bool {
+	return m.failures >= deadProbes && now.Sub(m.LastReport) > s.deadAfter()
+}
+
+// dead tells whether a worker that is silent for long counts as lost: most
+// others that were asked or have reported since it began to fail have been
+// heard. A controller that loses all its workers would otherwise return them
+// one after the other. Where most of a zone is silent and the others are not,
+// the zone is cut off: its machines are as they were when that ends, their
+// images included, so they are kept for as long as new ones would take to serve.
+func (s *Share) dead(m *machine, c *census, now time.Time) bool {
+	allHeard, allFailed := c.all.since(m.failing)
+	allFailed-- // itself
+	if allHeard < min(len(s.machines)/2, 2*sampled) || allHeard < allFailed {
+		return false
+	}
+	heard, failed := c.zones[m.Zone].since(m.failing)
+	failed--
+	cut := failed > heard && allHeard-heard > allFailed-failed
+	return !cut || m.serves() || now.Sub(m.LastReport) > s.cutPatience(m)
+}
+
+// serves tells whether replicas may be on the machine.
+func (m *machine) serves() bool {
+	for _, a := range m.Attempts.All() {
+		if a.Service && !a.Exited() {
+			return true
+		}
+	}
+	return false
+}
+
+// deafForGood tells whether a worker whose reports arrive has answered nothing
+// for so long that it counts as lost: its lease lapses, since replies do not
+// reach it either, and what it is sent does not start.
+func (s *Share) deafForGood(m *machine, now time.Time) bool {
+	return !m.deaf.IsZero() && m.unanswered >= deadProbes && !s.busy() && now.Sub(m.deaf) > s.deadAfter()+deadProbes*probeTimeout && now.Sub(m.LastReport) <= s.silentAfter()
+}
+
+// mute tells whether a worker that answers direct messages has not reported for
+// most of a lease: it reaches no controller, so its lease lapses again and again.
+func (s *Share) mute(m *machine, now time.Time) bool {
+	return now.Sub(m.heard) > s.opts.Settings.LeaseFor*3/4 && now.Sub(m.LastReport) <= s.silentAfter()
+}
+
+// muteForGood tells whether it has been so for so long that another machine is
+// worth its price.
+func (s *Share) muteForGood(m *machine, now time.Time) bool {
+	return s.mute(m, now) && now.Sub(m.heard) > 2*s.opts.Settings.LeaseFor
+}
+
+// cutPatience is how long a machine in a zone that is cut off is kept: its
+// tasks are gone once its lease has lapsed, and a new one takes a boot or two.
+func (s *Share) cutPatience(m *machine) time.Duration {
+	patience := 2 * s.opts.Settings.LeaseFor
+	if m.Type != nil {
+		patience += time.Duration(2 * m.Type.BootS * float64(time.Second))
+	}
+	return patience
+}
+
+// sampled is how many other workers of each zone are asked when one fails to
+// answer: enough to tell a cut, and no more work for a large fleet.
+const sampled = 12
+
+// watchMachinesLocked probes silent workers, settles what leases or returns
+// prove, drains what is noticed, and raises the token where only that helps.
+func (s *Share) watchMachinesLocked(now time.Time) {
+	if !s.loaded || !s.permitted() {
+		return
+	}
+	silent, deaf, mute := 0, 0, 0
+	for _, m := range s.machines {
+		if m.failures >= 2 {
+			silent++
+		}
+		if s.mute(m, now) {
+			mute++
+		}
+		if !m.deaf.IsZero() {
+			deaf++
+		}
+	}
+	// Many at once: rather this controller is cut off than all of them dead, or
+	// it is so busy that it does not hear them, and the next leader would be too.
+	cut := silent > max(2, len(s.machines)/3) && !s.busy()
+	s.cut = cut
+	if cut && s.leadsLocked() && now.Sub(s.resigned) > 10*time.Second && s.opts.Elsewhere() > len(s.machines)/3 {
+		s.resigned = now
+		s.goDo(s.opts.Resign)
+	}
+	raise := false
+	token := s.opts.Authority.Token()
+	back := map[string][]*machine{} // by why they are returned
+	var heard *census
+	for _, m := range s.machines {
+		silence := now.Sub(m.LastReport)
+		if (silence > s.probeAfter(m) || !m.deaf.IsZero()) && now.Sub(m.probed) >= s.probeEvery(m) && !m.probing && s.probeRate.Allow() {
+			s.probeLocked(m, now)
+		}
+		if m.Live() > 0 && silence > s.silentAfter() {
+			if at, ok := s.lapseLocked(m); ok && !now.Before(at) {
+				s.log.Info("lease lapsed", "machine", m.Name, "tasks", m.Live())
+				s.handleLocked(m, m.Lapsed())
+			}
+		}
+		dead := false
+		if !cut && !m.returning && s.silentForLong(m, now) {
+			if heard == nil {
+				heard = s.censusLocked()
+			}
+			dead = s.dead(m, heard, now)
+		}
+		switch {
+		case m.returning:
+		case dead:
+			back["lost"] = append(back["lost"], m)
+		case s.overdueLocked(m, now):
+			back["a cancelled task may still be on it"] = append(back["a cancelled task may still be on it"], m)
+		case deaf <= max(2, len(s.machines)/3) && s.deafForGood(m, now):
+			back["nothing reaches it"] = append(back["nothing reaches it"], m)
+		case m.suspect && m.Live() == 0:
+			back["set aside"] = append(back["set aside"], m)
+		case mute <= max(2, len(s.machines)/3) && m.Live() == 0 && s.muteForGood(m, now):
+			back["it reaches nobody"] = append(back["it reaches nobody"], m)
+		}
+		if !m.Notice.IsZero() || mute <= max(2, len(s.machines)/3) && s.mute(m, now) {
+			s.drainLocked(m)
+		}
+		raise = raise || m.WantsToken(token)
+		// Leftovers alone keep an idle machine from being given or returned.
+		raise = raise || m.Live() == 0 && m.Attempts.Len() > 0 && now.Sub(s.div.at) > 20*time.Second && now.Sub(m.idleSince) > 2*time.Second
+	}
+	for why, machines := range back {
+		s.returnLocked(machines, why)
+	}
+	if raise && !s.raising && now.Sub(s.raised) > 2*time.Second {
+		s.raising, s.raised = true, now
+		s.goDo(func(ctx context.Context) {
+			if err := s.opts.Authority.Raise(ctx); err != nil {
+				s.log.Info("raising the token failed", "err", err)
+			}
+			s.mu.Lock()
+			s.raising = false
+			s.mu.Unlock()
+		})
+	}
+}
+
+// lapseLocked returns when the lease of the machine's worker has surely run
+// out: counted from the last answer that this or any other controller can
+// have given, or from when its session began, with the drift of two clocks. A
+// worker that reaches no controller starts session after session by itself, and
+// takes direct commands in each.
+func (s *Share) lapseLocked(m *machine) (time.Time, bool) {
+	last := m.LastAnswer
+	if m.SessionAt.After(last) {
+		last = m.SessionAt
+	}
+	if m.fence > 0 {
+		fenced, ok := s.opts.Authority.Fenced(m.fence)
+		if !ok {
+			return time.Time{}, false
+		}
+		if fenced.After(last) {
+			last = fenced
+		}
+	}
+	lease := s.opts.Settings.LeaseFor
+	return last.Add(lease + lease/1000 + 200*time.Millisecond), true
+}
+
+// overdueLocked tells whether a cancelled job's task may still be there when
+// it must be gone soon, and its lease does not surely lapse before.
+func (s *Share) overdueLocked(m *machine, now time.Time) bool {
+	for _, a := range m.Attempts.All() {
+		if a.MustGoBy.IsZero() || a.Exited() || now.Before(a.MustGoBy.Add(-3*time.Second)) {
+			continue
+		}
+		if now.After(a.MustGoBy) {
+			return true
+		}
+		if at, ok := s.lapseLocked(m); !ok || at.After(a.MustGoBy) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Share) probeLocked(m *machine, now time.Time) {
+	if m.Address == "" {
+		m.failures++
+		m.probed = now
+		return
+	}
+	m.probing, m.probed = true, now
+	address, session, seq := m.Address, m.Session, m.Seq
+	s.goDo(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		report, err := s.opts.Workers.Status(ctx, address)
+		cancel()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		m.probing = false
+		if !s.answeredLocked(m, err) {
+			if errors.Is(err, fleet.ErrNoSocket) || s.busy() {
+				return // it tells nothing of the worker
+			}
+			m.failures++
+			m.unanswered++
+			if m.failures == 1 {
+				m.failing = now
+				s.sweepLocked(time.Now())
+			}
+			return
+		}
+		if report.Machine == m.Name && (report.Session < session || report.Session == session && report.Seq < seq) {
+			// It answers with less than it has told before: another life of
+			// the machine, without the tasks of the one before. Commands to
+			// that one may still come to this one, so it is fenced.
+			s.returnLocked([]*machine{m}, "its worker has started anew")
+			return
+		}
+		s.applyLocked(m, report)
+	})
+}
+
+// sweepLocked asks some workers of each zone that have not been heard for a
+// moment: whether they answer tells if one worker is lost, a zone cut off, or
+// this controller.
+func (s *Share) sweepLocked(now time.Time) {
+	asked := map[string]int{}
+	for _, m := range s.machines {
+		if now.Sub(m.LastReport) > probeTimeout && now.Sub(m.probed) > probeTimeout && !m.probing && asked[m.Zone] < sampled && s.probeRate.Allow() {
+			asked[m.Zone]++
+			s.probeLocked(m, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/jobs.go
@@ -0,0 +1,276 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"heronwick/internal/fleet"
+	"heronwick/internal/job"
+	"heronwick/internal/placement"
+	"heronwick/wire"
+)
+
+// jobState is a job of the share.
+type jobState struct {
+	rec  *job.Record
+	size placement.Resources
+
+	share    float64 // the largest part of a machine that a task takes
+	accepted time.Time
+	within   []time.Duration // objectives, from accepted on
+
+	next  int   // tasks from here on were never queued for another try
+	retry []int // tasks to place again
+	live  map[int]int
+	zones map[string]int
+
+	done      *job.DoneSet
+	dirty     map[int]bool             // chunks to write
+	awaiting  map[int][]*fleet.Attempt // by chunk: done, not yet in the store
+	shelves   map[int]*shelf           // by chunk, where it is written
+	finishing bool                     // the job's end is being written
+
+	failedOn  map[string]bool
+	succeeded bool
+	notBefore time.Time
+	waiting   time.Time     // since when a task has found no room; zero: none waits
+	fetch     time.Duration // about how long its image takes to fetch
+	passedUp  time.Time     // since when it leaves room where its image is not to others; zero: it does not
+	wantsHeld time.Time     // since when room beside its image is looked for elsewhere
+	preempted time.Time     // when tasks were last stopped for this job
+	tried     [2]time.Time  // when none was found to stop, anywhere or beside its image
+	told      job.Progress
+	toldAt    time.Time // when that last changed
+
+	asking          int // tasks that another share is being asked to take
+	guest           bool
+	guestGuaranteed bool // a guest: its owner says that it is within its team's guarantee
+
+	asked   int       // a guest: how many of its tasks its owner has no room for
+	askedAt time.Time // and when it last said so
+}
+
+// resolveLocked looks up a job that is not among the active ones, since tasks
+// of it may be on machines: it is over, or only not heard of yet.
+func (s *Share) resolveLocked(id string) {
+	if s.resolve[id] {
+		return
+	}
+	s.resolve[id] = true
+	s.goDo(func(ctx context.Context) {
+		for {
+			f, over, found, err := s.opts.Jobs.Resolve(ctx, id)
+			if err != nil {
+				if !pause(ctx, 300*time.Millisecond) {
+					return
+				}
+				continue
+			}
+			s.mu.Lock()
+			delete(s.resolve, id)
+			if over || !found {
+				// When it ended is not known: perhaps long ago.
+				s.endLocked(id, f, time.Now().Add(s.opts.Settings.ReportEvery*2))
+			}
+			s.mu.Unlock()
+			return
+		}
+	})
+}
+
+// jobOf returns an own job or a guest.
+func (s *Share) jobOf(id string) *jobState {
+	if js := s.jobs[id]; js != nil {
+		return js
+	}
+	return s.guests[id]
+}
+
+// JobAdded implements job.Listener.
+func (s *Share) JobAdded(r *job.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.poke()
+	if s.mineLocked(&r.Job) && s.jobs[r.Job.ID] == nil {
+		if !s.loaded || r.Version <= s.div.since.Version {
+			// Accepted before the division that made it ours: its owner then
+			// may have placed it, which the records tell.
+			s.divided.Store(false)
+			return
+		}
+		s.addJobLocked(r)
+	}
+	for _, m := range s.machines {
+		for _, a := range m.Attempts.All() {
+			if a.Job == r.Job.ID && !a.Sized {
+				s.adoptLocked(m, a)
+				if a.Exited() && !a.Handled {
+					s.exitedLocked(m, a)
+				}
+			}
+		}
+	}
+}
+
+func (s *Share) addJobLocked(r *job.Record) *jobState {
+	j := &r.Job
+	js := s.newJob(r)
+	s.jobs[j.ID] = js
+	s.log.Debug("job queued", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "cpus", j.CPUs, "image", j.Image, "estimate_s", j.EstimateS)
+	return js
+}
+
+func (s *Share) newJob(r *job.Record) *jobState {
+	j := &r.Job
+	js := &jobState{
+		rec: r, size: placement.Of(j), live: map[int]int{}, zones: map[string]int{},
+		done: &job.DoneSet{}, dirty: map[int]bool{}, awaiting: map[int][]*fleet.Attempt{}, shelves: map[int]*shelf{},
+		failedOn: map[string]bool{}, accepted: time.UnixMilli(r.AcceptedMs), within: s.objectives(j),
+	}
+	js.share, js.fetch = s.dominantShare(js.size), s.fetchTime(j)
+	return js
+}
+
+// objectives is within what time of its acceptance the job's users want it,
+// as far as they have said: its deadline, and the objectives of its class.
+func (s *Share) objectives(j *wire.Job) []time.Duration {
+	if j.DeadlineS != nil {
+		return []time.Duration{time.Duration(*j.DeadlineS * float64(time.Second))}
+	}
+	var all []time.Duration
+	for _, o := range s.opts.Settings.Objectives {
+		if o.Class == j.Class && o.Within > 0 {
+			all = append(all, o.Within)
+		}
+	}
+	if len(all) == 0 {
+		all = append(all, time.Minute)
+	}
+	return all
+}
+
+// dominantShare is the largest part of a machine's resources that a task of
+// the size takes.
+func (s *Share) dominantShare(size placement.Resources) float64 {
+	share := 1.0
+	for _, t := range s.types {
+		c := placement.Capacity(t)
+		of := max(size.CPUs/max(c.CPUs, 1e-9), size.MemoryGB/max(c.MemoryGB, 1e-9))
+		if c.GPUs > 0 {
+			of = max(of, size.GPUs/c.GPUs)
+		}
+		share = min(share, of)
+	}
+	return share
+}
+
+// JobEnded implements job.Listener.
+func (s *Share) JobEnded(id string, f job.Final) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endLocked(id, f, time.Now().Add(s.opts.Settings.CancelIn*3/4))
+}
+
+// endLocked forgets a job that is over and stops its tasks.
+func (s *Share) endLocked(id string, f job.Final, goneBy time.Time) {
+	js := s.jobs[id]
+	if js != nil {
+		s.log.Debug("job over", "job", id, "state", f.State, "after", time.Since(js.accepted))
+		for _, attempts := range js.awaiting {
+			for _, a := range attempts {
+				a.Handled = true
+			}
+		}
+	}
+	s.unshelveLocked(id)
+	delete(s.jobs, id)
+	delete(s.guests, id)
+	s.endTasksLocked(id, f, goneBy)
+}
+
+// endTasksLocked stops every task of a job that is over, also those whose
+// start may still be under way.
+func (s *Share) endTasksLocked(id string, f job.Final, goneBy time.Time) {
+	for _, m := range s.machines {
+		s.endTasksOnLocked(m, id, f, goneBy)
+	}
+	s.poke()
+}
+
+func (s *Share) endTasksOnLocked(m *machine, id string, f job.Final, goneBy time.Time) {
+	if f.State == wire.JobDone {
+		goneBy = time.Time{} // nobody was told that its tasks are gone
+	}
+	touched := false
+	for _, a := range m.Attempts.All() {
+		if a.Job != id {
+			continue
+		}
+		if a.Exited() {
+			a.Handled = true
+			continue
+		}
+		touched = true
+		if a.Unsent() {
+			m.Attempts.Delete(a.Key)
+			s.uncountLocked(a)
+			continue
+		}
+		a.Stop, a.GraceS, a.MustGoBy = true, 0, goneBy
+		if !a.Sized {
+			a.Team, a.Size, a.Sized = f.Team, placement.Resources{CPUs: f.CPUs, GPUs: f.GPUs, MemoryGB: f.MemoryGB}, true
+			if s.div.OwnerOf(f.Team, id) == s.opts.Node {
+				s.countLocked(m.Zone, a)
+			}
+		}
+	}
+	if touched {
+		s.closeIfEmptyLocked(m)
+		s.sendLocked(m)
+	}
+}
+
+const (
+	// progressFor is how long a change of progress is told, so that a lost
+	// message does not hide it.
+	progressFor = 3 * time.Second
+	// allProgressEvery is how often that of all jobs is told: to a controller
+	// that has started since, a job that goes on alike would stay queued.
+	allProgressEvery = 20 * time.Second
+)
+
+// Progress tells how far the jobs are whose progress has changed lately, and
+// now and then all, for display.
+func (s *Share) Progress() map[string]job.Progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	running := map[string]int{}
+	for _, m := range s.machines {
+		for _, a := range m.Attempts.All() {
+			if a.State == wire.TaskRunning {
+				running[a.Job]++
+			}
+		}
+	}
+	for _, f := range s.foreign {
+		if f.State == wire.TaskRunning {
+			running[f.Job]++
+		}
+	}
+	changed := map[string]job.Progress{}
+	if now.Sub(s.toldAll) >= allProgressEvery {
+		s.toldAll = now
+	}
+	all := now.Sub(s.toldAll) < progressFor
+	for id, js := range s.jobs {
+		p := job.Progress{Done: js.done.Count, Running: running[id]}
+		if p != js.told {
+			js.told, js.toldAt = p, now
+		}
+		if all || now.Sub(js.toldAt) < progressFor {
+			changed[id] = p
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/scheduler/summary.go
@@ -0,0 +1,76 @@
+package scheduler
+
+import (
+	"time"
+
+	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/placement"
+)
+
+// logLoadLocked tells an operator how full the share is.
+func (s *Share) logLoadLocked(now time.Time) {
+	usable, open, tasks, waiting := 0, 0, 0, 0
+	for _, m := range s.machines {
+		tasks += m.Live()
+		if s.list.Has(m) {
+			open++
+		}
+		if s.usableLocked(m, now) {
+			usable++
+		}
+	}
+	_, total, free := s.statusLocked(now)
+	for _, js := range s.jobs {
+		waiting += js.pending()
+	}
+	s.log.Info("load", "jobs", len(s.jobs), "lent", len(s.foreign), "waiting", waiting, "tasks", tasks, "machines", len(s.machines), "usable", usable,
+		"open", open, "booting", len(s.booting), "cpus", total.CPUs, "free_cpus", free.CPUs, "free_memory_gb", free.MemoryGB,
+		"latency", s.latency(), "passes", s.passes.count, "pass_time", s.passes.total, "longest_pass", s.passes.longest)
+	s.passes = passTimes{}
+}
+
+// statusLocked sums what the share has.
+func (s *Share) statusLocked(now time.Time) (idle int, total, free placement.Resources) {
+	for _, m := range s.machines {
+		if !s.usableLocked(m, now) {
+			continue
+		}
+		total, free = total.Plus(placement.Capacity(m.Type)), free.Plus(m.Free())
+		if m.Live() == 0 {
+			idle++
+		}
+	}
+	return idle, total, free
+}
+
+// summary is what the peers are told of the share.
+type summary struct {
+	machines, idle int
+	cpus, freeCPUs float64
+	cut            bool
+	overloaded     bool
+	wants          []*peerpb.Want
+}
+
+// summarizeEvery is how often the summary is made: as often as heartbeats go out
+// to each of two peers.
+const summarizeEvery = 500 * time.Millisecond
+
+func (s *Share) summarizeLocked(now time.Time) {
+	idle, total, free := s.statusLocked(now)
+	s.summary.Store(&summary{machines: len(s.machines), idle: idle, cpus: total.CPUs, freeCPUs: free.CPUs,
+		cut: s.cut, overloaded: s.overloadedLocked(now), wants: s.wantsLocked(now)})
+}
+
+// Status fills in what the peers are told of the share, as last summarized. It
+// takes no lock: a heartbeat must not wait behind passes and reports, or a busy
+// controller is taken for dead.
+func (s *Share) Status(status *peerpb.Status) {
+	sum := s.summary.Load()
+	if sum == nil {
+		return
+	}
+	status.Machines, status.Idle = uint32(sum.machines), uint32(sum.idle)
+	status.Cpus, status.FreeCpus, status.Cut = sum.cpus, sum.freeCPUs, sum.cut
+	status.Overloaded, status.Wants = sum.overloaded, sum.wants
+}
