--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -177,90 +177,140 @@
 // answer: enough to tell a cut, and no more work for a large fleet.
 const sampled = 12
 
+// survey is what one look at all machines goes by.
+type survey struct {
+	now time.Time
+	// cutOff: it is rather this controller that is cut off from its workers.
+	cutOff bool
+	// fewUnreachable and fewMute: so few workers are that each is judged by itself.
+	fewUnreachable, fewMute bool
+	heard                   *census // made when first needed
+}
+
+// few tells whether so few of the machines have something that it is theirs
+// rather than this controller's.
+func (s *Share) few(count int) bool { return count <= max(2, len(s.machines)/3) }
+
+func (s *Share) surveyLocked(now time.Time) *survey {
+	silent, unreachable, mute := 0, 0, 0
+	for _, m := range s.machines {
+		silent += boolInt(m.failures >= 2)
+		mute += boolInt(s.mute(m, now))
+		unreachable += boolInt(!m.deaf.IsZero())
+	}
+	// Many at once: rather this controller is cut off than all of them dead, or
+	// it is so busy that it does not hear them, and the next leader would be too.
+	return &survey{now: now, cutOff: !s.few(silent) && !s.busy(), fewUnreachable: s.few(unreachable), fewMute: s.few(mute)}
+}
+
 // watchMachinesLocked probes silent workers, settles what leases or returns
 // prove, drains what is noticed, and raises the token where only that helps.
 func (s *Share) watchMachinesLocked(now time.Time) {
 	if !s.loaded || !s.permitted() {
 		return
 	}
-	silent, deaf, mute := 0, 0, 0
-	for _, m := range s.machines {
-		if m.failures >= 2 {
-			silent++
-		}
-		if s.mute(m, now) {
-			mute++
-		}
-		if !m.deaf.IsZero() {
-			deaf++
-		}
-	}
-	// Many at once: rather this controller is cut off than all of them dead, or
-	// it is so busy that it does not hear them, and the next leader would be too.
-	cut := silent > max(2, len(s.machines)/3) && !s.busy()
-	s.cut = cut
-	if cut && s.leadsLocked() && now.Sub(s.resigned) > 10*time.Second && s.opts.Elsewhere() > len(s.machines)/3 {
-		s.resigned = now
-		s.goDo(s.opts.Resign)
-	}
+	survey := s.surveyLocked(now)
+	s.cut = survey.cutOff
+	s.resignIfCutLocked(now)
 	raise := false
 	token := s.opts.Authority.Token()
 	back := map[string][]*machine{} // by why they are returned
-	var heard *census
 	for _, m := range s.machines {
-		silence := now.Sub(m.LastReport)
-		if (silence > s.probeAfter(m) || !m.deaf.IsZero()) && now.Sub(m.probed) >= s.probeEvery(m) && !m.probing && s.probeRate.Allow() {
-			s.probeLocked(m, now)
-		}
-		if m.Live() > 0 && silence > s.silentAfter() {
-			if at, ok := s.lapseLocked(m); ok && !now.Before(at) {
-				s.log.Info("lease lapsed", "machine", m.Name, "tasks", m.Live())
-				s.handleLocked(m, m.Lapsed())
-			}
-		}
-		dead := false
-		if !cut && !m.returning && s.silentForLong(m, now) {
-			if heard == nil {
-				heard = s.censusLocked()
-			}
-			dead = s.dead(m, heard, now)
-		}
-		switch {
-		case m.returning:
-		case dead:
-			back["lost"] = append(back["lost"], m)
-		case s.overdueLocked(m, now):
-			back["a cancelled task may still be on it"] = append(back["a cancelled task may still be on it"], m)
-		case deaf <= max(2, len(s.machines)/3) && s.deafForGood(m, now):
-			back["nothing reaches it"] = append(back["nothing reaches it"], m)
-		case m.suspect && m.Live() == 0:
-			back["set aside"] = append(back["set aside"], m)
-		case mute <= max(2, len(s.machines)/3) && m.Live() == 0 && s.muteForGood(m, now):
-			back["it reaches nobody"] = append(back["it reaches nobody"], m)
+		s.probeIfSilentLocked(m, now)
+		s.lapseIfDueLocked(m, now)
+		if why := s.whyReturnLocked(m, survey); why != "" {
+			back[why] = append(back[why], m)
 		}
-		if !m.Notice.IsZero() || mute <= max(2, len(s.machines)/3) && s.mute(m, now) {
+		if !m.Notice.IsZero() || survey.fewMute && s.mute(m, now) {
 			s.drainLocked(m)
 		}
-		raise = raise || m.WantsToken(token)
-		// Leftovers alone keep an idle machine from being given or returned.
-		raise = raise || m.Live() == 0 && m.Attempts.Len() > 0 && now.Sub(s.div.at) > 20*time.Second && now.Sub(m.idleSince) > 2*time.Second
+		raise = raise || m.WantsToken(token) || s.keptByLeftoversLocked(m, now)
 	}
 	for why, machines := range back {
 		s.returnLocked(machines, why)
 	}
-	if raise && !s.raising && now.Sub(s.raised) > 2*time.Second {
-		s.raising, s.raised = true, now
-		s.goDo(func(ctx context.Context) {
-			if err := s.opts.Authority.Raise(ctx); err != nil {
-				s.log.Info("raising the token failed", "err", err)
-			}
-			s.mu.Lock()
-			s.raising = false
-			s.mu.Unlock()
-		})
+	if raise {
+		s.raiseLocked(now)
 	}
 }
 
+// resignIfCutLocked gives up leading where the workers that this controller
+// cannot reach come to another.
+func (s *Share) resignIfCutLocked(now time.Time) {
+	if s.cut && s.leadsLocked() && now.Sub(s.resigned) > 10*time.Second && s.opts.Elsewhere() > len(s.machines)/3 {
+		s.resigned = now
+		s.goDo(s.opts.Resign)
+	}
+}
+
+func (s *Share) probeIfSilentLocked(m *machine, now time.Time) {
+	asked := now.Sub(m.LastReport) > s.probeAfter(m) || !m.deaf.IsZero()
+	if asked && now.Sub(m.probed) >= s.probeEvery(m) && !m.probing && s.probeRate.Allow() {
+		s.probeLocked(m, now)
+	}
+}
+
+// lapseIfDueLocked takes the proof that a silent worker's lease has run out.
+func (s *Share) lapseIfDueLocked(m *machine, now time.Time) {
+	if m.Live() == 0 || now.Sub(m.LastReport) <= s.silentAfter() {
+		return
+	}
+	if at, ok := s.lapseLocked(m); ok && !now.Before(at) {
+		s.log.Info("lease lapsed", "machine", m.Name, "tasks", m.Live())
+		s.handleLocked(m, m.Lapsed())
+	}
+}
+
+// whyReturnLocked tells why a machine is to be returned; "": it is not.
+func (s *Share) whyReturnLocked(m *machine, survey *survey) string {
+	now := survey.now
+	switch {
+	case m.returning:
+		return ""
+	case !survey.cutOff && s.silentForLong(m, now) && s.dead(m, s.heardLocked(survey), now):
+		return "lost"
+	case s.overdueLocked(m, now):
+		return "a cancelled task may still be on it"
+	case survey.fewUnreachable && s.deafForGood(m, now):
+		return "nothing reaches it"
+	case m.suspect && m.Live() == 0:
+		return "set aside"
+	case survey.fewMute && m.Live() == 0 && s.muteForGood(m, now):
+		return "it reaches nobody"
+	}
+	return ""
+}
+
+// heardLocked returns the census of the survey.
+func (s *Share) heardLocked(survey *survey) *census {
+	if survey.heard == nil {
+		survey.heard = s.censusLocked()
+	}
+	return survey.heard
+}
+
+// keptByLeftoversLocked tells whether exited attempts alone keep an idle machine
+// from being given or returned.
+func (s *Share) keptByLeftoversLocked(m *machine, now time.Time) bool {
+	return m.Live() == 0 && m.Attempts.Len() > 0 && now.Sub(s.div.at) > 20*time.Second && now.Sub(m.idleSince) > 2*time.Second
+}
+
+// raiseLocked raises the token, now and then.
+func (s *Share) raiseLocked(now time.Time) {
+	if s.raising || now.Sub(s.raised) <= 2*time.Second {
+		return
+	}
+	s.raising, s.raised = true, now
+	s.goDo(func(ctx context.Context) {
+		if err := s.opts.Authority.Raise(ctx); err != nil {
+			s.log.Info("raising the token failed", "err", err)
+		}
+		s.mu.Lock()
+		s.raising = false
+		s.mu.Unlock()
+	})
+}
+
 // lapseLocked returns when the lease of the machine's worker has surely run
 // out: counted from the last answer that this or any other controller can
 // have given, or from when its session began, with the drift of two clocks. A
