--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -271,10 +271,6 @@
 	return m
 }
 
-// divideEvery is how often the share looks for who owns what though nothing has
-// told it of a change.
-const divideEvery = time.Second
-
 // logLoadEvery is how often the share logs how full it is.
 const logLoadEvery = 10 * time.Second
 
@@ -283,17 +279,14 @@
 func (s *Share) loop(ctx context.Context) error {
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
-	var logged, tidied, summarized, divided time.Time
+	var logged, tidied, summarized time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.wake:
 		case now := <-tick.C:
-			if now.Sub(divided) >= divideEvery {
-				divided = now
-				s.divided.Store(false) // in case that a change went unnoticed
-			}
+			s.divided.Store(false) // in case that a change went unnoticed
 			s.mu.Lock()
 			s.regroupLocked(now)
 			s.relieveLocked(now)
