One piece for what stood twice: idle machines to give, direct commands, an owner's membership

Behaviour is as it was; the tests of all packages pass, the race detector was not run. Regrouping and relief choose from one list of giveable machines, a command with its time limit is one function, HostOf and validLocked ask the same question of an epoch, and whether an asker is overloaded is looked up once a request for room, not for each job in it.

--- a/internal/cluster/owners.go
+++ b/internal/cluster/owners.go
@@ -84,10 +84,13 @@
 	delete(c.transfers, key)
 }
 
-func (c *Cluster) validLocked(o Owner) bool {
-	return o.Since != 0 && c.epoch.Members[o.Node].Since == o.Since
+// memberIn tells whether the owner is, in its tenure, a member of an epoch.
+func (o Owner) memberIn(epoch *Epoch) bool {
+	return o.Since != 0 && epoch.Members[o.Node].Since == o.Since
 }
 
+func (c *Cluster) validLocked(o Owner) bool { return o.memberIn(&c.epoch) }
+
 // Owners returns the machines that this controller owns by name, and the names
 // of those whose owner is no member. fresh is false while a write of an older
 // epoch may not have been seen yet.
@@ -121,7 +124,7 @@
 func (c *Cluster) HostOf(epoch *Epoch, machine string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o, ok := c.owners[machine]; ok && o.Since != 0 && epoch.Members[o.Node].Since == o.Since {
+	if o, ok := c.owners[machine]; ok && o.memberIn(epoch) {
 		return o.Node
 	}
 	return epoch.Leader
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -494,6 +494,19 @@
 	return s.usableLocked(m, now) && m.Quiet() && !m.dirty && !m.sending && !m.probing
 }
 
+// giveableMachinesLocked returns the machines that can change to another share,
+// those idle for the longest first.
+func (s *Share) giveableMachinesLocked(now time.Time) []*machine {
+	var idle []*machine
+	for _, m := range s.machines {
+		if s.giveableLocked(m, now) {
+			idle = append(idle, m)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *machine) int { return a.idleSince.Compare(b.idleSince) })
+	return idle
+}
+
 // giveLocked gives idle machines to another share. This share answers their
 // workers no more before the write goes out.
 func (s *Share) giveLocked(machines []*machine, node string) {
@@ -564,21 +577,15 @@
 			delete(s.doubted, name) // gone, or it would have been decided
 		}
 	}
-	var idle []*machine
-	for _, m := range s.machines {
-		if s.giveableLocked(m, now) {
-			idle = append(idle, m)
-		}
-	}
 	for _, js := range s.jobs {
 		if js.rec.Job.Kind == wire.KindGang && !js.waiting.IsZero() {
 			return // it gathers machines
 		}
 	}
+	idle := s.giveableMachinesLocked(now)
 	if len(idle) <= 1 {
 		return
 	}
-	slices.SortFunc(idle, func(a, b *machine) int { return a.idleSince.Compare(b.idleSince) })
 	// So many stay at hand: what a share has in use tells what it will need.
 	keep := max(1, (len(s.machines)-len(idle))/4)
 	if len(idle) <= keep {
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -220,8 +220,9 @@
 	reply.Ready = true
 	now := time.Now()
 	s.beginPassLocked()
+	overloaded := s.opts.Authority.Loads()[req.Node].Overloaded
 	for _, w := range req.Wanted {
-		s.placeWantedLocked(req.Node, w, reply, now)
+		s.placeWantedLocked(req.Node, overloaded, w, reply, now)
 	}
 	if len(reply.Taken) > 0 {
 		s.poke()
@@ -260,7 +261,9 @@
 	return true
 }
 
-func (s *Share) placeWantedLocked(from string, w *peerpb.Wanted, reply *peerpb.PlaceReply, now time.Time) {
+// placeWantedLocked places what one job asks for. An asker that is overloaded is
+// given no machine as a whole.
+func (s *Share) placeWantedLocked(from string, overloaded bool, w *peerpb.Wanted, reply *peerpb.PlaceReply, now time.Time) {
 	r := s.opts.Jobs.Active(w.Job)
 	if r == nil || s.div.OwnerOf(r.Job.Team, r.Job.ID) != from {
 		return
@@ -277,7 +280,6 @@
 		g.zones[zone] = int(n)
 	}
 	left := len(w.Attempts)
-	overloaded := s.opts.Authority.Loads()[from].Overloaded
 	for _, at := range w.Attempts {
 		key := fleet.Key{Task: at.Task, Attempt: at.Attempt}
 		_, index, ok := wire.SplitTaskID(at.Task)
--- a/internal/scheduler/overload.go
+++ b/internal/scheduler/overload.go
@@ -1,8 +1,6 @@
 package scheduler
 
-import (
-	"time"
-)
+import "time"
 
 // busyLatency is the scheduling latency from which on a missing answer says more
 // of this controller than of the worker.
--- a/internal/scheduler/relief.go
+++ b/internal/scheduler/relief.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // After a takeover the leader has all machines, and their reports alone may take
 // more processor time than a small controller has, while the others have nothing
@@ -40,14 +37,8 @@
 	if surplus <= 0 {
 		return
 	}
-	var idle []*machine
-	for _, m := range s.machines {
-		if s.giveableLocked(m, now) {
-			idle = append(idle, m)
-		}
-	}
 	// Those idle for the longest: the others' images are the most likely to be wanted.
-	slices.SortFunc(idle, func(a, b *machine) int { return a.idleSince.Compare(b.idleSince) })
+	idle := s.giveableMachinesLocked(now)
 	s.giveLocked(idle[:min(surplus, len(idle)/2)], node)
 }
 
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -206,6 +206,14 @@
 // commandTimeout bounds a direct command; the next report brings it again.
 const commandTimeout = 2 * time.Second
 
+// command sends commands straight to a worker, for as long
+// as commandTimeout allows.
+func (s *Share) command(ctx context.Context, address string, req *wire.CommandRequest) (*wire.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	return s.opts.Workers.Command(ctx, address, req)
+}
+
 // sendLocked sends a worker what it should be told, without waiting for its
 // next report.
 func (s *Share) sendLocked(m *machine) {
@@ -224,9 +232,7 @@
 	m.sending = true
 	address := m.Address
 	s.goDo(func(ctx context.Context) {
-		cctx, cancel := context.WithTimeout(ctx, commandTimeout)
-		report, err := s.opts.Workers.Command(cctx, address, req)
-		cancel()
+		report, err := s.command(ctx, address, req)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		m.sending = false
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -64,9 +64,7 @@
 		address := m.Address
 		req := &wire.CommandRequest{Token: s.opts.Authority.Token(), Session: m.Session, Commands: []wire.Command{}}
 		s.goDo(func(ctx context.Context) {
-			cctx, cancel := context.WithTimeout(ctx, commandTimeout)
-			report, err := s.opts.Workers.Command(cctx, address, req)
-			cancel()
+			report, err := s.command(ctx, address, req)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			m.probing = false
