Drop ends of jobs fenced by an outdated epoch before they use up the write limit

What had ended without its end on record kept idle machines from being given, which raises the token every two seconds, so the next round of ends was outdated too. Pages, journals and done tasks are dropped before they are sent when their epoch has passed; ends of jobs were not. Nor were cancellations of jobs that had ended meanwhile.

Ruled out: a lost wake-up in the budget (waiters were served all the time, with writes that failed) and a share that does not learn of the epoch (its condition was the current one).

Now an end goes with job.Fence, its condition and whether that can still hold, and is dropped unsent otherwise; the share tries again under the new epoch as before. A cancellation that waits is dropped when its job is known to be over and answered from memory.

--- a/internal/job/catalog.go
+++ b/internal/job/catalog.go
@@ -476,11 +476,14 @@
 			}
 			continue
 		}
-		if err := c.end(ctx, r, wire.JobCancelled, nil, false); err == nil {
+		if err := c.end(ctx, r, wire.JobCancelled, nil); err == nil {
 			continue
 		} else if conflict := (*state.Conflict)(nil); !errors.As(err, &conflict) {
 			return wire.JobStatus{}, false, err
 		}
+		if c.Over(id) {
+			continue
+		}
 		if _, _, err := c.read(ctx, id); err != nil {
 			return wire.JobStatus{}, false, err
 		}
@@ -488,27 +491,44 @@
 	return wire.JobStatus{}, false, fmt.Errorf("%w: cancelling %s", state.ErrUnavailable, id)
 }
 
-// Finish records that every task of the job is done.
-func (c *Catalog) Finish(ctx context.Context, r *Record, fence wire.Condition) error {
-	return c.end(ctx, r, wire.JobDone, []wire.Condition{fence}, true)
+// Fence binds a write to the epoch under which it was decided.
+type Fence struct {
+	Condition wire.Condition
+	Current   func() bool // whether the condition can still hold, without asking the store
+}
+
+// Finish records that every task of the job is done. With an outdated fence it
+// fails with a *state.Conflict that names no key.
+func (c *Catalog) Finish(ctx context.Context, r *Record, fence Fence) error {
+	return c.end(ctx, r, wire.JobDone, &fence)
 }
 
-func (c *Catalog) end(ctx context.Context, r *Record, s wire.JobState, conditions []wire.Condition, persist bool) error {
+// end writes the job's end. Only one that is fenced, which a share decided, is
+// tried until the store has answered. A write that waits for budget is dropped
+// once its fence is outdated or the job is over: it would only use up what other
+// writes wait for.
+func (c *Catalog) end(ctx context.Context, r *Record, s wire.JobState, fence *Fence) error {
 	j := r.Job
 	f := Final{State: s, Tasks: j.Tasks, Team: j.Team, CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
 	value, err := json.Marshal(f)
 	if err != nil {
 		return fmt.Errorf("encoding the end of job %s: %w", j.ID, err)
 	}
-	revision, err := c.commit.Commit(ctx, state.Write{
+	write := state.Write{
 		Priority: state.Safety,
-		If:       append(conditions, r.Condition(), wire.Condition{Key: finalPrefix + j.ID}),
+		If:       []wire.Condition{r.Condition(), {Key: finalPrefix + j.ID}},
 		Then: []wire.Change{
 			{Delete: activePrefix + j.ID},
 			{Put: finalPrefix + j.ID, Value: value},
 		},
-		Persist: persist,
-	})
+		Fresh: func() bool { return !c.Over(j.ID) },
+	}
+	if fence != nil {
+		write.Persist = true
+		write.If = append(write.If, fence.Condition)
+		write.Fresh = func() bool { return fence.Current() && !c.Over(j.ID) }
+	}
+	revision, err := c.commit.Commit(ctx, write)
 	if err != nil {
 		return err
 	}
--- a/internal/scheduler/done.go
+++ b/internal/scheduler/done.go
@@ -195,7 +195,7 @@
 // finish returns false when nothing is left to do.
 func (s *Share) finish(ctx context.Context, js *jobState) bool {
 	s.mu.Lock()
-	id, fence := js.rec.Job.ID, s.div.condition
+	id, fence := js.rec.Job.ID, job.Fence{Condition: s.div.condition, Current: s.freshLocked()}
 	mine := s.jobs[id] == js && ctx.Err() == nil
 	s.mu.Unlock()
 	if !mine {
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -30,6 +30,7 @@
 	active map[string]*job.Record
 	mu     sync.Mutex
 	writes []state.Write
+	fences []job.Fence // of ended jobs
 	wants  []*peerpb.Want
 	loads  map[string]cluster.Load
 	since  map[string]uint64 // machines that the peer owns, and its membership
@@ -75,8 +76,13 @@
 func (p *scripted) Resolve(context.Context, string) (job.Final, bool, bool, error) {
 	return job.Final{}, false, false, nil
 }
-func (p *scripted) ReadDone(context.Context) ([]job.DonePage, error)          { return nil, nil }
-func (p *scripted) Finish(context.Context, *job.Record, wire.Condition) error { return nil }
+func (p *scripted) ReadDone(context.Context) ([]job.DonePage, error) { return nil, nil }
+func (p *scripted) Finish(_ context.Context, _ *job.Record, fence job.Fence) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fences = append(p.fences, fence)
+	return nil
+}
 func (p *scripted) Commit(_ context.Context, w state.Write) (uint64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,6 +136,26 @@
 	return &peerpb.PlaceRequest{Node: "peer", Token: 5, Wanted: []*peerpb.Wanted{w}}
 }
 
+// The end of a job is fenced by the epoch under which its share counted its tasks,
+// and known to be outdated once that has changed.
+func TestEndOfAJobIsFenced(t *testing.T) {
+	s, p, _ := newTestShare(t)
+	js := s.addJobLocked(p.add("job", "ours", wire.PriorityNormal, 1, 1))
+	js.done.Add(0)
+	_, condition := p.Division()
+	s.finishLocked(js)
+	if err := s.group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if len(p.fences) != 1 || p.fences[0].Condition != condition || !p.fences[0].Current() {
+		t.Fatalf("the end was fenced by %v", p.fences)
+	}
+	p.epoch.Token++
+	if p.fences[0].Current() {
+		t.Error("the fence counts as current under the next epoch")
+	}
+}
+
 // A host that came back knows nothing of what its former membership had
 // taken: its "not known" would let tasks run twice.
 func TestSettleIsAboutOneMembership(t *testing.T) {
