Tell the share of an epoch that was read, and read no records for a new job

Found: (1) by reading, an epoch that refresh reads ahead of a late watch was told to nobody but the election; now refresh itself tells the share.

Tests seen failing: without the call in refresh TestReadEpochIsToldOf, without the case in divideLocked, and without the comparison of versions, TestOnlyEarlierJobsNeedTheRecords.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -590,7 +590,8 @@
 	}
 }
 
-// refresh reads the epoch and the leader key.
+// refresh reads the epoch, the leader key and the transfers, perhaps before the
+// watch brings them.
 func (c *Cluster) refresh(ctx context.Context) error {
 	sent := time.Now()
 	items, revision, err := c.opts.Client.List(ctx, state.Urgent, prefix)
@@ -598,10 +599,19 @@
 		return err
 	}
 	caughtUp := c.opts.Cancellations.CatchUp(ctx, revision) == nil
+	if c.takeList(sent, items, revision, caughtUp) {
+		c.opts.Changed()
+	}
+	return nil
+}
+
+// takeList takes what a list that was asked for at sent has shown, or returns
+// false if more recent news has been taken since.
+func (c *Cluster) takeList(sent time.Time, items []wire.Item, revision uint64, caughtUp bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if revision < c.revision {
-		return nil
+		return false
 	}
 	c.revision, c.known = revision, true
 	c.leaderVersion, c.leader = 0, leaderRecord{}
@@ -624,7 +634,7 @@
 			c.confirmed = sent
 		}
 	}
-	return nil
+	return true
 }
 
 func (c *Cluster) takeLocked(key string, value json.RawMessage, version uint64) {
@@ -687,7 +697,6 @@
 			}
 			fresh = true
 			c.poke()
-			c.opts.Changed()
 		}
 		c.mu.Lock()
 		after := c.revision
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -394,7 +394,7 @@
 		path := &lateList{Doer: standin.NewState().Node("a")}
 		client := state.NewClient(path, state.NewBudget(150, 60, 16))
 		c := New(Options{Node: "a", Client: client, LeaseFor: 20 * time.Second, CancelIn: 40 * time.Second,
-			Cancellations: &knowledge{client: client}, Weights: func() map[string]float64 { return nil },
+			Cancellations: &knowledge{client: client}, Changed: func() {}, Weights: func() map[string]float64 { return nil },
 			Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 		c.claim(ctx)
 		path.hold = make(chan struct{})
@@ -416,3 +416,32 @@
 		}
 	})
 }
+
+// An epoch that a controller reads before its watch brings it is told of at once:
+// the share went on by the one before until it happened to look.
+func TestReadEpochIsToldOf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		client := state.NewClient(standin.NewState().Node("a"), state.NewBudget(150, 60, 16))
+		told := 0
+		c := New(Options{Node: "a", Client: client, LeaseFor: 20 * time.Second, CancelIn: 40 * time.Second,
+			Cancellations: &knowledge{client: client}, Changed: func() { told++ }, Weights: func() map[string]float64 { return nil },
+			Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		c.claim(ctx)
+		epoch, condition := c.Division()
+		value, err := json.Marshal(epoch.next())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := client.Txn(ctx, state.Urgent, wire.Txn{If: []wire.Condition{condition}, Then: []wire.Change{{Put: epochKey, Value: value}}}); err != nil {
+			t.Fatal(err)
+		}
+		told = 0
+		if err := c.Raise(ctx); err == nil {
+			t.Fatal("an outdated epoch was raised")
+		}
+		if now, _ := c.Division(); now.Token != epoch.Token+1 || told == 0 {
+			t.Errorf("the epoch is %d, was %d, told %d times", now.Token, epoch.Token, told)
+		}
+	})
+}
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -80,7 +80,11 @@
 	}
 	var gained []*job.Record
 	for _, r := range s.opts.Jobs.AllActive() {
-		if epoch.OwnerOf(r.Job.Team, r.Job.ID) == s.opts.Node && s.jobs[r.Job.ID] == nil {
+		switch {
+		case epoch.OwnerOf(r.Job.Team, r.Job.ID) != s.opts.Node || s.jobs[r.Job.ID] != nil:
+		case epoch.Token == s.div.Token && s.acceptedHereLocked(r):
+			s.addJobLocked(r) // that it was added is about to be told
+		default:
 			gained = append(gained, r)
 		}
 	}
@@ -91,6 +95,13 @@
 	s.goDo(func(ctx context.Context) { s.rebuild(ctx, epoch, condition, gained, adopt) })
 }
 
+// acceptedHereLocked tells whether a job of the share was accepted under the
+// division that the share goes by: nobody else can have placed tasks of it, so
+// the records need not be read for it.
+func (s *Share) acceptedHereLocked(r *job.Record) bool {
+	return s.loaded && r.Version > s.div.since.Version
+}
+
 // takeLocked takes a machine that another share has given: nothing is on it,
 // and it can be used at once by what its owner before knew of it.
 func (s *Share) takeLocked(name string, o cluster.Owner) {
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -92,9 +92,8 @@
 	defer s.mu.Unlock()
 	defer s.poke()
 	if s.mineLocked(&r.Job) && s.jobs[r.Job.ID] == nil {
-		if !s.loaded || r.Version <= s.div.since.Version {
-			// Accepted before the division that made it ours: its owner then
-			// may have placed it, which the records tell.
+		if !s.acceptedHereLocked(r) {
+			// Its owner before may have placed it, which the records tell.
 			s.divided.Store(false)
 			return
 		}
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -30,7 +30,8 @@
 	active map[string]*job.Record
 	mu     sync.Mutex
 	writes []state.Write
-	fences []job.Fence // of ended jobs
+	fences []job.Fence   // of ended jobs
+	listed []*job.Record // all active jobs
 	wants  []*peerpb.Want
 	loads  map[string]cluster.Load
 	since  map[string]uint64 // machines that the peer owns, and its membership
@@ -69,7 +70,7 @@
 	return wire.Condition{}, wire.Change{}, false
 }
 func (p *scripted) Active(id string) *job.Record     { return p.active[id] }
-func (p *scripted) AllActive() []*job.Record         { return nil }
+func (p *scripted) AllActive() []*job.Record         { return p.listed }
 func (p *scripted) Over(string) bool                 { return false }
 func (p *scripted) Listen(job.Listener)              {}
 func (p *scripted) SetProgress(string, job.Progress) {}
@@ -156,6 +157,27 @@
 	}
 }
 
+// A job that was accepted under the present division, and that the share finds
+// before it is told of it, is queued without reading the records of all machines.
+// One that was accepted before it may have been placed, so they are read.
+func TestOnlyEarlierJobsNeedTheRecords(t *testing.T) {
+	s, p, _ := newTestShare(t)
+	accepted := p.add("accepted", "ours", wire.PriorityNormal, 1, 1)
+	accepted.Version = p.epoch.Token + 1
+	p.listed = []*job.Record{accepted}
+	s.divideLocked()
+	if s.building || s.jobs["accepted"] == nil {
+		t.Errorf("rebuilding: %v, queued: %v", s.building, s.jobs["accepted"] != nil)
+	}
+	earlier := p.add("earlier", "ours", wire.PriorityNormal, 1, 1)
+	earlier.Version = p.epoch.Token - 1
+	p.listed = append(p.listed, earlier)
+	s.divideLocked()
+	if !s.building || s.jobs["earlier"] != nil {
+		t.Errorf("rebuilding: %v, queued: %v", s.building, s.jobs["earlier"] != nil)
+	}
+}
+
 // A host that came back knows nothing of what its former membership had
 // taken: its "not known" would let tasks run twice.
 func TestSettleIsAboutOneMembership(t *testing.T) {
