Split the cluster package by concern; standard names for membership, timeouts, majority, replication

cluster.go (1,007 lines) is now cluster, epoch, election, authority, peers and watch; the election loop is cut into lead, vacantLocked and startShareLocked. Tenure is Membership, patience timeouts, vouched confirmedAt, Witness Replicator, keep renew, stand runElection.

--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -112,7 +112,7 @@
 		Share: c.runShare, Status: c.status, Changed: c.changed, Weights: c.weights,
 		Progress: c.progress, OnProgress: c.takeProgress, Log: log,
 	})
-	c.catalog.SetWitness(c.members)
+	c.catalog.SetReplicator(c.members)
 	c.front = server.New(server.Options{
 		Settings: settings, Jobs: c.catalog, Types: c.offers.Types, Checkin: c.checkin, Ready: c.ready, Gauges: c.gauges(), Log: log,
 	})
@@ -240,7 +240,7 @@
 }
 
 // runShare runs the share while this controller is a member.
-func (c *controller) runShare(ctx context.Context, tenure *cluster.Tenure) error {
+func (c *controller) runShare(ctx context.Context, membership *cluster.Membership) error {
 	if err := c.offers.Wait(ctx); err != nil {
 		return err
 	}
@@ -248,7 +248,7 @@
 		return err
 	}
 	s := scheduler.New(scheduler.Options{
-		Node: c.settings.Node, Settings: c.settings, Authority: tenure, Workers: c.out.workers, Cloud: c.out.cloud,
+		Node: c.settings.Node, Settings: c.settings, Authority: membership, Workers: c.out.workers, Cloud: c.out.cloud,
 		Peers: peerShares(c.out.peers), Requests: &c.requests, Jobs: c.catalog, Records: c.client, Committer: c.committer, Types: c.offers.Types(),
 		Resign: c.members.Resign, Elsewhere: c.members.WorkersElsewhere, Latency: c.latency, Log: c.log,
 	})
--- a/cmd/heronwick/gap_test.go
+++ b/cmd/heronwick/gap_test.go
@@ -128,9 +128,9 @@
 			time.Sleep(300 * time.Millisecond)
 			g.start(g.other(2))
 		}, 3, 0, false},
-		{"a voucher starts anew right before, and has read the store since", 3, func(g *gap) {
+		{"a confirming peer starts anew right before, and has read the store since", 3, func(g *gap) {
 			// The leader is refused and cut off, so it hears of nothing; who
-			// knew is cut off later, and who vouches then read the jobs after
+			// knew is cut off later, and who confirms then read the jobs after
 			// the cancellation and cannot name it.
 			g.refuse(g.leader, true)
 			g.alone(g.leader, true)
--- /dev/null
+++ b/internal/cluster/authority.go
@@ -0,0 +1,155 @@
+package cluster
+
+import (
+	"slices"
+	"time"
+)
+
+// fence collects, for the current epoch, the proof that nobody answers
+// workers under an older one.
+type fence struct {
+	acked      map[string]bool // peers that know this epoch
+	majorityAt time.Time
+	allAt      time.Time
+}
+
+// proof: since at, nobody answers workers under an epoch older than token.
+type proof struct {
+	token uint64
+	at    time.Time
+}
+
+// leastPermission is as long as a permission must be at least: a few beats.
+const leastPermission = 2500 * time.Millisecond
+
+// lapseSlack is how much later than a lease after its last renewal a worker
+// has surely ended its tasks: its clock drifts, and it looks now and then.
+func lapseSlack(lease time.Duration) time.Duration { return lease/1000 + 500*time.Millisecond }
+
+// permissionFor is how long a controller may answer workers on one proof: a
+// quarter of a lease, and no longer than leaves time for a lease to lapse
+// after it before a cancelled job's tasks must be gone. inTime is false if the
+// settings leave no such time.
+func permissionFor(lease, cancelIn time.Duration) (permission time.Duration, inTime bool) {
+	permission = lease / 4
+	room := cancelIn - lease - lapseSlack(lease)
+	if room < min(permission, leastPermission) {
+		return min(permission, leastPermission), false
+	}
+	return min(permission, room), true
+}
+
+// Permitted tells whether this controller may answer workers' reports now: it
+// is a member, and proof that its epoch is current was asked for a short while
+// ago. Without the bound, a controller cut off from everything but some
+// workers would renew their leases for ever, and nobody could ever count them
+// as lapsed.
+func (c *Cluster) Permitted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.permittedLocked()
+}
+
+func (c *Cluster) permittedLocked() bool {
+	return c.memberLocked() && time.Since(c.confirmed) < c.permission
+}
+
+// Membership is the cluster as seen by the share of one membership. A share whose
+// membership is over may take long to end, and meanwhile its controller may be
+// a member again, under a newer token: what the old share knows is no more.
+type Membership struct {
+	*Cluster
+	since uint64
+}
+
+// Permit tells whether the share of this membership may answer workers' reports and
+// command them now, and under which token: both as of the same moment.
+func (t *Membership) Permit() (token uint64, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.epoch.Token, t.permittedLocked() && t.epoch.Members[t.opts.Node].Since == t.since
+}
+
+// Fenced returns since when surely no controller has answered a worker under
+// an epoch older than token, if that is proven. See docs/design.md, "Fencing".
+func (c *Cluster) Fenced(token uint64) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noteFenceLocked()
+	for _, p := range c.proven {
+		if p.token >= token {
+			return p.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// noteAckLocked counts a peer that knows the current epoch: it will neither
+// answer workers under an older one nor confirm one.
+func (c *Cluster) noteAckLocked(p *peer) {
+	if !c.memberLocked() || p.token < c.epoch.Token {
+		return
+	}
+	if c.fence.acked == nil {
+		c.fence.acked = map[string]bool{}
+	}
+	c.fence.acked[p.node] = true
+	c.noteFenceLocked()
+}
+
+func (c *Cluster) noteFenceLocked() {
+	if !c.memberLocked() || len(c.proven) > 0 && c.proven[len(c.proven)-1].token >= c.epoch.Token {
+		return
+	}
+	now := time.Now()
+	if c.fence.majorityAt.IsZero() && 2*(len(c.fence.acked)+1) > len(c.peers)+1 {
+		c.fence.majorityAt = now
+	}
+	if c.fence.allAt.IsZero() && len(c.fence.acked) == len(c.peers) {
+		c.fence.allAt = now
+	}
+	at := c.fence.allAt
+	if !c.fence.majorityAt.IsZero() {
+		// Clocks of two machines drift apart by up to 0.05%.
+		bound := c.fence.majorityAt.Add(c.permission + c.permission/1000)
+		if at.IsZero() || bound.Before(at) {
+			at = bound
+		}
+	}
+	if at.IsZero() || now.Before(at) {
+		return
+	}
+	// Proof for this epoch is proof for all older ones; a few are kept so
+	// that a machine taken under an older epoch keeps its earlier date.
+	c.proven = append(c.proven, proof{token: c.epoch.Token, at: at})
+	if len(c.proven) > 64 {
+		c.proven = c.proven[1:]
+	}
+}
+
+// confirmByMajorityLocked confirms the epoch as of the latest time at which a
+// majority, this controller included, knew of no newer one. A peer that has
+// not read the epoch since it started does not count: it may have forgotten a
+// newer one.
+func (c *Cluster) confirmByMajorityLocked() {
+	if !c.memberLocked() {
+		return
+	}
+	var times []time.Time
+	for _, p := range c.peers {
+		times = append(times, p.confirmedAt)
+	}
+	needed := (len(c.peers) + 1) / 2 // besides this controller
+	if needed == 0 {
+		return
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	c.confirmLocked(times[needed-1])
+}
+
+// confirmLocked notes a proof, asked for at a time, that the epoch was current.
+func (c *Cluster) confirmLocked(at time.Time) {
+	if at.After(c.confirmed) {
+		c.confirmed = at
+	}
+}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -136,7 +136,7 @@
 		c := New(Options{
 			Node: "a", Client: client, Route: route, Peers: map[string]Beater{"b": b, "d": d}, LeaseFor: 20 * time.Second,
 			CancelIn: 40 * time.Second, Cancellations: &knowledge{revision: 1, client: client},
-			Share:   func(ctx context.Context, _ *Tenure) error { <-ctx.Done(); return nil },
+			Share:   func(ctx context.Context, _ *Membership) error { <-ctx.Done(); return nil },
 			Status:  func(*peerpb.Status) {},
 			Changed: func() {}, Weights: func() map[string]float64 { return nil },
 			Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -227,40 +227,40 @@
 	})
 }
 
-// A cancellation is confirmed once so many know it that no majority can vouch
+// A cancellation is confirmed once so many know it that no majority can confirm
 // without one of them, or by the only member there is.
-func TestWitnessed(t *testing.T) {
+func TestReplicate(t *testing.T) {
 	cancellation := job.Cancellation{Job: "wk-000001", Revision: 50, Final: job.Final{State: wire.JobCancelled, Tasks: 3}}
 	withLeader(t, func(c *Cluster, _ *standin.State, b, d *scriptedPeer) {
-		witnessed := func(what string, want bool) {
+		replicated := func(what string, want bool) {
 			t.Helper()
 			began := time.Now()
-			if err := c.Witnessed(context.Background(), cancellation); (err == nil) != want || time.Since(began) > time.Second {
+			if err := c.Replicate(context.Background(), cancellation); (err == nil) != want || time.Since(began) > time.Second {
 				t.Errorf("%s: %v after %v", what, err, time.Since(began))
 			}
 		}
-		witnessed("the only member", true)
+		replicated("the only member", true)
 		b.say(1, true)
 		d.say(1, true)
 		time.Sleep(3 * time.Second)
-		witnessed("all can be told", true)
+		replicated("all can be told", true)
 		if toB, toD := b.tells(), d.tells(); len(toB) != 1 || len(toD) != 1 || toB[0].Job != cancellation.Job {
 			t.Errorf("told %v and %v", toB, toD)
 		}
 		d.silence()
-		witnessed("one can be told", true)
+		replicated("one can be told", true)
 		b.silence()
-		witnessed("nobody can be told", false)
+		replicated("nobody can be told", false)
 		time.Sleep(5 * time.Second)
-		witnessed("the only member again", true)
+		replicated("the only member again", true)
 		b.say(c.Token(), true)
 		time.Sleep(3 * time.Second)
 		b.silence()
-		witnessed("the other member cannot be told", false)
+		replicated("the other member cannot be told", false)
 		b.change(func(s *peerpb.Status) { s.Token, s.Ready, s.JobsRevision = c.Token(), true, 50 })
 		time.Sleep(1500 * time.Millisecond)
 		b.silence()
-		witnessed("the other has said that it knows", true)
+		replicated("the other has said that it knows", true)
 	})
 }
 
--- a/internal/cluster/division.go
+++ b/internal/cluster/division.go
@@ -102,7 +102,7 @@
 	changed := false
 	for node, p := range c.peers {
 		member := next.Members[node].Incarnation
-		alive := !p.lastSeen.IsZero() && now.Sub(p.lastSeen) < c.patience.deadAfter
+		alive := !p.lastSeen.IsZero() && now.Sub(p.lastSeen) < c.timeouts.deadAfter
 		if alive && member != 0 && p.status.Cut && p.status.Incarnation == member && p.workersElsewhere(c) {
 			p.shunned = now.Add(shunFor)
 		}
@@ -143,8 +143,8 @@
 // come to other controllers.
 func (p *peer) workersElsewhere(c *Cluster) bool {
 	heard := len(c.workersHeard)
-	for _, other := range c.peers {
-		if other != p && time.Since(other.lastSeen) < c.patience.peerOKFor {
+	for _, other := range c.heardPeersLocked() {
+		if other != p {
 			heard = max(heard, int(other.workers))
 		}
 	}
@@ -185,9 +185,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	loads := map[string]Load{}
-	for node, p := range c.peers {
-		if c.epoch.Members[node].Since != 0 && p.status != nil && time.Since(p.lastSeen) < c.patience.peerOKFor {
-			loads[node] = Load{Machines: int(p.status.Machines), Overloaded: p.status.Overloaded}
+	for _, p := range c.heardPeersLocked() {
+		if c.epoch.Members[p.node].Since != 0 {
+			loads[p.node] = Load{Machines: int(p.status.Machines), Overloaded: p.status.Overloaded}
 		}
 	}
 	return loads
@@ -198,8 +198,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var all []*peerpb.Want
-	for node, p := range c.peers {
-		if c.epoch.Members[node].Since != 0 && time.Since(p.lastSeen) < c.patience.peerOKFor {
+	for _, p := range c.heardPeersLocked() {
+		if c.epoch.Members[p.node].Since != 0 {
 			all = append(all, p.status.Wants...)
 		}
 	}
--- /dev/null
+++ b/internal/cluster/epoch.go
@@ -0,0 +1,40 @@
+package cluster
+
+import (
+	"hash/fnv"
+)
+
+// Epoch says who commands workers, and under which token.
+type Epoch struct {
+	Token       uint64 `json:"token"`
+	Leader      string `json:"leader"`
+	Incarnation uint64 `json:"incarnation"`
+	// Members are the controllers with a share.
+	Members map[string]Member `json:"members"`
+	// Teams says which member owns each team. A job whose team is not listed
+	// belongs to the member that its id hashes to.
+	Teams map[string]string `json:"teams"`
+}
+
+// Member is a controller with a share. One that comes back, as the same
+// incarnation or another, has another Since and owns nothing of what it had.
+type Member struct {
+	Incarnation uint64 `json:"incarnation"`
+	Since       uint64 `json:"since"` // token of the epoch in which it joined
+}
+
+// OwnerOf returns the member that owns a job.
+func (e *Epoch) OwnerOf(team, job string) string {
+	if node, ok := e.Teams[team]; ok {
+		return node
+	}
+	best, highest := "", uint64(0)
+	for node := range e.Members {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(node + "/" + job))
+		if sum := h.Sum64(); best == "" || sum > highest || sum == highest && node < best {
+			best, highest = node, sum
+		}
+	}
+	return best
+}
--- a/internal/cluster/owners.go
+++ b/internal/cluster/owners.go
@@ -17,7 +17,7 @@
 
 // Transfer is the value of one such key, written once by the owner of its
 // machines. A machine belongs to whom the newest transfer that names it gives
-// it; what none names, or whose owner's tenure is over, is the leader's. Many
+// it; what none names, or whose owner's membership is over, is the leader's. Many
 // machines in one value make a regrouping of hundreds a few changes.
 type Transfer struct {
 	Node  string `json:"node"`  // "": the machines are gone for good
@@ -84,7 +84,7 @@
 	delete(c.transfers, key)
 }
 
-// memberIn tells whether the owner is, in its tenure, a member of an epoch.
+// memberIn tells whether the owner is, in its membership, a member of an epoch.
 func (o Owner) memberIn(epoch *Epoch) bool {
 	return o.Since != 0 && epoch.Members[o.Node].Since == o.Since
 }
@@ -183,7 +183,7 @@
 }
 
 // tidy removes transfers that decide nothing any more: newer ones name all
-// their machines, or the owner's tenure is over and none older names them. A
+// their machines, or the owner's membership is over and none older names them. A
 // late copy of a transfer would bring it back as the newest one, so one is
 // removed only under a later epoch than its own: the copy then fails.
 func (c *Cluster) tidy(ctx context.Context) {
--- a/internal/cluster/witness.go
+++ b/internal/cluster/replicate.go
@@ -30,18 +30,22 @@
 	tellOthers = 100 * time.Millisecond
 )
 
-var errUnwitnessed = errors.New("too few controllers can be told")
+var errNotReplicated = errors.New("too few controllers can be told")
 
 func toPeer(cancelled []job.Cancellation) []*peerpb.Cancelled {
 	var all []*peerpb.Cancelled
 	for _, n := range cancelled {
-		f := &n.Final
-		all = append(all, &peerpb.Cancelled{Job: n.Job, Revision: n.Revision, Tasks: uint32(f.Tasks), Team: f.Team,
-			Cpus: f.CPUs, Gpus: f.GPUs, MemoryGb: f.MemoryGB})
+		all = append(all, oneToPeer(n))
 	}
 	return all
 }
 
+func oneToPeer(n job.Cancellation) *peerpb.Cancelled {
+	f := &n.Final
+	return &peerpb.Cancelled{Job: n.Job, Revision: n.Revision, Tasks: uint32(f.Tasks), Team: f.Team,
+		Cpus: f.CPUs, Gpus: f.GPUs, MemoryGb: f.MemoryGB}
+}
+
 func fromPeer(all []*peerpb.Cancelled) []job.Cancellation {
 	var cancelled []job.Cancellation
 	for _, n := range all {
@@ -58,11 +62,11 @@
 	return &peerpb.TellReply{}
 }
 
-// witnessesLocked is how many peers must know a cancellation before it is
-// confirmed: so many that any majority that vouches for a permission holds a
+// replicasNeededLocked is how many peers must know a cancellation before it is
+// confirmed: so many that any majority that confirms a permission holds a
 // controller that knows. Where a permission lasts too long for a lease to lapse
 // after it in time, all must.
-func (c *Cluster) witnessesLocked() int {
+func (c *Cluster) replicasNeededLocked() int {
 	n := len(c.peers) + 1
 	if !c.inTime {
 		return n - 1
@@ -76,10 +80,10 @@
 	return c.leadsLocked() && c.permittedLocked() && len(c.epoch.Members) == 1
 }
 
-// Witnessed implements job.Witness.
-func (c *Cluster) Witnessed(ctx context.Context, n job.Cancellation) error {
+// Replicate implements job.Replicator.
+func (c *Cluster) Replicate(ctx context.Context, n job.Cancellation) error {
 	c.mu.Lock()
-	needed := c.witnessesLocked()
+	needed := c.replicasNeededLocked()
 	var ask []*peer
 	for _, p := range c.peers {
 		// Whoever has said so knows it, or has started since and says that
@@ -96,7 +100,7 @@
 	}
 	answers := make(chan error, len(ask))
 	for _, p := range ask {
-		c.tellLocked(p, toPeer([]job.Cancellation{n})[0], answers)
+		c.tellLocked(p, oneToPeer(n), answers)
 	}
 	c.mu.Unlock()
 	var enough <-chan time.Time
@@ -119,7 +123,7 @@
 	}
 	if needed > 0 {
 		c.opts.Log.Info("cancellation not confirmed: too few controllers can be told", "job", n.Job, "lacking", needed)
-		return errUnwitnessed
+		return errNotReplicated
 	}
 	return nil
 }
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -26,7 +26,7 @@
 	Write string `json:"write"`
 }
 
-// PageKey is the key of a member's n-th page. since is its tenure, so that no
+// PageKey is the key of a member's n-th page. since is its membership, so that no
 // two members ever name the same one.
 func PageKey(node string, since, n uint64) string {
 	return fmt.Sprintf("%s%s/%d/%d", RecordPrefix, node, since, n)
--- a/internal/job/cancelled.go
+++ b/internal/job/cancelled.go
@@ -24,11 +24,11 @@
 	Final    Final
 }
 
-// Witness tells others of a cancellation before it is confirmed to a user.
-type Witness interface {
-	// Witnessed returns nil once so many controllers know the cancellation
+// Replicator tells others of a cancellation before it is confirmed to a user.
+type Replicator interface {
+	// Replicate returns nil once so many controllers know the cancellation
 	// that no permission to answer workers can be had without hearing of it.
-	Witnessed(ctx context.Context, c Cancellation) error
+	Replicate(ctx context.Context, c Cancellation) error
 }
 
 // Cancellations are kept to be handed over for at least keepCancelled, at most
@@ -126,18 +126,18 @@
 // told returns the answer for a job that is over, as soon as it may be given.
 func (c *Catalog) told(ctx context.Context, id string, status wire.JobStatus) (wire.JobStatus, bool, error) {
 	c.mu.Lock()
-	o, witness := c.final[id], c.witness
-	held := o != nil && o.State == wire.JobCancelled && !o.witnessed && witness != nil
+	o, replicator := c.final[id], c.replicator
+	held := o != nil && o.State == wire.JobCancelled && !o.replicated && replicator != nil
 	c.mu.Unlock()
 	if !held {
 		return status, true, nil
 	}
-	if err := witness.Witnessed(ctx, Cancellation{Job: id, Revision: o.revision, Final: o.Final}); err != nil {
+	if err := replicator.Replicate(ctx, Cancellation{Job: id, Revision: o.revision, Final: o.Final}); err != nil {
 		return wire.JobStatus{}, false, fmt.Errorf("%w: telling others that %s is cancelled: %w", state.ErrUnavailable, id, err)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o.witnessed = true
+	o.replicated = true
 	return status, true, nil
 }
 
--- a/internal/job/catalog.go
+++ b/internal/job/catalog.go
@@ -80,14 +80,14 @@
 	commit *state.Committer
 	log    *slog.Logger
 
-	mu       sync.Mutex
-	loaded   chan struct{} // closed once the records have been read
-	revision uint64
-	active   map[string]*Record
-	final    map[string]*ending
-	progress map[string]Progress
-	listener Listener
-	witness  Witness
+	mu         sync.Mutex
+	loaded     chan struct{} // closed once the records have been read
+	revision   uint64
+	active     map[string]*Record
+	final      map[string]*ending
+	progress   map[string]Progress
+	listener   Listener
+	replicator Replicator
 
 	cancelled []learnt // in the order in which they were learnt
 	base      uint64   // all that are known and came after this revision are among them
@@ -96,8 +96,8 @@
 // ending is how a job ended.
 type ending struct {
 	Final
-	revision  uint64 // of the store, at which it ended
-	witnessed bool   // a cancellation that users may be told of
+	revision   uint64 // of the store, at which it ended
+	replicated bool   // a cancellation that users may be told of
 }
 
 // Progress is how far a job is, for display.
@@ -138,11 +138,11 @@
 	c.listener = l
 }
 
-// SetWitness sets who is told of cancellations before users are.
-func (c *Catalog) SetWitness(w Witness) {
+// SetReplicator sets who is told of cancellations before users are.
+func (c *Catalog) SetReplicator(r Replicator) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.witness = w
+	c.replicator = r
 }
 
 // Active returns an active job's record, nil if none is cached.
@@ -463,7 +463,7 @@
 }
 
 // Cancel cancels a job unless it is over. Before it returns, the cancellation
-// is in the store and its witnesses know it.
+// is in the store and enough controllers know it.
 func (c *Catalog) Cancel(ctx context.Context, id string) (status wire.JobStatus, found bool, err error) {
 	for range 3 {
 		status, r, final := c.cached(id)
--- a/internal/job/done.go
+++ b/internal/job/done.go
@@ -61,7 +61,7 @@
 	Version uint64 `json:"-"`
 }
 
-// DoneKey is the key of a member's n-th page. since is its tenure, so that no
+// DoneKey is the key of a member's n-th page. since is its membership, so that no
 // two members ever name the same one.
 func DoneKey(node string, since, n uint64) string {
 	return fmt.Sprintf("%s%s/%d/%d", donePrefix, node, since, n)
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -411,7 +411,7 @@
 	return len(found)
 }
 
-// takePageLocked takes over a page whose owner's tenure is over: the leader
+// takePageLocked takes over a page whose owner's membership is over: the leader
 // does, as it does with the machines. It returns nil for another's page, and
 // for one that is this share's already: what that says of a machine that is
 // only now taken is from before the machine was given away, idle.
