End the resigning of leader after leader; a machine's new life has a lease of its own

Jobs waited for ever after all troubles: leaders resigned 47 times, each 3.6 s after its election. Five of thirteen machines were gone for good, more than a third, so each leader took itself for cut off and gave none of them up; and as every worker had just come to the other controllers too, which then did not know its home, each found that workers came elsewhere. Now a leader resigns soon after its election only if more workers came elsewhere than it reaches, and by the former rule ten seconds later; and machines that a controller seems cut off from count as lost, by the other rules for that, after two leases and two boots.

Seen failing without: TestLostMachinesEndNoLeader (with failures.go as before: leaders change, 16 of 24 tasks run), TestLeaseOfANewLife.

--- a/cmd/heronwick/takeover_test.go
+++ b/cmd/heronwick/takeover_test.go
@@ -189,3 +189,39 @@
 		})
 	}
 }
+
+// Nearly half of the machines are gone for good as the leader ends: to the next one
+// it looks as if it were cut off from them, while all workers come to the others as
+// well, whose home they do not know. It stays, replaces them, and all replicas run.
+func TestLostMachinesEndNoLeader(t *testing.T) {
+	withCluster(t, 9, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 0 }
+	}, func(tc *testCluster) {
+		for id := range 6 {
+			tc.expect(id%3, "POST", "/submissions", submission(id, services(4)), 201, "")
+		}
+		time.Sleep(5 * time.Second)
+		tc.expectRunning(24)
+		machines := tc.fleet.Machines()
+		old := tc.leader()
+		tc.crash(old)
+		for _, machine := range machines[:4] {
+			tc.fleet.Lose(machine)
+		}
+		time.Sleep(5 * time.Second)
+		tc.start(old)
+		time.Sleep(5 * time.Second)
+		leader := tc.leader()
+		for range 100 {
+			time.Sleep(time.Second)
+			if now := tc.leader(); now != leader {
+				t.Errorf("node %d leads, then node %d", leader, now)
+				break
+			}
+		}
+		tc.expectRunning(24)
+		if waiting := tc.fleet.Waiting(); len(waiting) > 0 {
+			t.Errorf("these wait though there is room: %v", waiting)
+		}
+	})
+}
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -214,6 +214,9 @@
 }
 
 func (s *Share) takeDivisionLocked(epoch cluster.Epoch, condition wire.Condition) {
+	if epoch.Leader == s.opts.Node && s.div.Leader != s.opts.Node {
+		s.ledSince = time.Now()
+	}
 	if !s.loaded || !same(&epoch, &s.div.Epoch) {
 		s.div.since, s.div.from = condition, epoch.Token
 	}
--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -131,7 +131,7 @@
 	heard, failed := c.zones[m.Zone].since(m.failing)
 	failed--
 	cut := failed > heard && allHeard-heard > allFailed-failed
-	return !cut || m.serves() || now.Sub(m.LastReport) > s.cutPatience(m)
+	return !cut || m.serves() || now.Sub(m.LastReport) > s.cutTimeout(m)
 }
 
 // serves tells whether replicas may be on the machine.
@@ -163,14 +163,14 @@
 	return s.mute(m, now) && now.Sub(m.heard) > 2*s.opts.Settings.LeaseFor
 }
 
-// cutPatience is how long a machine in a zone that is cut off is kept: its
+// cutTimeout is how long a machine in a zone that is cut off is kept: its
 // tasks are gone once its lease has lapsed, and a new one takes a boot or two.
-func (s *Share) cutPatience(m *machine) time.Duration {
-	patience := 2 * s.opts.Settings.LeaseFor
+func (s *Share) cutTimeout(m *machine) time.Duration {
+	timeout := 2 * s.opts.Settings.LeaseFor
 	if m.Type != nil {
-		patience += time.Duration(2 * m.Type.BootS * float64(time.Second))
+		timeout += time.Duration(2 * m.Type.BootS * float64(time.Second))
 	}
-	return patience
+	return timeout
 }
 
 // sampled is how many other workers of each zone are asked when one fails to
@@ -182,6 +182,8 @@
 	now time.Time
 	// cutOff: it is rather this controller that is cut off from its workers.
 	cutOff bool
+	// reachable workers are those that have not failed to answer.
+	reachable int
 	// fewUnreachable and fewMute: so few workers are that each is judged by itself.
 	fewUnreachable, fewMute bool
 	heard                   *census // made when first needed
@@ -200,7 +202,7 @@
 	}
 	// Many at once: rather this controller is cut off than all of them dead, or
 	// it is so busy that it does not hear them, and the next leader would be too.
-	return &survey{now: now, cutOff: !s.few(silent) && !s.busy(), fewUnreachable: s.few(unreachable), fewMute: s.few(mute)}
+	return &survey{now: now, cutOff: !s.few(silent) && !s.busy(), reachable: len(s.machines) - silent, fewUnreachable: s.few(unreachable), fewMute: s.few(mute)}
 }
 
 // watchMachinesLocked probes silent workers, settles what leases or returns
@@ -211,7 +213,7 @@
 	}
 	survey := s.surveyLocked(now)
 	s.cut = survey.cutOff
-	s.resignIfCutLocked(now)
+	s.resignIfCutLocked(survey)
 	raise := false
 	token := s.opts.Authority.Token()
 	back := map[string][]*machine{} // by why they are returned
@@ -234,11 +236,23 @@
 	}
 }
 
+// resignAfter is how long after an election workers still come to controllers that
+// do not lead, also those that the leader reaches.
+const resignAfter = 10 * time.Second
+
 // resignIfCutLocked gives up leading where the workers that this controller
-// cannot reach come to another.
-func (s *Share) resignIfCutLocked(now time.Time) {
-	if s.cut && s.leadsLocked() && now.Sub(s.resigned) > 10*time.Second && s.opts.Elsewhere() > len(s.machines)/3 {
-		s.resigned = now
+// cannot reach come to another. Soon after an election all workers do: then more
+// must have come there than this controller reaches. Where many machines are gone
+// for good, each leader otherwise resigned in turn, and none led for long enough
+// to find out.
+func (s *Share) resignIfCutLocked(survey *survey) {
+	if !s.cut || !s.leadsLocked() || survey.now.Sub(s.resigned) <= resignAfter {
+		return
+	}
+	elsewhere := s.opts.Elsewhere()
+	settled := survey.now.Sub(s.ledSince) > resignAfter && elsewhere > len(s.machines)/3
+	if settled || elsewhere > survey.reachable {
+		s.resigned = survey.now
 		s.goDo(s.opts.Resign)
 	}
 }
@@ -267,7 +281,7 @@
 	switch {
 	case m.returning:
 		return ""
-	case !survey.cutOff && s.silentForLong(m, now) && s.dead(m, s.heardLocked(survey), now):
+	case s.silentForLong(m, now) && s.countsAsLost(m, survey) && s.dead(m, s.heardLocked(survey), now):
 		return "lost"
 	case s.overdueLocked(m, now):
 		return "a cancelled task may still be on it"
@@ -281,6 +295,13 @@
 	return ""
 }
 
+// countsAsLost tells whether a silent worker may be judged by itself. While this
+// controller is rather cut off from many, their machines are kept for as long as new
+// ones would take to serve.
+func (s *Share) countsAsLost(m *machine, survey *survey) bool {
+	return !survey.cutOff || survey.now.Sub(m.LastReport) > s.cutTimeout(m)
+}
+
 // heardLocked returns the census of the survey.
 func (s *Share) heardLocked(survey *survey) *census {
 	if survey.heard == nil {
@@ -381,7 +402,9 @@
 		if report.Machine == m.Name && (report.Session < session || report.Session == session && report.Seq < seq) {
 			// It answers with less than it has told before: another life of
 			// the machine, without the tasks of the one before. Commands to
-			// that one may still come to this one, so it is fenced.
+			// that one may still come to this one, and what they start lasts
+			// for the lease with which this life began, so it is fenced.
+			m.SessionAt = time.Now()
 			s.returnLocked([]*machine{m}, "its worker has started anew")
 			return
 		}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -210,6 +210,7 @@
 	raised     time.Time
 	resolve    map[string]bool // jobs being looked up
 	spare      int             // idle and booting machines wanted beyond the demand
+	ledSince   time.Time       // when this controller last began to lead
 	resigned   time.Time
 	grouped    time.Time // when idle machines were last regrouped
 	relieved   time.Time // when some were last given away for want of processor time
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -32,6 +32,7 @@
 	writes []state.Write
 	fences []job.Fence   // of ended jobs
 	listed []*job.Record // all active jobs
+	status *wire.Report  // what workers answer to probes; nil: nothing
 	wants  []*peerpb.Want
 	loads  map[string]cluster.Load
 	since  map[string]uint64 // machines that the peer owns, and its membership
@@ -94,6 +95,9 @@
 	return nil, context.DeadlineExceeded
 }
 func (p *scripted) Status(context.Context, string) (*wire.Report, error) {
+	if p.status != nil {
+		return p.status, nil
+	}
 	return nil, context.DeadlineExceeded
 }
 
@@ -705,6 +709,24 @@
 	})
 }
 
+// A machine that has started anew has a lease from then on, though nobody answered
+// it: a late command to its former life may have started a task in this one, which
+// was placed again too soon while the cloud did not take the machine back (ran_twice).
+func TestLeaseOfANewLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestShare(t)
+		m.Seq, m.fence, m.LastAnswer = 50, 0, time.Now()
+		m.returning = true // the cloud is away
+		time.Sleep(5 * time.Second)
+		p.status = &wire.Report{Machine: "m1", Address: "m1", Type: "m", Zone: "z", Session: 1, Seq: 1}
+		s.probeLocked(m, time.Now())
+		synctest.Wait()
+		if at, ok := s.lapseLocked(m); !ok || at.Before(time.Now().Add(s.opts.Settings.LeaseFor)) {
+			t.Errorf("a lease that may have begun now counts as lapsed in %v", time.Until(at))
+		}
+	})
+}
+
 // What may still run of a cancelled job counts for whoever owns its team next,
 // though nobody gains the job (quota: a team at its limit, machines that cannot
 // be asked, a cancellation, and a change of leader).
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -23,6 +23,17 @@
 	}
 }
 
+// Lose takes a machine away for good, unannounced.
+func (f *Fleet) Lose(machine string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[machine]; w != nil {
+		w.killLocked()
+		w.dead = true
+		delete(f.workers, machine)
+	}
+}
+
 // Slow delays each message to and from a machine; 0 ends that.
 func (f *Fleet) Slow(machine string, delay time.Duration) {
 	f.mu.Lock()
