--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -157,11 +157,56 @@
 		s.addJobLocked(r)
 	}
 	s.scheduleLocked(time.Now()) // fills what is left
+	b.ReportAllocs()
 	for b.Loop() {
 		s.scheduleLocked(time.Now())
 	}
 }
 
+// A pass over 2,000 full machines with 200 waiting jobs after one task has ended:
+// it places one.
+func BenchmarkPassWithNews(b *testing.B) {
+	s, p := newLargeShare(2000)
+	fill(s, rand.New(rand.NewPCG(1, 1)))
+	for i := range 200 {
+		s.addJobLocked(p.add(fmt.Sprintf("wk-%d", i), "ours", wire.PriorityNormal, 1_000_000, 2))
+	}
+	s.scheduleLocked(time.Now()) // fills what is left
+	machines := make([]*machine, 0, len(s.machines))
+	for _, m := range s.machines {
+		machines = append(machines, m)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		m := machines[i%len(machines)]
+		for _, a := range m.Attempts.All() {
+			m.Attempts.Delete(a.Key)
+			s.uncountLocked(a)
+			break
+		}
+		s.scheduleLocked(time.Now())
+	}
+}
+
+// What a second costs in which nothing happens, with 500 machines that hold
+// tasks: five ticks, and the passes after them.
+func BenchmarkIdleSecond(b *testing.B) {
+	s, _ := newLargeShare(500)
+	fill(s, rand.New(rand.NewPCG(1, 1)))
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		for range time.Second / tickEvery {
+			now = now.Add(tickEvery)
+			for _, m := range s.machines {
+				m.LastReport, m.heard = now, now
+			}
+			s.tick(now)
+			s.schedule()
+		}
+	}
+}
+
 // A report of a machine with eight running tasks, and its answer.
 func BenchmarkReport(b *testing.B) {
 	s, _ := newLargeShare(2000)
@@ -169,6 +214,7 @@
 	for i := range 8 {
 		r.Tasks = append(r.Tasks, wire.TaskReport{Task: fmt.Sprintf("wk-000001/%d", i), Attempt: 1, State: wire.TaskRunning})
 	}
+	b.ReportAllocs()
 	for i := uint64(2); b.Loop(); i++ {
 		r.Seq = i
 		s.Checkin(r)
@@ -187,6 +233,7 @@
 		}
 		r.pages[len(r.pages)-1].Machines[m.Name] = m.Record(func(*fleet.Attempt) bool { return false })
 	}
+	b.ReportAllocs()
 	for b.Loop() {
 		s, p := newLargeShare(0)
 		s.mu.Lock() // workers are asked meanwhile
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -217,7 +217,8 @@
 	overloaded time.Time // when this controller was last short of processor time
 	toldAll    time.Time // when the progress of all jobs was last told
 	passes     passTimes // since the load was last logged
-	cut        bool      // most workers cannot be reached
+	upkeep     upkeep
+	cut        bool // most workers cannot be reached
 }
 
 // New makes a share; Run starts it.
@@ -276,58 +277,76 @@
 // logLoadEvery is how often the share logs how full it is.
 const logLoadEvery = 10 * time.Second
 
+// tickEvery is how often the share looks after what nobody tells it of.
+const tickEvery = 200 * time.Millisecond
+
 // loop schedules whenever something has changed, and looks after the machines
 // at regular times.
 func (s *Share) loop(ctx context.Context) error {
-	tick := time.NewTicker(200 * time.Millisecond)
+	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
-	var logged, tidied, summarized time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.wake:
 		case now := <-tick.C:
-			s.divided.Store(false) // in case that a change went unnoticed
-			s.mu.Lock()
-			s.regroupLocked(now)
-			s.relieveLocked(now)
-			s.watchMachinesLocked(now)
-			if now.Sub(summarized) >= summarizeEvery {
-				summarized = now
-				s.summarizeLocked(now)
-			}
-			s.flushLocked(now)
-			s.tellGoneLocked()
-			if now.Sub(tidied) > tidyEvery {
-				tidied = now
-				s.tidyLocked()
-			}
-			if now.Sub(logged) > logLoadEvery {
-				logged = now
-				s.logLoadLocked(now)
-			}
-			s.mu.Unlock()
-		}
-		began := time.Now()
-		s.mu.Lock()
-		locked := time.Now()
-		if !s.divided.Swap(true) {
-			s.divideLocked()
+			s.tick(now)
 		}
-		s.scheduleLocked(time.Now())
-		s.commitLocked()
-		s.lendLocked(time.Now())
-		s.mu.Unlock()
-		took := time.Since(began)
-		s.noteDelay(max(locked.Sub(began), time.Since(locked)))
-		s.passes.add(took)
+		took := s.schedule()
 		if !pause(ctx, max(passEvery, 2*took)) {
 			return nil
 		}
 	}
 }
 
+// upkeep is when the rarer parts of a tick were last done. Only the loop uses it.
+type upkeep struct {
+	logged, tidied, summarized time.Time
+}
+
+// tick looks after machines, records and what others are told.
+func (s *Share) tick(now time.Time) {
+	s.divided.Store(false) // in case that a change went unnoticed
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.regroupLocked(now)
+	s.relieveLocked(now)
+	s.watchMachinesLocked(now)
+	if now.Sub(s.upkeep.summarized) >= summarizeEvery {
+		s.upkeep.summarized = now
+		s.summarizeLocked(now)
+	}
+	s.flushLocked(now)
+	s.tellGoneLocked()
+	if now.Sub(s.upkeep.tidied) > tidyEvery {
+		s.upkeep.tidied = now
+		s.tidyLocked()
+	}
+	if now.Sub(s.upkeep.logged) > logLoadEvery {
+		s.upkeep.logged = now
+		s.logLoadLocked(now)
+	}
+}
+
+// schedule places what waits, and returns how long that took.
+func (s *Share) schedule() (took time.Duration) {
+	began := time.Now()
+	s.mu.Lock()
+	locked := time.Now()
+	if !s.divided.Swap(true) {
+		s.divideLocked()
+	}
+	s.scheduleLocked(time.Now())
+	s.commitLocked()
+	s.lendLocked(time.Now())
+	s.mu.Unlock()
+	took = time.Since(began)
+	s.noteDelay(max(locked.Sub(began), time.Since(locked)))
+	s.passes.add(took)
+	return took
+}
+
 // passTimes sums how long passes took. Only the loop uses it.
 type passTimes struct {
 	count          int
--- a/internal/server/bench_test.go
+++ b/internal/server/bench_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"log/slog"
@@ -42,3 +43,34 @@
 		}
 	}
 }
+
+// oneJob is a catalog with one running job.
+type oneJob struct{}
+
+func (oneJob) Submit(context.Context, wire.Job) (wire.JobStatus, bool, error) {
+	return wire.JobStatus{}, false, nil
+}
+
+func (oneJob) Status(_ context.Context, id string) (wire.JobStatus, bool, error) {
+	return wire.JobStatus{ID: id, State: wire.JobRunning, Done: 12, Running: 30}, true, nil
+}
+
+func (oneJob) Cancel(context.Context, string) (wire.JobStatus, bool, error) {
+	return wire.JobStatus{}, false, nil
+}
+
+// A user's question about a job, without the comparison in the store.
+func BenchmarkPollRequest(b *testing.B) {
+	s := New(Options{Settings: &config.Settings{MaxConnections: 1000}, Jobs: oneJob{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	var ctx fasthttp.RequestCtx
+	ctx.Request.Header.SetMethod("GET")
+	ctx.Request.SetRequestURI(wire.PathJobs + "/wk-000412")
+	b.ReportAllocs()
+	for b.Loop() {
+		ctx.Response.Reset()
+		s.Handle(&ctx)
+		if ctx.Response.StatusCode() != 200 {
+			b.Fatal(ctx.Response.StatusCode())
+		}
+	}
+}
