--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -199,7 +199,7 @@
 		for range time.Second / tickEvery {
 			now = now.Add(tickEvery)
 			for _, m := range s.machines {
-				m.LastReport, m.heard = now, now
+				m.LastReport, m.lastOwnReport = now, now
 			}
 			s.tick(now)
 			s.schedule()
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -176,7 +176,7 @@
 	if s.div.Leader == s.opts.Node {
 		for i := range r.done {
 			if node, since, ok := job.DoneOwner(r.done[i].Key); !ok || s.div.Members[node].Since != since {
-				s.takeShelfLocked(&r.done[i])
+				s.takeDonePageLocked(&r.done[i])
 			}
 		}
 	}
@@ -457,7 +457,7 @@
 // adoptMachineLocked takes a machine with what the records say may be on it.
 // on are the pages that hold those: the first is its own from now on.
 func (s *Share) adoptMachineLocked(fm *fleet.Machine, on []*page, ended map[string]job.Final, now time.Time) {
-	answered := s.early[fm.Name]
+	answered := s.answeredEarly[fm.Name]
 	m := s.addMachineLocked(fm, now)
 	m.LastAnswer = answered
 	if len(on) > 0 && !fleet.IsJournal(on[0].key) {
@@ -586,9 +586,9 @@
 			delete(s.returned, name)
 		}
 	}
-	for name, at := range s.doubted {
+	for name, at := range s.unknownTasksSince {
 		if now.Sub(at) > 10*time.Minute {
-			delete(s.doubted, name) // gone, or it would have been decided
+			delete(s.unknownTasksSince, name) // gone, or it would have been decided
 		}
 	}
 	for _, js := range s.jobs {
--- a/internal/scheduler/done.go
+++ b/internal/scheduler/done.go
@@ -12,9 +12,9 @@
 	"heronwick/wire"
 )
 
-// shelf is one key of the store with done tasks of many jobs. Until they are
-// written, the workers keep the results; so a shelf is written at leisure.
-type shelf struct {
+// donePage is one key of the store with done tasks of many jobs. Until they are
+// written, the workers keep the results; so a page is written at leisure.
+type donePage struct {
 	key        string
 	version    uint64
 	jobs       map[string]map[int][]byte // by job and chunk, what it holds or is about to
@@ -27,71 +27,71 @@
 // tasks are one change.
 const flushEvery = 2 * time.Second
 
-// shelfLocked returns a shelf with room for an entry of the size.
-func (s *Share) shelfLocked(size int) *shelf {
-	for _, sh := range s.shelves {
-		if sh.size+size <= s.opts.Settings.ValueBytes*3/4 {
-			return sh
+// donePageLocked returns a page with room for an entry of the size.
+func (s *Share) donePageLocked(size int) *donePage {
+	for _, page := range s.donePages {
+		if page.size+size <= s.opts.Settings.ValueBytes*3/4 {
+			return page
 		}
 	}
-	s.shelved++
-	sh := &shelf{key: job.DoneKey(s.opts.Node, s.div.Members[s.opts.Node].Since, s.shelved), jobs: map[string]map[int][]byte{}}
-	s.shelves[sh.key] = sh
-	return sh
+	s.donePagesNamed++
+	page := &donePage{key: job.DoneKey(s.opts.Node, s.div.Members[s.opts.Node].Since, s.donePagesNamed), jobs: map[string]map[int][]byte{}}
+	s.donePages[page.key] = page
+	return page
 }
 
-func (sh *shelf) put(id string, chunk int, bits []byte) {
-	if sh.jobs[id] == nil {
-		sh.jobs[id] = map[int][]byte{}
+func (page *donePage) put(id string, chunk int, bits []byte) {
+	if page.jobs[id] == nil {
+		page.jobs[id] = map[int][]byte{}
 	}
-	sh.jobs[id][chunk] = bits
+	page.jobs[id][chunk] = bits
 }
 
-// unshelveLocked forgets the done tasks of a job that is over. The keys are
+// forgetDoneLocked forgets the done tasks of a job that is over. The keys are
 // rewritten when there is something else to write, or removed once empty.
-func (s *Share) unshelveLocked(id string) {
-	for _, sh := range s.shelves {
-		if _, ok := sh.jobs[id]; !ok {
+func (s *Share) forgetDoneLocked(id string) {
+	for _, page := range s.donePages {
+		if _, ok := page.jobs[id]; !ok {
 			continue
 		}
-		delete(sh.jobs, id)
-		if len(sh.jobs) == 0 {
-			sh.size = 0
+		delete(page.jobs, id)
+		if len(page.jobs) == 0 {
+			page.size = 0
 		}
 	}
 }
 
-// takeShelfLocked takes over what an owner that has gone left, for the jobs
+// takeDonePageLocked takes over what an owner that has gone left, for the jobs
 // that are still active.
-func (s *Share) takeShelfLocked(page *job.DonePage) {
-	if s.shelves[page.Key] != nil {
+func (s *Share) takeDonePageLocked(written *job.DonePage) {
+	if s.donePages[written.Key] != nil {
 		return
 	}
-	sh := &shelf{key: page.Key, version: page.Version, jobs: map[string]map[int][]byte{}}
-	s.shelves[sh.key] = sh
-	for id, chunks := range page.Jobs {
+	page := &donePage{key: written.Key, version: written.Version, jobs: map[string]map[int][]byte{}}
+	s.donePages[page.key] = page
+	for id, chunks := range written.Jobs {
 		r := s.opts.Jobs.Active(id)
 		if r == nil {
 			continue
 		}
 		for chunk, bits := range chunks {
-			sh.put(id, chunk, bits)
-			sh.size += job.EntrySize(r.Job.Tasks, chunk)
-			if js := s.jobs[id]; js != nil && js.shelves[chunk] == nil {
-				js.shelves[chunk] = sh
+			page.put(id, chunk, bits)
+			page.size += job.EntrySize(r.Job.Tasks, chunk)
+			if js := s.jobs[id]; js != nil && js.donePages[chunk] == nil {
+				js.donePages[chunk] = page
 			}
 		}
 	}
 }
 
-// shelfWrite is one write of a shelf.
-type shelfWrite struct {
-	shelf   *shelf
+// donePageWrite is one write of a page.
+type donePageWrite struct {
+	page    *donePage
 	write   state.Write
-	entries []shelfEntry
+	entries []donePageEntry
 }
 
-type shelfEntry struct {
+type donePageEntry struct {
 	js       *jobState
 	chunk    int
 	attempts []*fleet.Attempt // that wait for it
@@ -103,72 +103,72 @@
 		return
 	}
 	s.flushed = now
-	due := map[*shelf]*shelfWrite{}
+	due := map[*donePage]*donePageWrite{}
 	for id, js := range s.jobs {
 		if js.finishing {
 			continue
 		}
 		for chunk := range js.dirty {
-			sh := js.shelves[chunk]
-			if sh == nil || s.shelves[sh.key] != sh {
+			page := js.donePages[chunk]
+			if page == nil || s.donePages[page.key] != page {
 				size := job.EntrySize(js.rec.Job.Tasks, chunk)
-				sh = s.shelfLocked(size)
-				sh.size += size
-				js.shelves[chunk] = sh
+				page = s.donePageLocked(size)
+				page.size += size
+				js.donePages[chunk] = page
 			}
-			if sh.committing {
+			if page.committing {
 				continue
 			}
-			sh.put(id, chunk, js.done.Chunk(chunk))
-			if due[sh] == nil {
-				due[sh] = &shelfWrite{shelf: sh}
+			page.put(id, chunk, js.done.Chunk(chunk))
+			if due[page] == nil {
+				due[page] = &donePageWrite{page: page}
 			}
-			due[sh].entries = append(due[sh].entries, shelfEntry{js: js, chunk: chunk, attempts: js.awaiting[chunk]})
+			due[page].entries = append(due[page].entries, donePageEntry{js: js, chunk: chunk, attempts: js.awaiting[chunk]})
 			delete(js.awaiting, chunk)
 			delete(js.dirty, chunk)
 		}
 	}
-	for key, sh := range s.shelves {
-		if len(sh.jobs) > 0 || sh.committing {
+	for key, page := range s.donePages {
+		if len(page.jobs) > 0 || page.committing {
 			continue
 		}
-		delete(s.shelves, key)
-		if sh.version > 0 {
-			due[sh] = &shelfWrite{shelf: sh}
+		delete(s.donePages, key)
+		if page.version > 0 {
+			due[page] = &donePageWrite{page: page}
 		}
 	}
-	for sh, sw := range due {
-		change := wire.Change{Delete: sh.key}
-		if len(sh.jobs) > 0 {
-			value, err := json.Marshal(job.DonePage{Jobs: sh.jobs, Write: s.markLocked()})
+	for page, dw := range due {
+		change := wire.Change{Delete: page.key}
+		if len(page.jobs) > 0 {
+			value, err := json.Marshal(job.DonePage{Jobs: page.jobs, Write: s.markLocked()})
 			if err != nil {
-				s.log.Error("encoding done tasks", "key", sh.key, "err", err)
+				s.log.Error("encoding done tasks", "key", page.key, "err", err)
 			}
-			change = wire.Change{Put: sh.key, Value: value}
+			change = wire.Change{Put: page.key, Value: value}
 		}
-		sh.committing = true
-		sw.write = state.Write{Priority: state.Background, Persist: true, Fresh: s.freshLocked(),
-			If: []wire.Condition{s.div.condition, {Key: sh.key, Version: sh.version}}, Then: []wire.Change{change}}
-		s.goDo(func(ctx context.Context) { s.writeShelf(ctx, sw) })
+		page.committing = true
+		dw.write = state.Write{Priority: state.Background, Persist: true, Fresh: s.freshLocked(),
+			If: []wire.Condition{s.div.condition, {Key: page.key, Version: page.version}}, Then: []wire.Change{change}}
+		s.goDo(func(ctx context.Context) { s.writeDonePage(ctx, dw) })
 	}
 }
 
-func (s *Share) writeShelf(ctx context.Context, sw *shelfWrite) {
-	version, err := s.opts.Committer.Commit(ctx, sw.write)
+func (s *Share) writeDonePage(ctx context.Context, dw *donePageWrite) {
+	version, err := s.opts.Committer.Commit(ctx, dw.write)
 	known := err == nil
 	if err != nil {
-		version, known = s.reread(ctx, state.Background, sw.shelf.key, err)
+		version, known = s.reread(ctx, state.Background, dw.page.key, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	sw.shelf.committing = false
+	dw.page.committing = false
 	if known {
-		sw.shelf.version = version
+		dw.page.version = version
 	}
 	if err != nil {
-		s.log.Debug("writing done tasks failed", "key", sw.shelf.key, "err", err)
+		s.log.Debug("writing done tasks failed", "key", dw.page.key, "err", err)
 	}
-	for _, e := range sw.entries {
+	for _, e := range dw.entries {
 		if err != nil {
 			e.js.awaiting[e.chunk] = append(e.js.awaiting[e.chunk], e.attempts...)
 			e.js.dirty[e.chunk] = true
--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -144,23 +144,23 @@
 	return false
 }
 
-// deafForGood tells whether a worker whose reports arrive has answered nothing
+// unreachableForGood tells whether a worker whose reports arrive has answered nothing
 // for so long that it counts as lost: its lease lapses, since replies do not
 // reach it either, and what it is sent does not start.
-func (s *Share) deafForGood(m *machine, now time.Time) bool {
-	return !m.deaf.IsZero() && m.unanswered >= deadProbes && !s.busy() && now.Sub(m.deaf) > s.deadAfter()+deadProbes*probeTimeout && now.Sub(m.LastReport) <= s.silentAfter()
+func (s *Share) unreachableForGood(m *machine, now time.Time) bool {
+	return !m.unreachableSince.IsZero() && m.unansweredProbes >= deadProbes && !s.busy() && now.Sub(m.unreachableSince) > s.deadAfter()+deadProbes*probeTimeout && now.Sub(m.LastReport) <= s.silentAfter()
 }
 
-// mute tells whether a worker that answers direct messages has not reported for
+// stoppedReporting tells whether a worker that answers direct messages has not reported for
 // most of a lease: it reaches no controller, so its lease lapses again and again.
-func (s *Share) mute(m *machine, now time.Time) bool {
-	return now.Sub(m.heard) > s.opts.Settings.LeaseFor*3/4 && now.Sub(m.LastReport) <= s.silentAfter()
+func (s *Share) stoppedReporting(m *machine, now time.Time) bool {
+	return now.Sub(m.lastOwnReport) > s.opts.Settings.LeaseFor*3/4 && now.Sub(m.LastReport) <= s.silentAfter()
 }
 
-// muteForGood tells whether it has been so for so long that another machine is
+// stoppedReportingForGood tells whether it has been so for so long that another machine is
 // worth its price.
-func (s *Share) muteForGood(m *machine, now time.Time) bool {
-	return s.mute(m, now) && now.Sub(m.heard) > 2*s.opts.Settings.LeaseFor
+func (s *Share) stoppedReportingForGood(m *machine, now time.Time) bool {
+	return s.stoppedReporting(m, now) && now.Sub(m.lastOwnReport) > 2*s.opts.Settings.LeaseFor
 }
 
 // cutTimeout is how long a machine in a zone that is cut off is kept: its
@@ -184,9 +184,9 @@
 	cutOff bool
 	// reachable workers are those that have not failed to answer.
 	reachable int
-	// fewUnreachable and fewMute: so few workers are that each is judged by itself.
-	fewUnreachable, fewMute bool
-	heard                   *census // made when first needed
+	// fewUnreachable and fewNotReporting: so few workers are that each is judged by itself.
+	fewUnreachable, fewNotReporting bool
+	heard                           *census // made when first needed
 }
 
 // few tells whether so few of the machines have something that it is theirs
@@ -194,15 +194,15 @@
 func (s *Share) few(count int) bool { return count <= max(2, len(s.machines)/3) }
 
 func (s *Share) surveyLocked(now time.Time) *survey {
-	silent, unreachable, mute := 0, 0, 0
+	silent, unreachable, notReporting := 0, 0, 0
 	for _, m := range s.machines {
 		silent += boolInt(m.failures >= 2)
-		mute += boolInt(s.mute(m, now))
-		unreachable += boolInt(!m.deaf.IsZero())
+		notReporting += boolInt(s.stoppedReporting(m, now))
+		unreachable += boolInt(!m.unreachableSince.IsZero())
 	}
 	// Many at once: rather this controller is cut off than all of them dead, or
 	// it is so busy that it does not hear them, and the next leader would be too.
-	return &survey{now: now, cutOff: !s.few(silent) && !s.busy(), reachable: len(s.machines) - silent, fewUnreachable: s.few(unreachable), fewMute: s.few(mute)}
+	return &survey{now: now, cutOff: !s.few(silent) && !s.busy(), reachable: len(s.machines) - silent, fewUnreachable: s.few(unreachable), fewNotReporting: s.few(notReporting)}
 }
 
 // watchMachinesLocked probes silent workers, settles what leases or returns
@@ -223,7 +223,7 @@
 		if why := s.whyReturnLocked(m, survey); why != "" {
 			back[why] = append(back[why], m)
 		}
-		if !m.Notice.IsZero() || survey.fewMute && s.mute(m, now) {
+		if !m.Notice.IsZero() || survey.fewNotReporting && s.stoppedReporting(m, now) {
 			s.drainLocked(m)
 		}
 		raise = raise || m.WantsToken(token) || s.keptByLeftoversLocked(m, now)
@@ -258,7 +258,7 @@
 }
 
 func (s *Share) probeIfSilentLocked(m *machine, now time.Time) {
-	asked := now.Sub(m.LastReport) > s.probeAfter(m) || !m.deaf.IsZero()
+	asked := now.Sub(m.LastReport) > s.probeAfter(m) || !m.unreachableSince.IsZero()
 	if asked && now.Sub(m.probed) >= s.probeEvery(m) && !m.probing && s.probeRate.Allow() {
 		s.probeLocked(m, now)
 	}
@@ -285,11 +285,11 @@
 		return "lost"
 	case s.overdueLocked(m, now):
 		return "a cancelled task may still be on it"
-	case survey.fewUnreachable && s.deafForGood(m, now):
+	case survey.fewUnreachable && s.unreachableForGood(m, now):
 		return "nothing reaches it"
 	case m.suspect && m.Live() == 0:
 		return "set aside"
-	case survey.fewMute && m.Live() == 0 && s.muteForGood(m, now):
+	case survey.fewNotReporting && m.Live() == 0 && s.stoppedReportingForGood(m, now):
 		return "it reaches nobody"
 	}
 	return ""
@@ -392,10 +392,10 @@
 				return // it tells nothing of the worker
 			}
 			m.failures++
-			m.unanswered++
+			m.unansweredProbes++
 			if m.failures == 1 {
 				m.failing = now
-				s.sweepLocked(time.Now())
+				s.probeSampleLocked(time.Now())
 			}
 			return
 		}
@@ -412,10 +412,10 @@
 	})
 }
 
-// sweepLocked asks some workers of each zone that have not been heard for a
+// probeSampleLocked asks some workers of each zone that have not been heard for a
 // moment: whether they answer tells if one worker is lost, a zone cut off, or
 // this controller.
-func (s *Share) sweepLocked(now time.Time) {
+func (s *Share) probeSampleLocked(now time.Time) {
 	asked := map[string]int{}
 	for _, m := range s.machines {
 		if now.Sub(m.LastReport) > probeTimeout && now.Sub(m.probed) > probeTimeout && !m.probing && asked[m.Zone] < sampled && s.probeRate.Allow() {
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -27,7 +27,7 @@
 	done      *job.DoneSet
 	dirty     map[int]bool             // chunks to write
 	awaiting  map[int][]*fleet.Attempt // by chunk: done, not yet in the store
-	shelves   map[int]*shelf           // by chunk, where it is written
+	donePages map[int]*donePage        // by chunk, where it is written
 	finishing bool                     // the job's end is being written
 
 	failedOn  map[string]bool
@@ -123,7 +123,7 @@
 	j := &r.Job
 	js := &jobState{
 		rec: r, size: placement.Of(j), live: map[int]int{}, zones: map[string]int{},
-		done: &job.DoneSet{}, dirty: map[int]bool{}, awaiting: map[int][]*fleet.Attempt{}, shelves: map[int]*shelf{},
+		done: &job.DoneSet{}, dirty: map[int]bool{}, awaiting: map[int][]*fleet.Attempt{}, donePages: map[int]*donePage{},
 		failedOn: map[string]bool{}, accepted: time.UnixMilli(r.AcceptedMs), within: s.objectives(j),
 	}
 	js.share, js.fetch = s.dominantShare(js.size), s.fetchTime(j)
@@ -181,7 +181,7 @@
 			}
 		}
 	}
-	s.unshelveLocked(id)
+	s.forgetDoneLocked(id)
 	delete(s.jobs, id)
 	delete(s.guests, id)
 	s.endTasksLocked(id, f, goneBy)
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -283,7 +283,7 @@
 	for _, at := range w.Attempts {
 		key := fleet.Key{Task: at.Task, Attempt: at.Attempt}
 		_, index, ok := wire.SplitTaskID(at.Task)
-		if !ok || !s.barred[key].IsZero() {
+		if !ok || !s.denied[key].IsZero() {
 			continue
 		}
 		if r.Job.Kind == wire.KindGang {
@@ -399,13 +399,13 @@
 		if found := here[key]; found.attempt != nil {
 			h.Known, h.Zone, h.State, h.Why = true, found.machine.Zone, string(found.attempt.State), string(found.attempt.Why)
 		} else {
-			s.barred[key] = now
+			s.denied[key] = now
 		}
 		reply.Hosted = append(reply.Hosted, h)
 	}
-	for key, at := range s.barred {
+	for key, at := range s.denied {
 		if now.Sub(at) > barFor {
-			delete(s.barred, key)
+			delete(s.denied, key)
 		}
 	}
 	return reply
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -77,7 +77,7 @@
 				defer s.mu.Unlock()
 				failing := 0
 				for _, m := range s.machines {
-					if m != first && (m.failures > 0 || !m.deaf.IsZero()) {
+					if m != first && (m.failures > 0 || !m.unreachableSince.IsZero()) {
 						failing++
 					}
 				}
@@ -243,16 +243,16 @@
 func TestUnreachableOnlyAfterProbes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, _, m := newTestShare(t)
-		m.deaf = time.Now()
+		m.unreachableSince = time.Now()
 		time.Sleep(20 * time.Second)
 		m.LastReport = time.Now()
 		for probes := range deadProbes + 1 {
-			m.unanswered = probes
-			if got, want := s.deafForGood(m, time.Now()), probes == deadProbes; got != want {
+			m.unansweredProbes = probes
+			if got, want := s.unreachableForGood(m, time.Now()), probes == deadProbes; got != want {
 				t.Errorf("after %d probes it counts as unreachable: %v", probes, got)
 			}
 		}
-		if s.answeredLocked(m, nil); m.unanswered != 0 || s.deafForGood(m, time.Now()) {
+		if s.answeredLocked(m, nil); m.unansweredProbes != 0 || s.unreachableForGood(m, time.Now()) {
 			t.Error("it still counts as unreachable after an answer")
 		}
 	})
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -17,8 +17,8 @@
 	idle   []*machine     // usable and not open, in the order of opening; nil: not looked for yet
 	full   map[shape]bool // no machine takes a task of the shape
 	// lacks: no machine has room for the size, wherever it may go.
-	lacks map[placement.Resources]bool
-	kept  map[string]int // by job, the guests' tasks that room is kept for; nil: not counted yet
+	lacks    map[placement.Resources]bool
+	reserved map[string]int // by job, the guests' tasks that room is kept for; nil: not counted yet
 	// passedUp: a job of the turn that is being served leaves room to others.
 	passedUp bool
 	// Of the tasks that may be stopped: the lowest priority, and whether any
@@ -74,19 +74,19 @@
 	return true
 }
 
-// keptLocked counts the tasks of guests that room is kept for, by job.
-func (s *Share) keptLocked(now time.Time) map[string]int {
-	if s.pass.kept == nil {
-		s.pass.kept = map[string]int{}
+// reservedLocked counts the tasks of guests that room is kept for, by job.
+func (s *Share) reservedLocked(now time.Time) map[string]int {
+	if s.pass.reserved == nil {
+		s.pass.reserved = map[string]int{}
 		for _, m := range s.machines {
-			for _, k := range m.kept {
+			for _, k := range m.reservations {
 				if now.Before(k.until) {
-					s.pass.kept[k.job]++
+					s.pass.reserved[k.job]++
 				}
 			}
 		}
 	}
-	return s.pass.kept
+	return s.pass.reserved
 }
 
 // lookLocked brings up to date what the pass knows of a machine.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -210,7 +210,7 @@
 // vain: on open machines first, then on idle ones.
 func (s *Share) keepForLocked(g *jobState, now time.Time, held bool) {
 	id := g.rec.Job.ID
-	kept := s.keptLocked(now)
+	kept := s.reservedLocked(now)
 	wants := min(g.asked, maxAskedPerJob) - kept[id]
 	sh, plain := g.shapeOf()
 	if wants <= 0 || plain && s.pass.full[sh] || s.lacksRoomLocked(g.size, now) {
@@ -218,7 +218,7 @@
 	}
 	keep := func(m *machine) {
 		for wants > 0 && (!held || m.HoldsImage(g.rec.Job.Image)) && s.fitsLocked(g, m, now) && g.size.Within(s.roomLocked(m, "", now)) {
-			m.kept = append(m.kept, keptRoom{job: id, size: g.size, until: now.Add(keepFor)})
+			m.reservations = append(m.reservations, reservation{job: id, size: g.size, until: now.Add(keepFor)})
 			kept[id]++
 			wants--
 		}
@@ -243,8 +243,8 @@
 func (s *Share) roomLocked(m *machine, job string, now time.Time) placement.Resources {
 	s.lookLocked(m, now)
 	room := m.free
-	m.kept = slices.DeleteFunc(m.kept, func(k keptRoom) bool { return !now.Before(k.until) })
-	for _, k := range m.kept {
+	m.reservations = slices.DeleteFunc(m.reservations, func(k reservation) bool { return !now.Before(k.until) })
+	for _, k := range m.reservations {
 		if k.job != job {
 			room = room.Minus(k.size)
 		}
@@ -254,8 +254,8 @@
 
 // useKept ends the keeping of room for one task of the job.
 func (m *machine) useKept(job string) {
-	if i := slices.IndexFunc(m.kept, func(k keptRoom) bool { return k.job == job }); i >= 0 {
-		m.kept = slices.Delete(m.kept, i, i+1)
+	if i := slices.IndexFunc(m.reservations, func(k reservation) bool { return k.job == job }); i >= 0 {
+		m.reservations = slices.Delete(m.reservations, i, i+1)
 	}
 }
 
@@ -535,8 +535,8 @@
 
 // acceptsLocked tells whether new tasks may go to the machine, if there is room.
 func (s *Share) acceptsLocked(m *machine, now time.Time) bool {
-	return s.synced(m) && m.Type != nil && !m.returning && !m.suspect && m.failures == 0 && m.deaf.IsZero() &&
-		m.Notice.IsZero() && !now.Before(m.cooling) && now.Sub(m.LastReport) < s.silentAfter() && !s.mute(m, now)
+	return s.synced(m) && m.Type != nil && !m.returning && !m.suspect && m.failures == 0 && m.unreachableSince.IsZero() &&
+		m.Notice.IsZero() && !now.Before(m.cooling) && now.Sub(m.LastReport) < s.silentAfter() && !s.stoppedReporting(m, now)
 }
 
 // usableLocked tells whether new tasks may go to the machine at all.
@@ -552,7 +552,7 @@
 	if s.lookLocked(m, now); !m.usable || !js.size.Within(m.free) {
 		return false
 	}
-	return (len(m.kept) == 0 || js.size.Within(s.roomLocked(m, js.rec.Job.ID, now))) && s.allowedLocked(js, m)
+	return (len(m.reservations) == 0 || js.size.Within(s.roomLocked(m, js.rec.Job.ID, now))) && s.allowedLocked(js, m)
 }
 
 func (s *Share) allowedLocked(js *jobState, m *machine) bool {
@@ -654,7 +654,7 @@
 	}
 	js.preempted = now
 	if js.guest {
-		best.m.kept = append(best.m.kept, keptRoom{job: js.rec.Job.ID, size: js.size, until: now.Add(keepFor)})
+		best.m.reservations = append(best.m.reservations, reservation{job: js.rec.Job.ID, size: js.size, until: now.Add(keepFor)})
 	}
 	for _, a := range best.victims {
 		s.log.Info("preempting", "task", a.Task, "machine", best.m.Name, "for", js.rec.Job.ID)
--- a/internal/scheduler/reports.go
+++ b/internal/scheduler/reports.go
@@ -15,11 +15,11 @@
 // answer gets nothing new.
 func (s *Share) answeredLocked(m *machine, err error) bool {
 	if err == nil {
-		m.deaf, m.unanswered = time.Time{}, 0
+		m.unreachableSince, m.unansweredProbes = time.Time{}, 0
 		return true
 	}
-	if m.deaf.IsZero() && !errors.Is(err, fleet.ErrNoSocket) && !s.busy() {
-		m.deaf = time.Now()
+	if m.unreachableSince.IsZero() && !errors.Is(err, fleet.ErrNoSocket) && !s.busy() {
+		m.unreachableSince = time.Now()
 	}
 	s.log.Debug("no answer from worker", "machine", m.Name, "err", err)
 	return false
@@ -49,7 +49,7 @@
 			// its owner counts as lapsed.
 			return nil
 		}
-		s.early[r.Machine] = now
+		s.answeredEarly[r.Machine] = now
 		reply.Commands = s.stopsOfOverLocked(r)
 		return reply // keeps its lease while its machine is being taken
 	}
@@ -58,7 +58,7 @@
 		return nil
 	}
 	m.LastAnswer = now
-	m.hearLocked(r, fresh, now)
+	m.noteOwnReport(r, fresh, now)
 	if !fresh {
 		// Late or repeated: its reply will be dropped, and must not carry
 		// commands meant for the worker as it is now. Or the worker has
@@ -72,13 +72,13 @@
 	return reply
 }
 
-// hearLocked notes that a report has come by itself. On a slow link a report that
+// noteOwnReport notes that a report has come by itself. On a slow link a report that
 // the answer to a later probe has overtaken is no news, but it did come: a worker of
 // which none counts would be taken for one that reaches no controller. A copy of one
 // that has come before does not count.
-func (m *machine) hearLocked(r *wire.Report, fresh bool, now time.Time) {
-	if fresh || r.Session == m.Session && r.Seq > m.heardSeq {
-		m.heard, m.heardSeq = now, r.Seq
+func (m *machine) noteOwnReport(r *wire.Report, fresh bool, now time.Time) {
+	if fresh || r.Session == m.Session && r.Seq > m.lastOwnReportSeq {
+		m.lastOwnReport, m.lastOwnReportSeq = now, r.Seq
 	}
 }
 
@@ -104,12 +104,12 @@
 		}
 		return s.opts.Jobs.Active(id) == nil && !s.opts.Jobs.Over(id)
 	})
-	since, doubted := s.doubted[r.Machine]
+	since, doubted := s.unknownTasksSince[r.Machine]
 	switch {
 	case !unknown && doubted:
-		delete(s.doubted, r.Machine)
+		delete(s.unknownTasksSince, r.Machine)
 	case unknown && !doubted:
-		s.doubted[r.Machine] = now
+		s.unknownTasksSince[r.Machine] = now
 	case unknown:
 		return now.Sub(since) > s.doubtFor()
 	}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -113,38 +113,38 @@
 // machine is a machine of the share, with what the share decides about it.
 type machine struct {
 	*fleet.Machine
-	page       *page   // where its record is; nil: it has none
-	elsewhere  []*page // that still hold a record of it
-	dirty      bool    // it has attempts that are on no record yet
-	due        bool    // its page must be written
-	sending    bool    // a direct command is under way
-	sendAgain  bool
-	looked     uint64 // the pass that found the next two
-	usable     bool
-	free       placement.Resources
-	probing    bool
-	probed     time.Time
-	failures   int       // probes without answer since the last sign of life
-	failing    time.Time // when the first of them was sent
-	deaf       time.Time // since when no direct message was answered; zero: the last one was
-	unanswered int       // probes without answer since the last direct answer
-	heard      time.Time // when its last report came by itself
-	heardSeq   uint64    // which was that
-	returning  bool
-	suspect    bool // fails what it starts: no new placements
-	failedJobs map[string]bool
-	idleSince  time.Time
-	cooling    time.Time // no placements before then
+	page             *page   // where its record is; nil: it has none
+	elsewhere        []*page // that still hold a record of it
+	dirty            bool    // it has attempts that are on no record yet
+	due              bool    // its page must be written
+	sending          bool    // a direct command is under way
+	sendAgain        bool
+	looked           uint64 // the pass that found the next two
+	usable           bool
+	free             placement.Resources
+	probing          bool
+	probed           time.Time
+	failures         int       // probes without answer since the last sign of life
+	failing          time.Time // when the first of them was sent
+	unreachableSince time.Time // since when no direct message was answered; zero: the last one was
+	unansweredProbes int       // probes without answer since the last direct answer
+	lastOwnReport    time.Time // when its last report came by itself
+	lastOwnReportSeq uint64    // which was that
+	returning        bool
+	suspect          bool // fails what it starts: no new placements
+	failedJobs       map[string]bool
+	idleSince        time.Time
+	cooling          time.Time // no placements before then
 	// Room that is kept for guests until they ask again: they are not in this
 	// share's queue.
-	kept []keptRoom
+	reservations []reservation
 
 	base  uint64 // reports under older tokens do not settle its record
 	fence uint64 // nobody else answers its worker once epochs before this are fenced; 0: nobody does
 }
 
-// keptRoom is room for one task of a guest.
-type keptRoom struct {
+// reservation is room for one task of a guest.
+type reservation struct {
 	job   string
 	size  placement.Resources
 	until time.Time
@@ -167,58 +167,58 @@
 	ctx       context.Context
 	group     *errgroup.Group
 
-	mu         sync.Mutex
-	div        division
-	loaded     bool
-	adopted    uint64 // under this epoch, machines without an owner have been taken
-	building   bool
-	begun      uint64               // version of the epoch when the share began
-	early      map[string]time.Time // reports answered before the records were read
-	doubted    map[string]time.Time // since when machines have had tasks of unknown jobs
-	jobs       map[string]*jobState // the share's own
-	guests     map[string]*jobState // jobs of other shares that have, or want, tasks here
-	foreign    map[fleet.Key]*lent  // tasks of own jobs that may be on others' machines
-	barred     map[fleet.Key]time.Time
-	asking     map[string]*asking
-	machines   map[string]*machine
-	pages      map[string]*page  // the keys that hold the machines' records
-	journals   []*page           // hold what the pages do not hold yet
-	journal    *page             // the one that is written at present
-	journaled  time.Time         // when that was last written
-	journalDue bool              // and it waits to be written again
-	paged      uint64            // pages named so far
-	shelves    map[string]*shelf // the keys that hold done tasks
-	shelved    uint64            // shelves named so far
-	flushed    time.Time         // when done tasks were last written
-	gone       []string          // machines that are gone, which the others are still to be told
-	telling    bool              // they are being told
-	moving     map[string]bool   // machines whose owner is being written
-	unsynced   []*machine        // whose workers are to be shown the token
-	syncing    int               // that are being shown it
-	syncRate   *rate.Limiter
-	probeRate  *rate.Limiter
-	syncWaits  bool // for that
-	list       placement.List[*machine]
-	pass       pass
-	used       map[string]placement.Resources // by team, all that may be on machines
-	number     uint64                         // last attempt number
-	returned   map[string]time.Time           // machines that are surely gone
-	booting    map[string]*booting
-	refused    map[placement.Place]refusal
-	serial     uint64 // numbers what must never be named alike under one token
-	raising    bool
-	raised     time.Time
-	resolve    map[string]bool // jobs being looked up
-	spare      int             // idle and booting machines wanted beyond the demand
-	ledSince   time.Time       // when this controller last began to lead
-	resigned   time.Time
-	grouped    time.Time // when idle machines were last regrouped
-	relieved   time.Time // when some were last given away for want of processor time
-	overloaded time.Time // when this controller was last short of processor time
-	toldAll    time.Time // when the progress of all jobs was last told
-	passes     passTimes // since the load was last logged
-	upkeep     upkeep
-	cut        bool // most workers cannot be reached
+	mu                sync.Mutex
+	div               division
+	loaded            bool
+	adopted           uint64 // under this epoch, machines without an owner have been taken
+	building          bool
+	begun             uint64               // version of the epoch when the share began
+	answeredEarly     map[string]time.Time // reports answered before the records were read
+	unknownTasksSince map[string]time.Time // since when machines have had tasks of unknown jobs
+	jobs              map[string]*jobState // the share's own
+	guests            map[string]*jobState // jobs of other shares that have, or want, tasks here
+	foreign           map[fleet.Key]*lent  // tasks of own jobs that may be on others' machines
+	denied            map[fleet.Key]time.Time
+	asking            map[string]*asking
+	machines          map[string]*machine
+	pages             map[string]*page     // the keys that hold the machines' records
+	journals          []*page              // hold what the pages do not hold yet
+	journal           *page                // the one that is written at present
+	journaled         time.Time            // when that was last written
+	journalDue        bool                 // and it waits to be written again
+	paged             uint64               // pages named so far
+	donePages         map[string]*donePage // the keys that hold done tasks
+	donePagesNamed    uint64               // pages of done tasks named so far
+	flushed           time.Time            // when done tasks were last written
+	gone              []string             // machines that are gone, which the others are still to be told
+	telling           bool                 // they are being told
+	moving            map[string]bool      // machines whose owner is being written
+	unsynced          []*machine           // whose workers are to be shown the token
+	syncing           int                  // that are being shown it
+	syncRate          *rate.Limiter
+	probeRate         *rate.Limiter
+	syncWaits         bool // for that
+	list              placement.List[*machine]
+	pass              pass
+	used              map[string]placement.Resources // by team, all that may be on machines
+	number            uint64                         // last attempt number
+	returned          map[string]time.Time           // machines that are surely gone
+	booting           map[string]*booting
+	refused           map[placement.Place]refusal
+	serial            uint64 // numbers what must never be named alike under one token
+	raising           bool
+	raised            time.Time
+	resolve           map[string]bool // jobs being looked up
+	spare             int             // idle and booting machines wanted beyond the demand
+	ledSince          time.Time       // when this controller last began to lead
+	resigned          time.Time
+	grouped           time.Time // when idle machines were last regrouped
+	relieved          time.Time // when some were last given away for want of processor time
+	overloaded        time.Time // when this controller was last short of processor time
+	toldAll           time.Time // when the progress of all jobs was last told
+	passes            passTimes // since the load was last logged
+	upkeep            upkeep
+	cut               bool // most workers cannot be reached
 }
 
 // New makes a share; Run starts it.
@@ -226,12 +226,12 @@
 	s := &Share{
 		opts: opts, log: opts.Log,
 		types: map[string]*wire.MachineType{}, teams: map[string]config.Team{},
-		wake:  make(chan struct{}, 1),
-		early: map[string]time.Time{}, doubted: map[string]time.Time{}, jobs: map[string]*jobState{}, machines: map[string]*machine{},
+		wake:          make(chan struct{}, 1),
+		answeredEarly: map[string]time.Time{}, unknownTasksSince: map[string]time.Time{}, jobs: map[string]*jobState{}, machines: map[string]*machine{},
 		used: map[string]placement.Resources{}, returned: map[string]time.Time{},
 		booting: map[string]*booting{}, refused: map[placement.Place]refusal{}, resolve: map[string]bool{},
-		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, barred: map[fleet.Key]time.Time{},
-		asking: map[string]*asking{}, moving: map[string]bool{}, pages: map[string]*page{}, shelves: map[string]*shelf{},
+		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, denied: map[fleet.Key]time.Time{},
+		asking: map[string]*asking{}, moving: map[string]bool{}, pages: map[string]*page{}, donePages: map[string]*donePage{},
 	}
 	s.syncRate, s.probeRate = syncRate(opts.Settings.CoreShare), probeRate(opts.Settings.CoreShare)
 	for i := range opts.Types {
@@ -266,11 +266,11 @@
 func (s *Share) addMachineLocked(fm *fleet.Machine, now time.Time) *machine {
 	m := &machine{Machine: fm, failedJobs: map[string]bool{}, idleSince: now}
 	m.Type = s.types[m.TypeName]
-	m.LastReport, m.heard = now, now
+	m.LastReport, m.lastOwnReport = now, now
 	m.base, m.fence = s.div.Token, s.div.Token
 	s.machines[m.Name] = m
 	delete(s.booting, m.Name)
-	delete(s.early, m.Name)
+	delete(s.answeredEarly, m.Name)
 	return m
 }
 
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -195,7 +195,7 @@
 			time.Sleep(2 * time.Second)
 			s.applyLocked(m, report(seq+1)) // the answer to a probe
 			s.Checkin(report(seq))
-			if s.mute(m, time.Now()) || time.Since(m.heard) > 0 {
+			if s.stoppedReporting(m, time.Now()) || time.Since(m.lastOwnReport) > 0 {
 				t.Fatalf("report %d was not heard", seq)
 			}
 		}
@@ -204,7 +204,7 @@
 			s.applyLocked(m, report(m.Seq+1))
 			s.Checkin(report(4))
 		}
-		if !s.mute(m, time.Now()) {
+		if !s.stoppedReporting(m, time.Now()) {
 			t.Error("a worker of which only copies come counts as heard")
 		}
 	})
@@ -367,7 +367,7 @@
 			small := s.addJobLocked(p.add(fmt.Sprint("wk-", i), "ours", wire.PriorityNormal, 1, 8))
 			small.accepted = time.Now()
 			time.Sleep(time.Second)
-			m.LastReport, m.heard = time.Now(), time.Now()
+			m.LastReport, m.lastOwnReport = time.Now(), time.Now()
 			s.scheduleLocked(time.Now())
 			if len(large.live) == 0 {
 				for _, a := range m.Attempts.All() {
