--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -114,7 +114,8 @@
 	})
 	c.catalog.SetReplicator(c.members)
 	c.front = server.New(server.Options{
-		Settings: settings, Jobs: c.catalog, Types: c.offers.Types, Checkin: c.checkin, Ready: c.ready, Gauges: c.gauges(), Log: log,
+		Settings: settings, Jobs: c.catalog, Types: c.offers.Types, Checkin: c.checkin, Ready: c.ready,
+		Latency: func() time.Duration { return c.latency() }, Gauges: c.gauges(), Log: log,
 	})
 	return c
 }
--- a/internal/server/bench_test.go
+++ b/internal/server/bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -61,7 +62,7 @@
 
 // A user's question about a job, without the comparison in the store.
 func BenchmarkPollRequest(b *testing.B) {
-	s := New(Options{Settings: &config.Settings{MaxConnections: 1000}, Jobs: oneJob{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	s := New(Options{Settings: &config.Settings{MaxConnections: 1000}, Latency: func() time.Duration { return 0 }, Jobs: oneJob{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	var ctx fasthttp.RequestCtx
 	ctx.Request.Header.SetMethod("GET")
 	ctx.Request.SetRequestURI(wire.PathJobs + "/wk-000412")
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"runtime/debug"
@@ -35,6 +36,8 @@
 	// report, if that is known.
 	Checkin func(r *wire.Report) (reply *wire.ReportReply, redirect string)
 	Ready   func() bool
+	// Latency is how long goroutines of this process lately waited for the processor.
+	Latency func() time.Duration
 	Gauges  []Gauge
 	Log     *slog.Logger
 }
@@ -49,6 +52,12 @@
 // refused at once, so that workers' reports are answered whatever users do.
 const maxUserRequests = 200
 
+// maxSubmitLatency is the scheduling latency from which on submissions are refused:
+// each takes several such waits, and would be answered later than its user waits,
+// while workers' reports and placements want its processor time. With a fourth of
+// this a short burst counted as an overload, and users came in later than without.
+const maxSubmitLatency = time.Second
+
 // Server is the HTTP interface of a controller.
 type Server struct {
 	opts    Options
@@ -238,6 +247,10 @@
 		s.refuse(ctx, code, err)
 		return
 	}
+	if latency := s.opts.Latency(); latency >= maxSubmitLatency {
+		s.unavailable(ctx, fmt.Errorf("short of processor time: scheduling latency %v", latency))
+		return
+	}
 	status, created, err := s.opts.Jobs.Submit(c, j)
 	switch {
 	case err != nil:
