A rebuild knows what runs on machines that are on their way to a peer

The peer took the machine and placed a task on it; a second later the next epoch gave the task's job to the giver. Its rebuild read the peer's record and passed over it, because the machine was still on its way here; so it placed the task again.

Now only machines that are this share's own by the division are passed over while they are on their way. Every transfer under an older epoch is known by then: a rebuild waits for that.

TestRebuildKnowsMachinesOnTheirWay was seen failing without it.

--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -385,7 +385,8 @@
 			// that record removed as nobody's (ran_twice).
 			host := s.opts.Authority.HostOf(&s.div.Epoch, name)
 			switch {
-			case s.machines[name] != nil || s.moving[name] || s.isGoneLocked(name):
+			case s.machines[name] != nil || s.isGoneLocked(name):
+			case host == s.opts.Node && s.moving[name]:
 			case host == s.opts.Node:
 				if m := found[name]; m != nil {
 					m.Recover(record, s.div.Token, now)
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -785,6 +785,31 @@
 	})
 }
 
+// A machine is given to a peer, the answer of the store is lost, and the peer has
+// already placed on it when its job becomes this share's: what the record says is
+// known, though the giving is still under way here (ran_twice).
+func TestRebuildKnowsMachinesOnTheirWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newTestShare(t)
+		value, err := json.Marshal(fleet.Page{Machines: map[string]fleet.Record{"m9": {Address: "m9", Session: 1, Attempts: map[string]uint64{"wk-000001/0": 7}}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		gained := p.add("wk-000001", "ours", wire.PriorityNormal, 1, 1)
+		p.items = []wire.Item{{Key: fleet.JournalKey("peer", 4, 0), Value: value, Version: 9}}
+		p.since = map[string]uint64{"m9": 4}
+		s.moving["m9"] = true
+		epoch, condition := p.Division()
+		s.rebuild(context.Background(), epoch, condition, []*job.Record{gained}, nil)
+		if s.foreign[fleet.Key{Task: "wk-000001/0", Attempt: 7}] == nil {
+			t.Error("a task on a machine that was given away is not known")
+		}
+		if s.machines["m9"] != nil {
+			t.Error("a machine that was given away was taken")
+		}
+	})
+}
+
 // A controller with little of a core shows the token no faster than half of its
 // time allows: the workers that report by themselves come first.
 func TestTakeoverIsPaced(t *testing.T) {
