--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -9,6 +9,7 @@
 
 	"github.com/segmentio/encoding/json"
 
+	"heronwick/internal/state"
 	"heronwick/wire"
 )
 
@@ -26,16 +27,15 @@
 	Write string `json:"write"`
 }
 
-// PageKey is the key of a member's n-th page. since is its membership, so that no
-// two members ever name the same one.
+// PageKey is the key of a member's n-th page.
 func PageKey(node string, since, n uint64) string {
-	return fmt.Sprintf("%s%s/%d/%d", RecordPrefix, node, since, n)
+	return state.MemberKey(RecordPrefix, node, since, strconv.FormatUint(n, 10))
 }
 
 // JournalKey is the key of a member's n-th journal: a page that holds, of any
 // of its machines, attempts that their own pages do not hold yet.
 func JournalKey(node string, since uint64, n int) string {
-	return fmt.Sprintf("%s%s/%d/j%d", RecordPrefix, node, since, n)
+	return state.MemberKey(RecordPrefix, node, since, fmt.Sprint("j", n))
 }
 
 // IsJournal tells whether a key is a journal's.
@@ -46,12 +46,7 @@
 // PageOwner tells which member named a page. ok is false for a key of the
 // earlier form, which holds one machine and has no owner.
 func PageOwner(key string) (node string, since uint64, ok bool) {
-	parts := strings.Split(strings.TrimPrefix(key, RecordPrefix), "/")
-	if len(parts) != 3 {
-		return "", 0, false
-	}
-	since, err := strconv.ParseUint(parts[1], 10, 64)
-	return parts[0], since, err == nil
+	return state.MemberOfKey(RecordPrefix, key)
 }
 
 // ReadPage reads what a key holds, also in the earlier form: the record of
--- a/internal/job/done.go
+++ b/internal/job/done.go
@@ -61,21 +61,15 @@
 	Version uint64 `json:"-"`
 }
 
-// DoneKey is the key of a member's n-th page. since is its membership, so that no
-// two members ever name the same one.
+// DoneKey is the key of a member's n-th page.
 func DoneKey(node string, since, n uint64) string {
-	return fmt.Sprintf("%s%s/%d/%d", donePrefix, node, since, n)
+	return state.MemberKey(donePrefix, node, since, strconv.FormatUint(n, 10))
 }
 
 // DoneOwner tells which member named a page. ok is false for a key of the
 // earlier form, which holds one chunk and has no owner.
 func DoneOwner(key string) (node string, since uint64, ok bool) {
-	parts := strings.Split(strings.TrimPrefix(key, donePrefix), "/")
-	if len(parts) != 3 {
-		return "", 0, false
-	}
-	since, err := strconv.ParseUint(parts[1], 10, 64)
-	return parts[0], since, err == nil
+	return state.MemberOfKey(donePrefix, key)
 }
 
 // EntrySize is about what a chunk of a job with so many tasks takes of a page
--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -18,11 +18,16 @@
 const probesPerCore = 1000
 
 func probeRate(coreShare float64) *rate.Limiter {
-	if coreShare <= 0 {
-		return rate.NewLimiter(rate.Inf, 0)
-	}
 	perSecond := probesPerCore * coreShare
-	return rate.NewLimiter(rate.Limit(perSecond), max(2*sampled, int(perSecond)))
+	return limiter(perSecond, max(2*sampled, int(perSecond)))
+}
+
+// limiter allows so many events a second; 0: any number.
+func limiter(perSecond float64, burst int) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, burst)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), burst)
 }
 
 // silentAfter is how long a healthy worker can be silent: reports come every
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -80,10 +80,8 @@
 }
 
 func syncRate(coreShare float64) *rate.Limiter {
-	if coreShare <= 0 {
-		return rate.NewLimiter(rate.Inf, maxSyncs)
-	}
-	return rate.NewLimiter(rate.Limit(syncsPerCore*coreShare), max(1, min(maxSyncs, int(syncsPerCore*coreShare/4))))
+	perSecond := syncsPerCore * coreShare
+	return limiter(perSecond, max(1, min(maxSyncs, int(perSecond/4))))
 }
 
 // syncPause is how long showing the token waits where it went too fast.
