--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -166,6 +166,8 @@
 // One that was accepted before it may have been placed, so they are read.
 func TestOnlyEarlierJobsNeedTheRecords(t *testing.T) {
 	s, p, _ := newTestShare(t)
+	s.mu.Lock() // a rebuild waits for it
+	defer s.mu.Unlock()
 	accepted := p.add("accepted", "ours", wire.PriorityNormal, 1, 1)
 	accepted.Version = p.epoch.Token + 1
 	p.listed = []*job.Record{accepted}
@@ -191,19 +193,27 @@
 		report := func(seq uint64) *wire.Report {
 			return &wire.Report{Machine: "m1", Address: "m1", Type: "m", Zone: "z", Session: 1, Seq: seq, Token: 5}
 		}
+		answer := func(seq uint64) { // to a probe
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.applyLocked(m, report(seq))
+		}
 		for seq := uint64(2); seq < 20; seq += 2 {
 			time.Sleep(2 * time.Second)
-			s.applyLocked(m, report(seq+1)) // the answer to a probe
+			answer(seq + 1)
 			s.Checkin(report(seq))
+			synctest.Wait()
 			if s.stoppedReporting(m, time.Now()) || time.Since(m.lastOwnReport) > 0 {
 				t.Fatalf("report %d was not heard", seq)
 			}
 		}
 		for range 5 {
 			time.Sleep(2 * time.Second)
-			s.applyLocked(m, report(m.Seq+1))
+			synctest.Wait()
+			answer(m.Seq + 1)
 			s.Checkin(report(4))
 		}
+		synctest.Wait()
 		if !s.stoppedReporting(m, time.Now()) {
 			t.Error("a worker of which only copies come counts as heard")
 		}
@@ -719,7 +729,9 @@
 		m.returning = true // the cloud is away
 		time.Sleep(5 * time.Second)
 		p.status = &wire.Report{Machine: "m1", Address: "m1", Type: "m", Zone: "z", Session: 1, Seq: 1}
+		s.mu.Lock()
 		s.probeLocked(m, time.Now())
+		s.mu.Unlock()
 		synctest.Wait()
 		if at, ok := s.lapseLocked(m); !ok || at.Before(time.Now().Add(s.opts.Settings.LeaseFor)) {
 			t.Errorf("a lease that may have begun now counts as lapsed in %v", time.Until(at))
