--- a/internal/cluster/authority.go
+++ b/internal/cluster/authority.go
@@ -64,10 +64,10 @@
 
 // Permit tells whether the share of this membership may answer workers' reports and
 // command them now, and under which token: both as of the same moment.
-func (t *Membership) Permit() (token uint64, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.epoch.Token, t.permittedLocked() && t.epoch.Members[t.opts.Node].Since == t.since
+func (m *Membership) Permit() (token uint64, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.epoch.Token, m.permittedLocked() && m.epoch.Members[m.opts.Node].Since == m.since
 }
 
 // Fenced returns since when surely no controller has answered a worker under
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -70,7 +70,7 @@
 	Slowness float64
 	// Share runs while this controller is a member; its context ends when it
 	// no longer is.
-	Share func(ctx context.Context, t *Membership) error
+	Share func(ctx context.Context, membership *Membership) error
 	// Status fills in what the peers are told of the share.
 	Status func(*peerpb.Status)
 	// Changed is called, in no lock, when the epoch or an owner has changed.
--- a/internal/cluster/division.go
+++ b/internal/cluster/division.go
@@ -142,12 +142,7 @@
 // workersElsewhere tells whether the workers that a cut member cannot reach
 // come to other controllers.
 func (p *peer) workersElsewhere(c *Cluster) bool {
-	heard := len(c.workersHeard)
-	for _, other := range c.heardPeersLocked() {
-		if other != p {
-			heard = max(heard, int(other.workers))
-		}
-	}
+	heard := max(len(c.workersHeard), c.mostWorkersHeardLocked(p))
 	return heard > int(p.status.Machines)/3
 }
 
--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -102,13 +102,13 @@
 }
 
 // share runs the share of a membership once that of the one before has ended.
-func (c *Cluster) share(ctx context.Context, t *Membership, previous, done chan struct{}) {
+func (c *Cluster) share(ctx context.Context, membership *Membership, previous, done chan struct{}) {
 	defer close(done)
 	if previous != nil {
 		<-previous
 	}
 	c.opts.Log.Info("share begins")
-	if err := c.opts.Share(ctx, t); err != nil && ctx.Err() == nil {
+	if err := c.opts.Share(ctx, membership); err != nil && ctx.Err() == nil {
 		c.opts.Log.Error("share failed", "err", err)
 	}
 }
--- a/internal/cluster/owners.go
+++ b/internal/cluster/owners.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -153,7 +153,7 @@
 		return condition, change, false
 	}
 	c.written++
-	key := fmt.Sprintf("%s%s/%d/%d", ownerPrefix, c.opts.Node, c.epoch.Members[c.opts.Node].Since, c.written)
+	key := state.MemberKey(ownerPrefix, c.opts.Node, c.epoch.Members[c.opts.Node].Since, strconv.FormatUint(c.written, 10))
 	return wire.Condition{Key: key}, wire.Change{Put: key, Value: value}, true
 }
 
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -41,9 +41,17 @@
 func (c *Cluster) WorkersElsewhere() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.mostWorkersHeardLocked(nil)
+}
+
+// mostWorkersHeardLocked is the largest number of workers that lately came to one
+// peer other than the given one.
+func (c *Cluster) mostWorkersHeardLocked(except *peer) int {
 	most := 0
 	for _, p := range c.heardPeersLocked() {
-		most = max(most, int(p.workers))
+		if p != except {
+			most = max(most, int(p.workers))
+		}
 	}
 	return most
 }
--- a/internal/job/catalog.go
+++ b/internal/job/catalog.go
@@ -491,15 +491,9 @@
 	return wire.JobStatus{}, false, fmt.Errorf("%w: cancelling %s", state.ErrUnavailable, id)
 }
 
-// Fence binds a write to the epoch under which it was decided.
-type Fence struct {
-	Condition wire.Condition
-	Current   func() bool // whether the condition can still hold, without asking the store
-}
-
 // Finish records that every task of the job is done. With an outdated fence it
 // fails with a *state.Conflict that names no key.
-func (c *Catalog) Finish(ctx context.Context, r *Record, fence Fence) error {
+func (c *Catalog) Finish(ctx context.Context, r *Record, fence state.Fence) error {
 	return c.end(ctx, r, wire.JobDone, &fence)
 }
 
@@ -507,7 +501,7 @@
 // tried until the store has answered. A write that waits for budget is dropped
 // once its fence is outdated or the job is over: it would only use up what other
 // writes wait for.
-func (c *Catalog) end(ctx context.Context, r *Record, s wire.JobState, fence *Fence) error {
+func (c *Catalog) end(ctx context.Context, r *Record, s wire.JobState, fence *state.Fence) error {
 	j := r.Job
 	f := Final{State: s, Tasks: j.Tasks, Team: j.Team, CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
 	value, err := json.Marshal(f)
@@ -525,8 +519,7 @@
 	}
 	if fence != nil {
 		write.Persist = true
-		write.If = append(write.If, fence.Condition)
-		write.Fresh = func() bool { return fence.Current() && !c.Over(j.ID) }
+		write = fence.Bind(write)
 	}
 	revision, err := c.commit.Commit(ctx, write)
 	if err != nil {
--- a/internal/job/catalog_test.go
+++ b/internal/job/catalog_test.go
@@ -27,12 +27,9 @@
 // token again.
 func TestOutdatedEndsDelayNoCurrentOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := standin.NewState()
-		client := state.NewClient(store.Node("a"), state.NewBudget(50, 10, 16))
-		committer := state.NewCommitter(client, 16)
-		catalog := job.NewCatalog(client, committer, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
+		client, catalog := newCatalog(10, 16)
 		writeEpoch := func(version uint64) uint64 {
 			next, err := client.Txn(ctx, state.Urgent, wire.Txn{
 				If:   []wire.Condition{{Key: epochKey, Version: version}},
@@ -59,7 +56,7 @@
 		}
 		finish := func(i int) error {
 			version := epoch.Load()
-			return catalog.Finish(ctx, catalog.Active(testJob(i).ID), job.Fence{
+			return catalog.Finish(ctx, catalog.Active(testJob(i).ID), state.Fence{
 				Condition: wire.Condition{Key: epochKey, Version: version},
 				Current:   func() bool { return epoch.Load() == version },
 			})
@@ -93,10 +90,7 @@
 // as the job ended, and uses none of the limit.
 func TestCancelOfAnEndedJobWritesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := standin.NewState()
-		client := state.NewClient(store.Node("a"), state.NewBudget(50, 2, 4))
-		committer := state.NewCommitter(client, 4)
-		catalog := job.NewCatalog(client, committer, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		_, catalog := newCatalog(2, 4)
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		defer running.Wait()
@@ -111,7 +105,7 @@
 		record := catalog.Active(testJob(0).ID)
 		finished := make(chan error, 1)
 		go func() {
-			finished <- catalog.Finish(ctx, record, job.Fence{Condition: wire.Condition{Key: epochKey}, Current: func() bool { return true }})
+			finished <- catalog.Finish(ctx, record, state.Fence{Condition: wire.Condition{Key: epochKey}, Current: func() bool { return true }})
 		}()
 		synctest.Wait()
 		const users = 20
@@ -134,6 +128,13 @@
 	})
 }
 
+// newCatalog makes a catalog that may write so many changes a second, and in one
+// transaction, and the client that it writes with.
+func newCatalog(writesPerSecond float64, txnOps int) (*state.Client, *job.Catalog) {
+	client := state.NewClient(standin.NewState().Node("a"), state.NewBudget(50, writesPerSecond, txnOps))
+	return client, job.NewCatalog(client, state.NewCommitter(client, txnOps), slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
 func testJob(i int) wire.Job {
 	return wire.Job{ID: fmt.Sprintf("job-%06d", i), Team: "red", Class: "c", Kind: wire.KindArray, Tasks: 3, CPUs: 1, MemoryGB: 1, Image: "i"}
 }
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -124,7 +124,7 @@
 	s.mu.Lock()
 	first := !s.loaded
 	// A new leader also has what the one before had without writing it.
-	leads := epoch.Leader == s.opts.Node && s.div.Leader != s.opts.Node
+	leads := s.beginsToLeadLocked(&epoch)
 	s.disownLocked(&epoch)
 	s.mu.Unlock()
 
@@ -213,8 +213,14 @@
 	}
 }
 
+// beginsToLeadLocked tells whether this controller leads the epoch, and did not
+// lead by the division before.
+func (s *Share) beginsToLeadLocked(epoch *cluster.Epoch) bool {
+	return epoch.Leader == s.opts.Node && s.div.Leader != s.opts.Node
+}
+
 func (s *Share) takeDivisionLocked(epoch cluster.Epoch, condition wire.Condition) {
-	if epoch.Leader == s.opts.Node && s.div.Leader != s.opts.Node {
+	if s.beginsToLeadLocked(&epoch) {
 		s.ledSince = time.Now()
 	}
 	if !s.loaded || !same(&epoch, &s.div.Epoch) {
@@ -272,13 +278,15 @@
 // transfer makes node the owner of machines, or, with no node, tells that they
 // are gone for good.
 func (s *Share) transfer(ctx context.Context, node string, machines map[string]json.RawMessage, priority state.Priority) error {
-	_, fence := s.opts.Authority.Division()
+	s.mu.Lock()
+	fence := s.fenceLocked()
+	s.mu.Unlock()
 	condition, change, ok := s.opts.Authority.TransferWrite(node, machines)
 	if !ok {
 		return fmt.Errorf("%s is no member", node)
 	}
-	version, err := s.opts.Committer.Commit(ctx, state.Write{Priority: priority, If: []wire.Condition{fence, condition},
-		Then: []wire.Change{change}, Persist: true, Fresh: s.freshLocked()})
+	version, err := s.opts.Committer.Commit(ctx, fence.Bind(state.Write{Priority: priority, If: []wire.Condition{condition},
+		Then: []wire.Change{change}, Persist: true}))
 	if err != nil {
 		return err
 	}
--- a/internal/scheduler/done.go
+++ b/internal/scheduler/done.go
@@ -147,8 +147,8 @@
 			change = wire.Change{Put: page.key, Value: value}
 		}
 		page.committing = true
-		dw.write = state.Write{Priority: state.Background, Persist: true, Fresh: s.freshLocked(),
-			If: []wire.Condition{s.div.condition, {Key: page.key, Version: page.version}}, Then: []wire.Change{change}}
+		dw.write = s.fenceLocked().Bind(state.Write{Priority: state.Background, Persist: true,
+			If: []wire.Condition{{Key: page.key, Version: page.version}}, Then: []wire.Change{change}})
 		s.goDo(func(ctx context.Context) { s.writeDonePage(ctx, dw) })
 	}
 }
@@ -195,7 +195,7 @@
 // finish returns false when nothing is left to do.
 func (s *Share) finish(ctx context.Context, js *jobState) bool {
 	s.mu.Lock()
-	id, fence := js.rec.Job.ID, job.Fence{Condition: s.div.condition, Current: s.freshLocked()}
+	id, fence := js.rec.Job.ID, s.fenceLocked()
 	mine := s.jobs[id] == js && ctx.Err() == nil
 	s.mu.Unlock()
 	if !mine {
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -44,9 +44,9 @@
 	maxAskedPerJob = 16
 	// lendAgain is how soon a peer without room is asked again.
 	lendAgain = 400 * time.Millisecond
-	// barFor is how long an attempt that was denied can not be taken; no
+	// deniedFor is how long an attempt that was denied can not be taken; no
 	// request is under way for longer, and none survives its epoch.
-	barFor = 10 * time.Minute
+	deniedFor = 10 * time.Minute
 )
 
 func sizeOf(f job.Final) placement.Resources {
@@ -315,7 +315,7 @@
 		m.Add(a, now)
 		m.looked = 0
 		m.dirty = true
-		m.useKept(w.Job)
+		m.useReservation(w.Job)
 		g.zones[m.Zone]++
 		left--
 		reply.Taken = append(reply.Taken, &peerpb.Hosted{Attempt: at, Zone: m.Zone, Known: true})
@@ -404,7 +404,7 @@
 		reply.Hosted = append(reply.Hosted, h)
 	}
 	for key, at := range s.denied {
-		if now.Sub(at) > barFor {
+		if now.Sub(at) > deniedFor {
 			delete(s.denied, key)
 		}
 	}
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -170,8 +170,8 @@
 }
 
 func (s *Share) newPageWriteLocked(priority state.Priority) *pageWrite {
-	return &pageWrite{attempts: map[*machine][]*fleet.Attempt{}, jobs: map[string]bool{}, write: state.Write{
-		Priority: priority, If: []wire.Condition{s.div.condition}, Persist: true, Fresh: s.freshLocked()}}
+	return &pageWrite{attempts: map[*machine][]*fleet.Attempt{}, jobs: map[string]bool{},
+		write: s.fenceLocked().Bind(state.Write{Priority: priority, Persist: true})}
 }
 
 // admitsLocked tells whether the write can record an attempt, and makes it
@@ -442,18 +442,17 @@
 	return value
 }
 
-// freshLocked tells of a write whether the division that it is fenced by is
-// still current.
-func (s *Share) freshLocked() func() bool {
+// fenceLocked ties writes to the division that the share goes by.
+func (s *Share) fenceLocked() state.Fence {
 	fence := s.div.condition
-	return func() bool {
+	return state.Fence{Condition: fence, Current: func() bool {
 		_, condition := s.opts.Authority.Division()
 		return condition == fence
-	}
+	}}
 }
 
 // currentLocked tells whether the division that the share goes by is current.
-func (s *Share) currentLocked() bool { return s.freshLocked()() }
+func (s *Share) currentLocked() bool { return s.fenceLocked().Current() }
 
 // reread returns the version that a key has after a write of it has failed
 // with err; ok is false if that is not known, or did not change. Only this
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -135,7 +135,7 @@
 	}
 	// Guests take their turn: what they want is kept free until they ask again.
 	for _, g := range s.guests {
-		if g.asked > 0 && now.Sub(g.askedAt) < keepFor {
+		if g.asked > 0 && now.Sub(g.askedAt) < reservedFor {
 			queue = append(queue, g)
 		}
 	}
@@ -164,7 +164,7 @@
 func (s *Share) serveLocked(js *jobState, now time.Time, held bool) {
 	switch {
 	case js.guest:
-		s.keepForLocked(js, now, held)
+		s.reserveLocked(js, now, held)
 	case js.rec.Job.Kind == wire.KindArray:
 		s.placeJobLocked(js, now, held)
 	case !held:
@@ -202,13 +202,13 @@
 	return min(longest, longestFetch)
 }
 
-// keepFor is how long room kept for a guest waits for it; its owner asks again
+// reservedFor is how long room kept for a guest waits for it; its owner asks again
 // every lendAgain.
-const keepFor = 2 * lendAgain
+const reservedFor = 2 * lendAgain
 
-// keepForLocked keeps free room for the tasks that a guest has asked for in
+// reserveLocked keeps free room for the tasks that a guest has asked for in
 // vain: on open machines first, then on idle ones.
-func (s *Share) keepForLocked(g *jobState, now time.Time, held bool) {
+func (s *Share) reserveLocked(g *jobState, now time.Time, held bool) {
 	id := g.rec.Job.ID
 	kept := s.reservedLocked(now)
 	wants := min(g.asked, maxAskedPerJob) - kept[id]
@@ -218,7 +218,7 @@
 	}
 	keep := func(m *machine) {
 		for wants > 0 && (!held || m.HoldsImage(g.rec.Job.Image)) && s.fitsLocked(g, m, now) && g.size.Within(s.roomLocked(m, "", now)) {
-			m.reservations = append(m.reservations, reservation{job: id, size: g.size, until: now.Add(keepFor)})
+			m.reservations = append(m.reservations, reservation{job: id, size: g.size, until: now.Add(reservedFor)})
 			kept[id]++
 			wants--
 		}
@@ -252,8 +252,8 @@
 	return room
 }
 
-// useKept ends the keeping of room for one task of the job.
-func (m *machine) useKept(job string) {
+// useReservation ends the keeping of room for one task of the job.
+func (m *machine) useReservation(job string) {
 	if i := slices.IndexFunc(m.reservations, func(k reservation) bool { return k.job == job }); i >= 0 {
 		m.reservations = slices.Delete(m.reservations, i, i+1)
 	}
@@ -654,7 +654,7 @@
 	}
 	js.preempted = now
 	if js.guest {
-		best.m.reservations = append(best.m.reservations, reservation{job: js.rec.Job.ID, size: js.size, until: now.Add(keepFor)})
+		best.m.reservations = append(best.m.reservations, reservation{job: js.rec.Job.ID, size: js.size, until: now.Add(reservedFor)})
 	}
 	for _, a := range best.victims {
 		s.log.Info("preempting", "task", a.Task, "machine", best.m.Name, "for", js.rec.Job.ID)
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -76,7 +76,7 @@
 	Over(id string) bool
 	Resolve(ctx context.Context, id string) (f job.Final, over, found bool, err error)
 	ReadDone(ctx context.Context) ([]job.DonePage, error)
-	Finish(ctx context.Context, r *job.Record, fence job.Fence) error
+	Finish(ctx context.Context, r *job.Record, fence state.Fence) error
 	SetProgress(id string, p job.Progress)
 }
 
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -30,7 +30,7 @@
 	active map[string]*job.Record
 	mu     sync.Mutex
 	writes []state.Write
-	fences []job.Fence   // of ended jobs
+	fences []state.Fence // of ended jobs
 	listed []*job.Record // all active jobs
 	status *wire.Report  // what workers answer to probes; nil: nothing
 	wants  []*peerpb.Want
@@ -79,7 +79,7 @@
 	return job.Final{}, false, false, nil
 }
 func (p *scripted) ReadDone(context.Context) ([]job.DonePage, error) { return nil, nil }
-func (p *scripted) Finish(_ context.Context, _ *job.Record, fence job.Fence) error {
+func (p *scripted) Finish(_ context.Context, _ *job.Record, fence state.Fence) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fences = append(p.fences, fence)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -322,16 +322,25 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, name := range machines {
-		if w := f.workers[name]; w != nil {
-			w.killLocked()
-			w.dead = true
-			delete(f.workers, name)
+		if f.removeLocked(name) {
 			f.Returned = append(f.Returned, name)
 		}
 	}
 	return nil
 }
 
+// removeLocked ends a machine for good; it returns false if there is none.
+func (f *Fleet) removeLocked(machine string) bool {
+	w := f.workers[machine]
+	if w == nil {
+		return false
+	}
+	w.killLocked()
+	w.dead = true
+	delete(f.workers, machine)
+	return true
+}
+
 // List lists the machines.
 func (c *Cloud) List(context.Context) ([]wire.Machine, error) {
 	f := c.fleet
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -27,11 +27,7 @@
 func (f *Fleet) Lose(machine string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if w := f.workers[machine]; w != nil {
-		w.killLocked()
-		w.dead = true
-		delete(f.workers, machine)
-	}
+	f.removeLocked(machine)
 }
 
 // Slow delays each message to and from a machine; 0 ends that.
--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -27,6 +27,20 @@
 	Fresh func() bool
 }
 
+// Fence ties writes to the epoch under which they were decided.
+type Fence struct {
+	Condition wire.Condition
+	Current   func() bool // whether the condition can still hold, without asking the service
+}
+
+// Bind makes a write fail once the fence is outdated: unsent, where that is known.
+func (f Fence) Bind(w Write) Write {
+	w.If = append([]wire.Condition{f.Condition}, w.If...)
+	fresh := w.Fresh
+	w.Fresh = func() bool { return f.Current() && (fresh == nil || fresh()) }
+	return w
+}
+
 type pending struct {
 	Write
 	ctx     context.Context
