Keep to announced limits of the state service: small pages, several journals a write, splits in writes of their own

A value or transaction that is rejected is never sent again unchanged: its writes go one by one, and records are cut smaller. Old large pages and pages of done tasks are split in several transactions: the new ones first, the old one is rewritten or removed only once those hold what it held.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,8 @@
 	LeaseFor    time.Duration // how long a worker lives on its last answered report
 	CancelIn    time.Duration // by when a cancelled job's tasks must be gone
 
+	// The state service's limits: the lower of those that hold now and of those
+	// that are announced, which come into force at any moment without notice.
 	StateRPS      float64
 	StateWriteRPS float64
 	ValueBytes    int
@@ -96,6 +98,12 @@
 			WriteRPS *float64 `toml:"write_rps"`
 			ValueKB  *float64 `toml:"value_kb"`
 			TxnOps   *int64   `toml:"txn_ops"`
+			Next     struct {
+				RPS      *float64 `toml:"rps"`
+				WriteRPS *float64 `toml:"write_rps"`
+				ValueKB  *float64 `toml:"value_kb"`
+				TxnOps   *int64   `toml:"txn_ops"`
+			} `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      *float64 `toml:"rps"`
@@ -158,16 +166,13 @@
 		ReportEvery:    c.seconds("cluster.workers.report_s", f.Cluster.Workers.ReportS, 0.01),
 		LeaseFor:       c.seconds("cluster.workers.lease_s", f.Cluster.Workers.LeaseS, 0.01),
 		CancelIn:       c.seconds("cluster.workers.cancel_s", f.Cluster.Workers.CancelS, 0.01),
-		StateRPS:       c.number("cluster.state.rps", f.Cluster.State.RPS, 0.1),
-		StateWriteRPS:  c.number("cluster.state.write_rps", f.Cluster.State.WriteRPS, 0.1),
-		ValueBytes:     int(c.number("cluster.state.value_kb", f.Cluster.State.ValueKB, 1) * 1024),
-		TxnOps:         int(c.integer("cluster.state.txn_ops", f.Cluster.State.TxnOps, 4)),
 		CloudRPS:       c.number("cluster.cloud.rps", f.Cluster.Cloud.RPS, 0.01),
 		ListLag:        c.seconds("cluster.cloud.list_lag_s", f.Cluster.Cloud.ListLagS, 0),
 		Cores:          max(1, int(math.Ceil(c.number("cluster.machine_limits.core_share", f.Cluster.Limits.CoreShare, 0.001)))),
 		MemoryBytes:    int64(c.number("cluster.machine_limits.ram_mb", f.Cluster.Limits.RAMMB, 16) * (1 << 20)),
 		MaxConnections: int(c.integer("cluster.machine_limits.max_connections", f.Cluster.Limits.MaxConnections, 32)),
 	}
+	s.takeStateLimits(&c, &f)
 	if f.Cluster.Limits.CoreShare != nil {
 		s.CoreShare = *f.Cluster.Limits.CoreShare
 	}
@@ -206,6 +211,38 @@
 	return s, nil
 }
 
+// The least limits of the state service that the records can be kept within.
+const (
+	leastRate    = 0.1
+	leastValueKB = 1
+	leastTxnOps  = 4
+)
+
+// takeStateLimits takes the state service's limits. Those that are announced
+// count from the start where they are lower, so that nothing depends on when
+// they come into force.
+func (s *Settings) takeStateLimits(c *checker, f *file) {
+	now, next := &f.Cluster.State, &f.Cluster.State.Next
+	const key, nextKey = "cluster.state.", "cluster.state.next."
+	s.StateRPS = c.number(key+"rps", now.RPS, leastRate)
+	s.StateWriteRPS = c.number(key+"write_rps", now.WriteRPS, leastRate)
+	valueKB := c.number(key+"value_kb", now.ValueKB, leastValueKB)
+	s.TxnOps = int(c.integer(key+"txn_ops", now.TxnOps, leastTxnOps))
+	if next.RPS != nil {
+		s.StateRPS = min(s.StateRPS, c.number(nextKey+"rps", next.RPS, leastRate))
+	}
+	if next.WriteRPS != nil {
+		s.StateWriteRPS = min(s.StateWriteRPS, c.number(nextKey+"write_rps", next.WriteRPS, leastRate))
+	}
+	if next.ValueKB != nil {
+		valueKB = min(valueKB, c.number(nextKey+"value_kb", next.ValueKB, leastValueKB))
+	}
+	if next.TxnOps != nil {
+		s.TxnOps = min(s.TxnOps, int(c.integer(nextKey+"txn_ops", next.TxnOps, leastTxnOps)))
+	}
+	s.ValueBytes = int(valueKB * 1024)
+}
+
 // amplyCore is the share of a core from which on a controller answers its peers
 // without delay, also while it takes over what another had.
 const amplyCore = 0.15
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -86,6 +86,59 @@
 	GB   float64 `json:"gb"`
 }
 
+// Size is at most how many bytes the record takes of a value under a machine's
+// name.
+func (r *Record) Size(name string) int {
+	size := RecordBytes(name) + placeBytes(r.Address, r.Type, r.Zone)
+	for task, attempt := range r.Attempts {
+		size += AttemptBytes(task, attempt)
+	}
+	for _, image := range r.Images {
+		size += image.bytes()
+	}
+	return size
+}
+
+// What the punctuation and the field names of a record take of a value, and its
+// numbers at most.
+const (
+	recordSyntax  = len(`"":{"session":,"seq":,"token":,"attempts":{},"images":[]},`) + 3*maxDigits
+	placeSyntax   = len(`"address":"","type":"","zone":"","spot":true,`)
+	attemptSyntax = len(`"":,`)
+	imageSyntax   = len(`{"name":"","gb":},`)
+	maxDigits     = 20
+)
+
+// RecordBytes is at most what a machine's record takes of a value besides its
+// place, attempts and images.
+func RecordBytes(name string) int { return recordSyntax + len(name) }
+
+// AttemptBytes is what an attempt takes of a value.
+func AttemptBytes(task string, attempt uint64) int {
+	return attemptSyntax + len(task) + len(strconv.FormatUint(attempt, 10))
+}
+
+func placeBytes(address, machineType, zone string) int {
+	return placeSyntax + len(address) + len(machineType) + len(zone)
+}
+
+// PlaceBytes is what the machine's address, type and zone take of a value.
+func (m *Machine) PlaceBytes() int { return placeBytes(m.Address, m.TypeName, m.Zone) }
+
+func (i Image) bytes() int { return imageSyntax + len(i.Name) + maxDigits }
+
+// KeepImages drops the images that were not used for the longest until the rest
+// takes at most so many bytes: which a machine holds is good to know, no more.
+func (r *Record) KeepImages(most int) {
+	size := 0
+	for i, image := range r.Images {
+		if size += image.bytes(); size > most {
+			r.Images = r.Images[:i]
+			return
+		}
+	}
+}
+
 // Record returns the machine's record as of now, without the attempts that
 // are left out.
 func (m *Machine) Record(leaveOut func(*Attempt) bool) Record {
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -530,6 +530,10 @@
 	return idle
 }
 
+// imagesPartOfTransfer is which part of a transfer's value the images of one
+// machine may take.
+const imagesPartOfTransfer = 16
+
 // giveLocked gives idle machines to another share. This share answers their
 // workers no more before the write goes out.
 func (s *Share) giveLocked(machines []*machine, node string) {
@@ -537,14 +541,16 @@
 		batch, about, size := []*machine{}, map[string]json.RawMessage{}, 0
 		for len(machines) > 0 {
 			m := machines[0]
-			value, err := json.Marshal(m.Handover())
+			handover := m.Handover()
+			handover.KeepImages(s.valueLimit() / imagesPartOfTransfer)
+			value, err := json.Marshal(handover)
 			if err != nil {
 				s.log.Error("encoding a machine", "machine", m.Name, "err", err)
 				machines = machines[1:]
 				continue
 			}
 			size += len(value) + len(m.Name) + 8
-			if len(batch) > 0 && size > s.opts.Settings.ValueBytes-valueSlack {
+			if len(batch) > 0 && size > s.valueLimit() {
 				break
 			}
 			machines = machines[1:]
--- a/internal/scheduler/done.go
+++ b/internal/scheduler/done.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"heronwick/internal/fleet"
@@ -20,6 +21,9 @@
 	jobs       map[string]map[int][]byte // by job and chunk, what it holds or is about to
 	size       int                       // bytes that its entries can come to
 	committing bool
+	// heirs are the pages that together hold what this one does, which is larger
+	// than values may be: once all are written it is removed.
+	heirs []*donePage
 }
 
 // flushEvery is how often done tasks are written: often enough that a lost
@@ -30,10 +34,18 @@
 // donePageLocked returns a page with room for an entry of the size.
 func (s *Share) donePageLocked(size int) *donePage {
 	for _, page := range s.donePages {
-		if page.size+size <= s.opts.Settings.ValueBytes*3/4 {
+		if page.heirs == nil && page.size+size <= s.donePageLimit() {
 			return page
 		}
 	}
+	return s.newDonePageLocked()
+}
+
+// donePageLimit is how many bytes the entries of a page of done tasks may come
+// to, unless there is only one.
+func (s *Share) donePageLimit() int { return s.valueLimit() * 3 / 4 }
+
+func (s *Share) newDonePageLocked() *donePage {
 	s.donePagesNamed++
 	page := &donePage{key: job.DoneKey(s.opts.Node, s.div.Members[s.opts.Node].Since, s.donePagesNamed), jobs: map[string]map[int][]byte{}}
 	s.donePages[page.key] = page
@@ -69,17 +81,67 @@
 	}
 	page := &donePage{key: written.Key, version: written.Version, jobs: map[string]map[int][]byte{}}
 	s.donePages[page.key] = page
+	tasks := map[string]int{}
+	entries := 0
 	for id, chunks := range written.Jobs {
 		r := s.opts.Jobs.Active(id)
 		if r == nil {
 			continue
 		}
+		tasks[id] = r.Job.Tasks
 		for chunk, bits := range chunks {
 			page.put(id, chunk, bits)
 			page.size += job.EntrySize(r.Job.Tasks, chunk)
-			if js := s.jobs[id]; js != nil && js.donePages[chunk] == nil {
-				js.donePages[chunk] = page
+			entries++
+		}
+	}
+	holders := []*donePage{page}
+	if page.size > s.donePageLimit() && entries > 1 {
+		holders = s.splitDonePageLocked(page, tasks)
+	}
+	for _, holder := range holders {
+		for id, chunks := range holder.jobs {
+			js := s.jobs[id]
+			for chunk := range chunks {
+				if js != nil && js.donePages[chunk] == nil {
+					js.donePages[chunk] = holder
+				}
+			}
+		}
+	}
+}
+
+// splitDonePageLocked copies what a page holds that is larger than values may be
+// to new ones and returns those; tasks is how many tasks each job has. Done tasks
+// only ever become more, so reading both does no harm.
+func (s *Share) splitDonePageLocked(page *donePage, tasks map[string]int) (heirs []*donePage) {
+	var heir *donePage
+	for id, chunks := range page.jobs {
+		for chunk, bits := range chunks {
+			size := job.EntrySize(tasks[id], chunk)
+			if heir == nil || heir.size+size > s.donePageLimit() {
+				heir = s.newDonePageLocked()
+				heirs = append(heirs, heir)
 			}
+			heir.put(id, chunk, bits)
+			heir.size += size
+		}
+	}
+	page.heirs = heirs
+	return heirs
+}
+
+// retireDonePagesLocked empties pages whose heirs hold all that they did.
+func (s *Share) retireDonePagesLocked() {
+	for _, page := range s.donePages {
+		if page.heirs == nil {
+			continue
+		}
+		page.heirs = slices.DeleteFunc(page.heirs, func(heir *donePage) bool {
+			return heir.version > 0 || s.donePages[heir.key] != heir // written, or of jobs that are over
+		})
+		if len(page.heirs) == 0 {
+			clear(page.jobs)
 		}
 	}
 }
@@ -128,8 +190,15 @@
 			delete(js.dirty, chunk)
 		}
 	}
+	s.retireDonePagesLocked()
 	for key, page := range s.donePages {
-		if len(page.jobs) > 0 || page.committing {
+		if page.committing {
+			continue
+		}
+		if len(page.jobs) > 0 {
+			if page.version == 0 && due[page] == nil { // an heir
+				due[page] = &donePageWrite{page: page}
+			}
 			continue
 		}
 		delete(s.donePages, key)
@@ -167,6 +236,7 @@
 	}
 	if err != nil {
 		s.log.Debug("writing done tasks failed", "key", dw.page.key, "err", err)
+		s.noteRejectedLocked(err)
 	}
 	for _, e := range dw.entries {
 		if err != nil {
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -106,8 +106,20 @@
 	}
 }
 
-// maxGone bounds the machines of one message that they are gone.
-const maxGone = 500
+// goneSyntax is what a machine's name takes of a transfer beside itself.
+const goneSyntax = len(`"":null,`)
+
+// goneInOneWriteLocked returns as many of the machines that are gone as one write can
+// name.
+func (s *Share) goneInOneWriteLocked() []string {
+	size := 0
+	for i, name := range s.gone {
+		if size += len(name) + goneSyntax; i > 0 && size > s.valueLimit() {
+			return s.gone[:i]
+		}
+	}
+	return s.gone
+}
 
 // tellGoneLocked tells the other controllers which machines are gone, many in
 // one write.
@@ -116,7 +128,7 @@
 		return
 	}
 	s.telling = true
-	names := s.gone[:min(len(s.gone), maxGone)]
+	names := s.goneInOneWriteLocked()
 	machines := map[string]json.RawMessage{}
 	for _, name := range names {
 		machines[name] = json.RawMessage("null")
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -24,23 +24,70 @@
 	size       int             // bytes of what it holds
 	machines   map[string]bool // whose records belong on it
 	committing bool
-	untidy     bool // what the store holds names machines that are no longer here
+	// oversized: with what it still holds of machines that now belong on other
+	// pages it does not fit a value. It is written once those have been.
+	oversized bool
+	untidy    bool // what the store holds names machines that are no longer here
 	// leftover holds, by machine, what the page says of machines that now
 	// belong on another one, until that one has been written: a page written
 	// without it before would leave no record of what may be on the machine.
 	leftover map[string]fleet.Record
 }
 
-// valueSlack is left free of what a value may hold.
+// valueSlack is left free of what a value may hold, for what it holds beside
+// records: its syntax, a write's mark, a transfer's new owner.
 const valueSlack = 256
 
+// leastValueLimit is the least that records in one value are cut down to.
+const leastValueLimit = 512
+
+// valueLimit is how many bytes the records in one value may take.
+func (s *Share) valueLimit() int {
+	return max(leastValueLimit, s.opts.Settings.ValueBytes-valueSlack-s.valuesCut)
+}
+
+// noteRejectedLocked makes values smaller if the state service has rejected one:
+// its limits are lower than the settings say.
+func (s *Share) noteRejectedLocked(err error) {
+	if !errors.Is(err, state.ErrRejected) {
+		return
+	}
+	s.log.Error("the state service rejects a value: smaller ones from now on", "limit", s.valueLimit(), "err", err)
+	s.valuesCut += s.valueLimit() / 4
+}
+
+const (
+	// imagesPart is which part of a value the images of one machine may take.
+	imagesPart = 8
+	// longestAttempt and longestRecord are what an attempt and a machine's record
+	// without attempts and images take at most, with names of a usual length.
+	longestAttempt = 56
+	longestRecord  = 256
+	// leastAttempts is how many attempts a machine may have however small values are.
+	leastAttempts = 4
+)
+
+// maxAttempts keeps a machine's record within the size of a value.
+func (s *Share) maxAttempts() int {
+	limit := s.valueLimit()
+	return max(leastAttempts, (limit-limit/imagesPart-longestRecord)/longestAttempt)
+}
+
+// recordLocked returns what a page holds of a machine, without the attempts that
+// are left out.
+func (s *Share) recordLocked(m *machine, leaveOut func(*fleet.Attempt) bool) fleet.Record {
+	r := m.Record(leaveOut)
+	r.KeepImages(s.valueLimit() / imagesPart)
+	return r
+}
+
 // pageLocked returns the page for a machine that has none: the fullest with
 // room for another record, so that few pages change.
 func (s *Share) pageLocked() *page {
 	limit := s.opts.Settings.ValueBytes * 3 / 4
 	var best *page
 	for _, p := range s.pages {
-		if fleet.IsJournal(p.key) {
+		if fleet.IsJournal(p.key) || p.oversized {
 			continue
 		}
 		// What is booked since the last write is not in its size yet.
@@ -80,7 +127,7 @@
 func (m *machine) dropLeftovers() {
 	for _, p := range m.elsewhere {
 		delete(p.leftover, m.Name)
-		p.untidy = true
+		p.untidy, p.oversized = true, false
 	}
 	m.elsewhere = nil
 }
@@ -107,7 +154,7 @@
 			m.page.machines[m.Name] = true
 		}
 		switch {
-		case m.due && !m.page.committing:
+		case m.due && !m.page.committing && !m.page.oversized:
 			due[m.page] = true
 		case m.dirty:
 			dirty = append(dirty, m)
@@ -121,15 +168,36 @@
 		return
 	}
 	now := time.Now()
-	if wait := s.journalEvery() - now.Sub(s.journaled); wait > 0 {
+	if wait := s.journaled.Sub(now); wait > 0 {
 		if !s.journalDue {
 			s.journalDue = true
 			time.AfterFunc(wait, s.poke)
 		}
 		return
 	}
-	s.journaled, s.journalDue = now, false
-	s.writeJournalLocked(dirty)
+	s.journalDue = false
+	s.journaled = now.Add(time.Duration(s.writeJournalsLocked(dirty)) * s.journalEvery())
+}
+
+// journalsAtOnce bounds the journals that are written together, for what has
+// gathered and does not fit one: the more, the longer they wait afterwards.
+const journalsAtOnce = 4
+
+// writeJournalsLocked records new placements in as many journals as it takes,
+// and returns how many those are.
+func (s *Share) writeJournalsLocked(dirty []*machine) (written int) {
+	for written < journalsAtOnce && len(dirty) > 0 {
+		before := len(dirty)
+		if !s.writeJournalLocked(dirty) {
+			break
+		}
+		written++
+		dirty = slices.DeleteFunc(dirty, func(m *machine) bool { return !m.dirty })
+		if len(dirty) == before {
+			break
+		}
+	}
+	return written
 }
 
 // journalEvery is how long one write of the journal waits after the one
@@ -208,24 +276,17 @@
 	pw.write.Then = append(pw.write.Then, wire.Change{Put: p.key, Value: value})
 }
 
-// About what a record and an attempt in it take of the journal; the names are
-// the cloud's and the users', so some are left room for.
-const (
-	recordSize  = 80
-	attemptSize = 48
-)
-
 // Whoever takes over reads what the journals hold together, so their number is
 // bounded: by what the tasks of so many machines fill, since in journals that are
 // too few for them nothing is over before its journal is written again, and the
 // pages take the writes that users wait for.
 const (
-	leastJournals      = 8
-	machinesPerJournal = 20
+	leastJournals   = 8
+	bytesPerMachine = 820 // of journals
 )
 
 func (s *Share) maxJournals() int {
-	return max(leastJournals, len(s.machines)/machinesPerJournal)
+	return max(leastJournals, len(s.machines)*bytesPerMachine/s.opts.Settings.ValueBytes)
 }
 
 // nextJournalLocked returns the journal to write. Most tasks are over before
@@ -235,12 +296,12 @@
 // due.
 func (s *Share) nextJournalLocked(limit int) *page {
 	held := s.heldLocked()
-	if s.journal != nil && held[s.journal.key] < limit*3/4 {
+	if s.journal != nil && !s.journal.committing && held[s.journal.key] < limit*3/4 {
 		return s.journal
 	}
 	var least, most *page
 	for _, j := range s.journals {
-		if least == nil || held[j.key] < held[least.key] {
+		if !j.committing && (least == nil || held[j.key] < held[least.key]) {
 			least = j
 		}
 		if most == nil || held[j.key] > held[most.key] {
@@ -252,7 +313,7 @@
 			least = &page{key: fleet.JournalKey(s.opts.Node, s.div.Members[s.opts.Node].Since, len(s.journals))}
 			s.journals = append(s.journals, least)
 			s.pages[least.key] = least
-		} else if !s.checkpointingLocked() {
+		} else if most != nil && !s.checkpointingLocked() {
 			for _, m := range s.machines {
 				if _, ok := m.Extract(most.key, true); ok {
 					m.due = true
@@ -274,7 +335,7 @@
 			if a.Journal == "" || a.Exited() {
 				continue
 			}
-			held[a.Journal] += attemptSize
+			held[a.Journal] += fleet.AttemptBytes(a.Task, a.Attempt)
 			if a.Journal != seen {
 				seen = a.Journal
 				held[a.Journal] += m.extractSize()
@@ -287,23 +348,24 @@
 // paged tells whether a page in the store has the machine's record.
 func (m *machine) paged() bool { return m.page != nil && m.page.version > 0 }
 
-// extractSize is about what the machine's record takes of a journal besides
-// its attempts.
+// extractSize is what the machine's record takes of a journal besides its
+// attempts.
 func (m *machine) extractSize() int {
-	size := recordSize + len(m.Name)
+	size := fleet.RecordBytes(m.Name)
 	if !m.paged() {
-		size += len(m.Address) + len(m.TypeName) + len(m.Zone)
+		size += m.PlaceBytes()
 	}
 	return size
 }
 
-// writeJournalLocked writes a journal: the attempts that are on no record, and
-// those that it alone holds.
-func (s *Share) writeJournalLocked(dirty []*machine) {
-	limit := s.opts.Settings.ValueBytes - valueSlack
+// writeJournalLocked writes a journal: the attempts that are on no record, as far
+// as it has room for them, and those that it alone holds. It returns false if
+// none can be written now.
+func (s *Share) writeJournalLocked(dirty []*machine) bool {
+	limit := s.valueLimit()
 	journal := s.nextJournalLocked(limit)
-	if journal.committing {
-		return
+	if journal == nil || journal.committing {
+		return false
 	}
 	pw := s.newPageWriteLocked(state.Placement)
 	pw.journal = true
@@ -312,7 +374,7 @@
 	for _, m := range s.machines {
 		if r, ok := m.Extract(journal.key, m.paged()); ok {
 			content.Machines[m.Name] = r
-			size += m.extractSize() + attemptSize*len(r.Attempts)
+			size += r.Size(m.Name)
 		}
 	}
 	for _, m := range dirty {
@@ -322,29 +384,40 @@
 			if a.Durable || a.Exited() {
 				continue
 			}
-			if size > limit-m.extractSize()-attemptSize || !s.admitsLocked(pw, a) {
+			_, begun := content.Machines[m.Name]
+			more := fleet.AttemptBytes(a.Task, a.Attempt)
+			if !begun {
+				more += m.extractSize()
+			}
+			if size+more > limit || !s.admitsLocked(pw, a) {
 				m.dirty = true
 				continue
 			}
-			if _, ok := content.Machines[m.Name]; !ok {
+			if !begun {
 				r, _ := m.Extract(journal.key, m.paged())
 				r.Attempts = map[string]uint64{}
 				content.Machines[m.Name] = r
-				size += m.extractSize()
 			}
+			size += more
 			content.Machines[m.Name].Attempts[a.Task] = a.Attempt
-			size += attemptSize
 			pw.records(m, a)
 		}
 	}
 	if len(pw.attempts) == 0 {
-		return
+		return false
 	}
+	s.putPageLocked(pw, journal, content)
+	return true
+}
+
+// putPageLocked encodes a page and commits it.
+func (s *Share) putPageLocked(pw *pageWrite, p *page, content fleet.Page) {
 	value, err := json.Marshal(content)
 	if err != nil {
-		s.log.Error("encoding the journal", "err", err)
+		s.log.Error("encoding machines' records", "key", p.key, "err", err)
+		return
 	}
-	pw.put(journal, value)
+	pw.put(p, value)
 	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
 }
 
@@ -370,76 +443,139 @@
 	return fmt.Sprintf("%s-%d-%d", s.opts.Node, s.div.Token, s.serial)
 }
 
-// writePageLocked writes a page, fenced by the epoch and by its own version.
+// writePageLocked writes a page, fenced by the epoch and by its own version. What
+// does not fit it goes to other pages, in writes of their own; it is itself
+// written once those hold what it held.
 func (s *Share) writePageLocked(p *page, priority state.Priority) {
 	for name := range p.machines {
 		s.dropStaleGuestsLocked(s.machines[name])
 	}
-	pw := s.newPageWriteLocked(priority)
 	if len(p.machines)+len(p.leftover) == 0 {
-		delete(s.pages, p.key)
-		if p.version == 0 {
-			return
+		s.deletePageLocked(p, priority)
+		return
+	}
+	s.splitPageLocked(p, priority)
+	if p.oversized {
+		return
+	}
+	pw := s.newPageWriteLocked(priority)
+	content := s.contentLocked(p, pw)
+	for name := range p.machines {
+		s.recordsMachineLocked(pw, s.machines[name])
+	}
+	s.putPageLocked(pw, p, content)
+}
+
+// deletePageLocked removes a page that holds nothing any more.
+func (s *Share) deletePageLocked(p *page, priority state.Priority) {
+	delete(s.pages, p.key)
+	if p.version == 0 {
+		return
+	}
+	pw := s.newPageWriteLocked(priority)
+	pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
+	pw.write.Then = append(pw.write.Then, wire.Change{Delete: p.key})
+	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
+}
+
+// splitPageLocked moves machines that do not fit a page to others, which are
+// written at once. Until then the page keeps its records of them, and if with
+// those it does not fit a value, it is not written.
+func (s *Share) splitPageLocked(p *page, priority state.Priority) {
+	limit := s.valueLimit()
+	size := 0
+	for name, r := range p.leftover {
+		if !p.machines[name] {
+			size += r.Size(name)
 		}
-		pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
-		pw.write.Then = append(pw.write.Then, wire.Change{Delete: p.key})
 	}
-	for todo := []*page{p}; len(todo) > 0; {
-		p := todo[0]
-		todo = todo[1:]
-		if len(p.machines)+len(p.leftover) == 0 {
-			continue
+	var moving []string
+	for i, name := range slices.Sorted(maps.Keys(p.machines)) {
+		more := s.recordSizeLocked(s.machines[name])
+		if size += more; size > limit && (i > 0 || len(p.leftover) > 0) {
+			moving = append(moving, name)
+			size -= more
 		}
-		value := s.encodeLocked(p, pw)
-		if len(value) > s.opts.Settings.ValueBytes-valueSlack && len(p.machines) > 1 {
-			half := s.newPageLocked()
-			names := slices.Sorted(maps.Keys(p.machines))
-			for _, name := range names[len(names)/2:] {
-				delete(p.machines, name)
-				half.machines[name] = true
-				s.machines[name].page = half
-			}
-			todo = append(todo, p, half)
+	}
+	for len(moving) > 0 {
+		moving = s.moveToNewPageLocked(p, moving, priority)
+	}
+	kept := 0
+	for name, r := range p.leftover {
+		kept += r.Size(name)
+	}
+	for name := range p.machines {
+		kept += s.recordSizeLocked(s.machines[name])
+	}
+	p.oversized = len(p.leftover) > 0 && kept > limit
+}
+
+// recordSizeLocked is how much the machine's record takes of a page at most.
+func (s *Share) recordSizeLocked(m *machine) int {
+	r := s.recordLocked(m, func(*fleet.Attempt) bool { return false })
+	return r.Size(m.Name)
+}
+
+// moveToNewPageLocked moves as many of the machines as fit from a page to a new
+// one and writes that. It returns the others.
+func (s *Share) moveToNewPageLocked(from *page, names []string, priority state.Priority) (others []string) {
+	to := s.newPageLocked()
+	size := 0
+	for i, name := range names {
+		m := s.machines[name]
+		if size += s.recordSizeLocked(m); i > 0 && size > s.valueLimit() {
+			others = names[i:]
+			break
+		}
+		delete(from.machines, name)
+		to.machines[name] = true
+		m.page = to
+		if from.version == 0 {
 			continue
 		}
-		pw.put(p, value)
+		if from.leftover == nil {
+			from.leftover = map[string]fleet.Record{}
+		}
+		if _, ok := from.leftover[name]; !ok {
+			from.leftover[name] = s.recordLocked(m, func(a *fleet.Attempt) bool { return !a.Durable })
+		}
+		if !slices.Contains(m.elsewhere, from) {
+			m.elsewhere = append(m.elsewhere, from)
+		}
 	}
-	for _, p := range pw.pages {
-		for name := range p.machines {
-			m := s.machines[name]
-			m.dirty, m.due = false, false
-			if len(m.elsewhere) > 0 {
-				pw.recorded = append(pw.recorded, m)
-			}
-			for _, a := range m.Attempts.All() {
-				switch {
-				case a.Exited():
-				case a.Durable:
-					if a.Journal != "" {
-						pw.moved = append(pw.moved, a)
-					}
-				case s.admitsLocked(pw, a):
-					pw.records(m, a)
-				default:
-					m.dirty = true
-				}
+	s.writePageLocked(to, priority)
+	return others
+}
+
+// recordsMachineLocked notes what a write of the machine's page records of it.
+func (s *Share) recordsMachineLocked(pw *pageWrite, m *machine) {
+	m.dirty, m.due = false, false
+	if len(m.elsewhere) > 0 {
+		pw.recorded = append(pw.recorded, m)
+	}
+	for _, a := range m.Attempts.All() {
+		switch {
+		case a.Exited():
+		case a.Durable:
+			if a.Journal != "" {
+				pw.moved = append(pw.moved, a)
 			}
+		case s.admitsLocked(pw, a):
+			pw.records(m, a)
+		default:
+			m.dirty = true
 		}
 	}
-	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
 }
 
-func (s *Share) encodeLocked(p *page, pw *pageWrite) json.RawMessage {
+// contentLocked is what a page is to hold.
+func (s *Share) contentLocked(p *page, pw *pageWrite) fleet.Page {
 	content := fleet.Page{Machines: make(map[string]fleet.Record, len(p.machines)), Write: s.markLocked()}
 	maps.Copy(content.Machines, p.leftover)
 	for name := range p.machines {
-		content.Machines[name] = s.machines[name].Record(func(a *fleet.Attempt) bool { return !s.admitsLocked(pw, a) })
-	}
-	value, err := json.Marshal(content)
-	if err != nil {
-		s.log.Error("encoding machines' records", "key", p.key, "err", err)
+		content.Machines[name] = s.recordLocked(s.machines[name], func(a *fleet.Attempt) bool { return !s.admitsLocked(pw, a) })
 	}
-	return value
+	return content
 }
 
 // fenceLocked ties writes to the division that the share goes by.
@@ -522,6 +658,7 @@
 		m.due = true
 	}
 	s.log.Debug("recording placements failed", "err", err)
+	s.noteRejectedLocked(err)
 	if conflict != nil {
 		for _, failed := range conflict.Failed {
 			if id, ok := job.IsActive(failed); ok {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -565,12 +565,6 @@
 	return m.Attempts.Len() < s.maxAttempts()
 }
 
-// maxAttempts keeps a machine's record within the size of a value.
-func (s *Share) maxAttempts() int {
-	const perAttempt, overhead = 64, 4096
-	return max(8, (s.opts.Settings.ValueBytes-overhead)/perAttempt)
-}
-
 // placeLocked books a task on a machine. The attempt's number rises with each
 // placement, across controllers and restarts, since tokens do.
 func (s *Share) placeLocked(js *jobState, index int, m *machine, now time.Time) *fleet.Attempt {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -184,8 +184,9 @@
 	pages             map[string]*page     // the keys that hold the machines' records
 	journals          []*page              // hold what the pages do not hold yet
 	journal           *page                // the one that is written at present
-	journaled         time.Time            // when that was last written
+	journaled         time.Time            // when one may next be written
 	journalDue        bool                 // and it waits to be written again
+	valuesCut         int                  // bytes by which values are smaller than the settings allow
 	paged             uint64               // pages named so far
 	donePages         map[string]*donePage // the keys that hold done tasks
 	donePagesNamed    uint64               // pages of done tasks named so far
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -25,6 +25,9 @@
 	ErrUnknown     = errors.New("no response from the state service")
 	ErrNotFound    = errors.New("no such key or lease")
 	ErrCompacted   = errors.New("the watched revision is too old")
+	// ErrRejected: the service will never carry the request out as it is, for
+	// example since it is larger than the service's limits.
+	ErrRejected = errors.New("rejected by the state service")
 )
 
 // Conflict says that a transaction's conditions did not hold.
@@ -98,6 +101,8 @@
 			}
 		}
 		return status, nil
+	case 400:
+		return status, fmt.Errorf("%w: %.200s", ErrRejected, answer)
 	case 404:
 		return status, ErrNotFound
 	case 410:
--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -45,6 +45,7 @@
 	Write
 	ctx     context.Context
 	unknown bool // an earlier try had no response
+	alone   bool // a transaction with others beside it was rejected
 	done    chan outcome
 }
 
@@ -190,7 +191,8 @@
 			}
 			bytes += 100 * len(w.If)
 			fits := ops+len(w.Then) <= maxOps && conditions+len(w.If) <= 4*c.ops && size+bytes <= maxTxnBytes
-			if !fits && (len(batch) > 0 || remove) || w.dependsOn(changed) {
+			lonely := len(batch) > 0 && (w.alone || batch[0].alone)
+			if lonely || !fits && (len(batch) > 0 || remove) || w.dependsOn(changed) {
 				rest = append(rest, w)
 				continue
 			}
@@ -242,6 +244,9 @@
 			return
 		case errors.As(err, &conflict):
 			batch = c.settleConflict(batch, conflict)
+		case errors.Is(err, ErrRejected):
+			c.splitRejected(l, batch, err)
+			return
 		default:
 			unknown := !errors.Is(err, ErrUnavailable)
 			var again []*pending
@@ -271,6 +276,31 @@
 	}
 }
 
+// splitRejected never sends a rejected transaction again unchanged: its writes
+// go one by one, and one that was rejected alone fails for good. What an earlier
+// try without response has done is read back.
+func (c *Committer) splitRejected(l *lane, batch []*pending, err error) {
+	if len(batch) == 1 {
+		w := batch[0]
+		if !w.unknown {
+			w.done <- outcome{err: err}
+			return
+		}
+		if o := c.readBack(w, nil); o.err == nil {
+			w.done <- o
+			return
+		}
+		w.done <- outcome{err: err}
+		return
+	}
+	for _, w := range batch {
+		w.alone = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l.queue = append(batch, l.queue...)
+}
+
 // settleConflict ends the writes whose conditions failed and returns the
 // others, which go again at once. A write that had no response before may
 // have been carried out by that very try, so it is read back: here the
