Jobs that need others: accepted once every controller supports them, started once what they need is done

follows is kept in a job's record. Readiness, order (highest priority and earliest start among the jobs that need it) and cancellation follow from a graph of the active jobs that every controller keeps; none of it needs a write.

--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -100,8 +100,11 @@
 	c.budget = state.NewBudget(settings.StateRPS*otherPart, settings.StateWriteRPS*otherPart, settings.TxnOps)
 	c.client = state.NewClient(c.route, c.budget)
 	c.committer = state.NewCommitter(c.client, settings.TxnOps)
-	c.catalog = job.NewCatalog(c.client, c.committer, log)
-	c.offers = cloud.NewOffers(out.cloud, c.client, log)
+	c.catalog = job.NewCatalog(job.Options{
+		Client: c.client, Committer: c.committer, MaxValue: settings.ValueBytes, Log: log,
+		AcceptsChains: func() bool { return c.members.Supports(cluster.LevelChains) },
+	})
+	c.offers = cloud.NewOffers(out.cloud, c.client, settings.ValueBytes, log)
 	beaters := map[string]cluster.Beater{}
 	for node, p := range out.peers {
 		beaters[node] = p
--- a/internal/cloud/offers.go
+++ b/internal/cloud/offers.go
@@ -30,6 +30,7 @@
 type Offers struct {
 	client Source
 	store  Store
+	most   int // bytes that a value of the store may have
 	log    *slog.Logger
 
 	mu    sync.Mutex
@@ -37,9 +38,10 @@
 	known chan struct{}
 }
 
-// NewOffers makes Offers; Run fills them.
-func NewOffers(client Source, store Store, log *slog.Logger) *Offers {
-	return &Offers{client: client, store: store, log: log, known: make(chan struct{})}
+// NewOffers makes Offers; Run fills them. A value of the store may have maxValue
+// bytes.
+func NewOffers(client Source, store Store, maxValue int, log *slog.Logger) *Offers {
+	return &Offers{client: client, store: store, most: maxValue, log: log, known: make(chan struct{})}
 }
 
 // Types returns the machine types, nil while they are not known.
@@ -94,7 +96,8 @@
 		return nil, errors.Join(err, cloudErr)
 	}
 	if errors.Is(err, state.ErrNotFound) {
-		if value, err := json.Marshal(types); err == nil {
+		// What does not fit a value is asked of the cloud at each start.
+		if value, err := json.Marshal(types); err == nil && len(value) <= o.most {
 			// Whoever is first writes it; failing is no harm.
 			_, err = o.store.Txn(ctx, state.Submission, wire.Txn{
 				If:   []wire.Condition{{Key: typesKey}},
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -111,6 +111,7 @@
 	owners        map[string]Owner    // by machine
 	transfers     map[string]transfer // by key
 	written       uint64              // transfers written
+	features      features
 	workersHeard  map[string]time.Time
 	stopShare     context.CancelFunc
 	sharing       chan struct{} // closed when the current Share has returned
--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -61,6 +61,7 @@
 	case leading:
 		c.renew(ctx)
 		c.manage(ctx)
+		c.raiseLevel(ctx)
 	case vacant:
 		// Whoever comes first wins; jitter makes a tie rare.
 		sleep(ctx, rand.N(100*time.Millisecond))
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -15,6 +15,7 @@
 	lastSeen    time.Time // when its last answer came
 	incarnation uint64
 	token       uint64 // highest epoch token it has said it knows
+	level       FeatureLevel // of its version, as it last said
 	stateOK     bool
 	workers     uint32
 	confirmedAt time.Time // when it was asked and knew of no newer epoch than ours
@@ -133,13 +134,14 @@
 func (c *Cluster) notePeerLocked(p *peer, theirs *peerpb.Status) {
 	p.lastSeen, p.status = time.Now(), theirs
 	p.incarnation, p.token, p.stateOK, p.workers = theirs.Incarnation, theirs.Token, theirs.StateOk, theirs.WorkersHeard
+	p.level = FeatureLevel(theirs.FeatureLevel)
 	c.noteAckLocked(p)
 }
 
 // status says how this controller is, and names the cancellations that it knows
 // after a revision.
 func (c *Cluster) status(after uint64) *peerpb.Status {
-	s := &peerpb.Status{Node: c.opts.Node, Incarnation: c.incarnation,
+	s := &peerpb.Status{Node: c.opts.Node, Incarnation: c.incarnation, FeatureLevel: uint32(supportedLevel),
 		StateOk: c.opts.Route.DirectOK(2 * time.Second)}
 	c.opts.Status(s)
 	known := c.opts.Cancellations.Known(after)
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -73,6 +73,8 @@
 		if json.Unmarshal(value, &l) == nil {
 			c.leader, c.leaderVersion = l, version
 		}
+	case featuresKey:
+		c.takeFeaturesLocked(value, version)
 	default:
 		c.takeOwnerLocked(key, value, version)
 	}
--- a/internal/job/catalog.go
+++ b/internal/job/catalog.go
@@ -10,7 +10,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -18,6 +17,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"heronwick/internal/state"
 	"heronwick/wire"
 )
@@ -32,6 +33,10 @@
 // ErrNotReady says that the records have not been read yet.
 var ErrNotReady = errors.New("job records not read yet")
 
+// ErrChainsNotYet says that jobs that need others are not accepted yet: a
+// controller that would start them too early may still run.
+var ErrChainsNotYet = errors.New("not every controller supports jobs that need others yet")
+
 // Record is an accepted job.
 type Record struct {
 	Job wire.Job `json:"job"`
@@ -63,12 +68,18 @@
 	CPUs     float64       `json:"cpus"`
 	GPUs     float64       `json:"gpus"`
 	MemoryGB float64       `json:"memory_gb"`
+	// EndedMs is the time of day of the end: the jobs after it count their times
+	// from there. The version before this one did not write it.
+	EndedMs int64 `json:"ended_ms,omitempty"`
 }
 
 // Listener hears of jobs that come and go, in no lock of the catalog's.
 type Listener interface {
 	JobAdded(r *Record)
 	JobEnded(id string, f Final)
+	// StandingChanged tells of active jobs that have become ready, or whose order
+	// has changed.
+	StandingChanged(ids []string)
 }
 
 // maxFinals bounds the finals kept in memory; others are read when asked for.
@@ -76,9 +87,11 @@
 
 // Catalog is this controller's view of all jobs.
 type Catalog struct {
-	client *state.Client
-	commit *state.Committer
-	log    *slog.Logger
+	client        *state.Client
+	commit        *state.Committer
+	maxValue      int
+	acceptsChains func() bool
+	log           *slog.Logger
 
 	mu         sync.Mutex
 	loaded     chan struct{} // closed once the records have been read
@@ -88,6 +101,9 @@
 	progress   map[string]Progress
 	listener   Listener
 	replicator Replicator
+	graph      *graph
+	unresolved map[string]bool // jobs that others need and that are neither known to be active nor over
+	toResolve  chan struct{}   // poked when there are more of those
 
 	cancelled []learnt // in the order in which they were learnt
 	base      uint64   // all that are known and came after this revision are among them
@@ -98,6 +114,9 @@
 	Final
 	revision   uint64 // of the store, at which it ended
 	replicated bool   // a cancellation that users may be told of
+	// implied: the job is cancelled since one before it is; the store still has
+	// its record as that of an active job.
+	implied *Record
 }
 
 // Progress is how far a job is, for display.
@@ -105,10 +124,25 @@
 	Done, Running int
 }
 
+// Options are what a Catalog needs.
+type Options struct {
+	Client    *state.Client
+	Committer *state.Committer
+	// MaxValue is how many bytes a value of the store may have.
+	MaxValue int
+	// AcceptsChains tells whether jobs that need others may be accepted.
+	AcceptsChains func() bool
+	Log           *slog.Logger
+}
+
 // NewCatalog makes an empty catalog; Run fills it.
-func NewCatalog(client *state.Client, commit *state.Committer, log *slog.Logger) *Catalog {
-	return &Catalog{client: client, commit: commit, log: log, loaded: make(chan struct{}),
-		active: map[string]*Record{}, final: map[string]*ending{}, progress: map[string]Progress{}}
+func NewCatalog(opts Options) *Catalog {
+	return &Catalog{
+		client: opts.Client, commit: opts.Committer, maxValue: opts.MaxValue, acceptsChains: opts.AcceptsChains, log: opts.Log,
+		loaded: make(chan struct{}),
+		active: map[string]*Record{}, final: map[string]*ending{}, progress: map[string]Progress{},
+		graph: newGraph(), unresolved: map[string]bool{}, toResolve: make(chan struct{}, 1),
+	}
 }
 
 // Ready tells whether the records have been read.
@@ -181,6 +215,15 @@
 
 // Run reads all active jobs and follows their changes until ctx ends.
 func (c *Catalog) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.follow(ctx) })
+	g.Go(func() error { return c.runResolver(ctx) })
+	g.Go(func() error { return c.runImplied(ctx) })
+	return g.Wait()
+}
+
+// follow keeps the catalog as the store is.
+func (c *Catalog) follow(ctx context.Context) error {
 	fresh := false
 	for ctx.Err() == nil {
 		if !fresh {
@@ -275,256 +318,104 @@
 	// A removed active key comes with a final one, in the same revision.
 }
 
-func (c *Catalog) setActive(id string, r *Record) {
-	c.mu.Lock()
-	if c.final[id] != nil || c.active[id] != nil {
-		c.mu.Unlock()
-		return
-	}
-	c.active[id] = r
-	l := c.listener
-	c.mu.Unlock()
-	if l != nil {
-		l.JobAdded(r)
-	}
+// news is what a change of the catalog means for its listener.
+type news struct {
+	added   *Record
+	ended   map[string]Final
+	changed []string // jobs whose standing has changed
 }
 
-func (c *Catalog) setFinal(id string, f Final, revision uint64) {
+// tell hands news to the listener, in no lock.
+func (c *Catalog) tell(n news) {
 	c.mu.Lock()
-	if c.final[id] != nil {
-		c.mu.Unlock()
+	l := c.listener
+	c.mu.Unlock()
+	if l == nil {
 		return
 	}
-	if len(c.final) >= maxFinals {
-		for old := range c.final {
-			delete(c.final, old)
-			break
-		}
-	}
-	c.final[id] = &ending{Final: f, revision: revision}
-	if f.State == wire.JobCancelled {
-		c.rememberLocked(Cancellation{Job: id, Revision: revision, Final: f})
+	if n.added != nil {
+		l.JobAdded(n.added)
 	}
-	delete(c.active, id)
-	delete(c.progress, id)
-	l := c.listener
-	c.mu.Unlock()
-	if l != nil {
+	for id, f := range n.ended {
 		l.JobEnded(id, f)
 	}
-}
-
-// cached answers from memory: a final state is true for ever, an active
-// record only if its condition still holds.
-func (c *Catalog) cached(id string) (status wire.JobStatus, r *Record, final bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if o := c.final[id]; o != nil {
-		return finalStatus(id, o.Final), nil, true
+	if len(n.changed) > 0 {
+		l.StandingChanged(n.changed)
 	}
-	r = c.active[id]
-	if r != nil {
-		status = c.activeStatusLocked(id)
-	}
-	return status, r, false
 }
 
-func finalStatus(id string, f Final) wire.JobStatus {
-	s := wire.JobStatus{ID: id, State: f.State}
-	if f.State == wire.JobDone {
-		s.Done = f.Tasks
-	}
-	return s
+func (c *Catalog) setActive(id string, r *Record) {
+	c.mu.Lock()
+	n := c.setActiveLocked(id, r)
+	c.mu.Unlock()
+	c.tell(n)
 }
 
-func (c *Catalog) activeStatusLocked(id string) wire.JobStatus {
-	p := c.progress[id]
-	s := wire.JobStatus{ID: id, State: wire.JobQueued, Done: p.Done, Running: p.Running}
-	if p.Running > 0 {
-		s.State = wire.JobRunning
+func (c *Catalog) setActiveLocked(id string, r *Record) (n news) {
+	if c.final[id] != nil || c.active[id] != nil {
+		return n
 	}
-	return s
-}
-
-// read asks the store for a job and caches what it says. Finals come first:
-// a job that ends between the two reads is found by reading them once more.
-func (c *Catalog) read(ctx context.Context, id string) (status wire.JobStatus, found bool, err error) {
-	for range 2 {
-		item, err := c.client.Get(ctx, state.Safety, finalPrefix+id)
-		if err == nil {
-			c.apply(wire.Event{Put: item.Key, Value: item.Value, Version: item.Version})
-			status, _, _ := c.cached(id)
-			return status, true, nil
-		}
-		if !errors.Is(err, state.ErrNotFound) {
-			return wire.JobStatus{}, false, err
+	delete(c.unresolved, id)
+	for _, need := range r.Job.Needs {
+		if o := c.final[need]; o != nil && o.State == wire.JobCancelled {
+			n.ended = c.implyLocked(need, r)
+			return n
 		}
-		item, err = c.client.Get(ctx, state.Safety, activePrefix+id)
-		if err == nil {
-			c.apply(wire.Event{Put: item.Key, Value: item.Value, Version: item.Version})
-			status, _, _ := c.cached(id)
-			return status, true, nil
-		}
-		if !errors.Is(err, state.ErrNotFound) {
-			return wire.JobStatus{}, false, err
-		}
-	}
-	return wire.JobStatus{}, false, nil
-}
-
-// unknown holds while nobody has accepted the job.
-func unknown(id string) []wire.Condition {
-	return []wire.Condition{{Key: activePrefix + id}, {Key: finalPrefix + id}}
-}
-
-// Resolve finds out about a job that is not cached: whether it is over, or
-// not known at all. An active one is told to the listener.
-func (c *Catalog) Resolve(ctx context.Context, id string) (f Final, over, found bool, err error) {
-	if f, over = c.ended(id); over {
-		return f, true, true, nil
 	}
-	if _, found, err = c.read(ctx, id); err != nil || !found {
-		return Final{}, false, false, err
+	c.active[id] = r
+	n.added = r
+	n.changed = c.graph.add(r)
+	for _, need := range r.Job.Needs {
+		switch o := c.final[need]; {
+		case o != nil:
+			c.graph.done(need, time.UnixMilli(o.EndedMs))
+		case c.active[need] == nil:
+			c.resolveLaterLocked(need)
+		}
 	}
-	f, over = c.ended(id)
-	return f, over, true, nil
+	return n
 }
 
-// ended returns how a job ended, if it is known to be over.
-func (c *Catalog) ended(id string) (f Final, over bool) {
+func (c *Catalog) setFinal(id string, f Final, revision uint64) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if o := c.final[id]; o != nil {
-		return o.Final, true
-	}
-	return Final{}, false
-}
-
-// Status answers a poll. What memory says is confirmed by a transaction that
-// only compares, many polls in one.
-func (c *Catalog) Status(ctx context.Context, id string) (status wire.JobStatus, found bool, err error) {
-	status, r, final := c.cached(id)
-	if final {
-		return c.told(ctx, id, status)
-	}
-	conditions := unknown(id)
-	if r != nil {
-		conditions = []wire.Condition{r.Condition()}
-	}
-	_, err = c.commit.Commit(ctx, state.Write{Priority: state.Safety, If: conditions})
-	var conflict *state.Conflict
-	switch {
-	case err == nil:
-		return status, r != nil, nil
-	case errors.As(err, &conflict):
-		return c.readTold(ctx, id)
-	}
-	return wire.JobStatus{}, false, err
-}
-
-// readTold is read for a user.
-func (c *Catalog) readTold(ctx context.Context, id string) (status wire.JobStatus, found bool, err error) {
-	if status, found, err = c.read(ctx, id); err != nil || !found {
-		return status, found, err
-	}
-	return c.told(ctx, id, status)
+	n := c.setFinalLocked(id, f, revision)
+	c.mu.Unlock()
+	c.tell(n)
 }
 
-// Submit accepts a job, or tells its state if that was done before.
-func (c *Catalog) Submit(ctx context.Context, j wire.Job) (status wire.JobStatus, created bool, err error) {
-	if !c.Ready() {
-		return wire.JobStatus{}, false, ErrNotReady
-	}
-	if _, r, final := c.cached(j.ID); r != nil || final {
-		status, _, err = c.Status(ctx, j.ID)
-		return status, false, err
-	}
-	r := &Record{Job: j, AcceptedMs: time.Now().UnixMilli()}
-	value, err := json.Marshal(r)
-	if err != nil {
-		return wire.JobStatus{}, false, fmt.Errorf("encoding job %s: %w", j.ID, err)
+func (c *Catalog) setFinalLocked(id string, f Final, revision uint64) (n news) {
+	switch o := c.final[id]; {
+	case o == nil:
+	case o.implied != nil:
+		o.implied, o.revision = nil, revision
+		return n
+	default:
+		return n
 	}
-	version, err := c.commit.Commit(ctx, state.Write{Priority: state.Submission, If: unknown(j.ID),
-		Then: []wire.Change{{Put: activePrefix + j.ID, Value: value}}})
-	var conflict *state.Conflict
-	switch {
-	case err == nil:
-		r.Version = version
-		c.setActive(j.ID, r)
-		return wire.JobStatus{ID: j.ID, State: wire.JobQueued}, true, nil
-	case errors.As(err, &conflict):
-		status, found, err := c.readTold(ctx, j.ID)
-		if err == nil && !found {
-			err = fmt.Errorf("%w: job %s is neither known nor unknown", state.ErrUnavailable, j.ID)
-		}
-		return status, false, err
+	c.keepFinalLocked(id, &ending{Final: f, revision: revision})
+	n.ended = map[string]Final{id: f}
+	if f.State != wire.JobCancelled {
+		var ready []string
+		ready, n.changed = c.graph.done(id, time.UnixMilli(f.EndedMs))
+		n.changed = append(n.changed, ready...)
+		return n
 	}
-	return wire.JobStatus{}, false, err
+	c.rememberLocked(Cancellation{Job: id, Revision: revision, Final: f})
+	maps.Copy(n.ended, c.implyAfterLocked(id))
+	n.changed = c.graph.remove(id)
+	return n
 }
 
-// Cancel cancels a job unless it is over. Before it returns, the cancellation
-// is in the store and enough controllers know it.
-func (c *Catalog) Cancel(ctx context.Context, id string) (status wire.JobStatus, found bool, err error) {
-	for range 3 {
-		status, r, final := c.cached(id)
-		if final {
-			return c.told(ctx, id, status)
-		}
-		if r == nil {
-			if status, found, err = c.read(ctx, id); err != nil || !found {
-				return status, found, err
-			}
-			continue
-		}
-		if err := c.end(ctx, r, wire.JobCancelled, nil); err == nil {
-			continue
-		} else if conflict := (*state.Conflict)(nil); !errors.As(err, &conflict) {
-			return wire.JobStatus{}, false, err
-		}
-		if c.Over(id) {
-			continue
-		}
-		if _, _, err := c.read(ctx, id); err != nil {
-			return wire.JobStatus{}, false, err
+// keepFinalLocked keeps how a job ended, in place of its active record.
+func (c *Catalog) keepFinalLocked(id string, o *ending) {
+	if len(c.final) >= maxFinals {
+		for old := range c.final {
+			delete(c.final, old)
+			break
 		}
 	}
-	return wire.JobStatus{}, false, fmt.Errorf("%w: cancelling %s", state.ErrUnavailable, id)
-}
-
-// Finish records that every task of the job is done. With an outdated fence it
-// fails with a *state.Conflict that names no key.
-func (c *Catalog) Finish(ctx context.Context, r *Record, fence state.Fence) error {
-	return c.end(ctx, r, wire.JobDone, &fence)
-}
-
-// end writes the job's end. Only one that is fenced, which a share decided, is
-// tried until the store has answered. A write that waits for budget is dropped
-// once its fence is outdated or the job is over: it would only use up what other
-// writes wait for.
-func (c *Catalog) end(ctx context.Context, r *Record, s wire.JobState, fence *state.Fence) error {
-	j := r.Job
-	f := Final{State: s, Tasks: j.Tasks, Team: j.Team, CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
-	value, err := json.Marshal(f)
-	if err != nil {
-		return fmt.Errorf("encoding the end of job %s: %w", j.ID, err)
-	}
-	write := state.Write{
-		Priority: state.Safety,
-		If:       []wire.Condition{r.Condition(), {Key: finalPrefix + j.ID}},
-		Then: []wire.Change{
-			{Delete: activePrefix + j.ID},
-			{Put: finalPrefix + j.ID, Value: value},
-		},
-		Fresh: func() bool { return !c.Over(j.ID) },
-	}
-	if fence != nil {
-		write.Persist = true
-		write = fence.Bind(write)
-	}
-	revision, err := c.commit.Commit(ctx, write)
-	if err != nil {
-		return err
-	}
-	c.setFinal(j.ID, f, revision)
-	return nil
+	c.final[id] = o
+	delete(c.active, id)
+	delete(c.progress, id)
+	delete(c.unresolved, id)
 }
--- a/internal/job/catalog_test.go
+++ b/internal/job/catalog_test.go
@@ -132,7 +132,8 @@
 // transaction, and the client that it writes with.
 func newCatalog(writesPerSecond float64, txnOps int) (*state.Client, *job.Catalog) {
 	client := state.NewClient(standin.NewState().Node("a"), state.NewBudget(50, writesPerSecond, txnOps))
-	return client, job.NewCatalog(client, state.NewCommitter(client, txnOps), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	return client, job.NewCatalog(job.Options{Client: client, Committer: state.NewCommitter(client, txnOps), MaxValue: 16 << 10,
+		AcceptsChains: func() bool { return true }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 }
 
 func testJob(i int) wire.Job {
--- a/internal/job/done.go
+++ b/internal/job/done.go
@@ -72,6 +72,9 @@
 	return state.MemberOfKey(donePrefix, key)
 }
 
+// doneSyntax is what a page of done tasks holds beside its entries at most.
+const doneSyntax = 128
+
 // EntrySize is about what a chunk of a job with so many tasks takes of a page
 // at most.
 func EntrySize(tasks, chunk int) int {
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -18,7 +18,7 @@
 			s.resolveLocked(a.Job)
 			return
 		}
-		s.describe(a, &r.Job)
+		s.describe(a, &r.Job, s.rankOf(r))
 		a.Guest = true
 		s.closeIfEmptyLocked(m)
 		return
@@ -27,7 +27,7 @@
 	if f := s.foreign[a.Key]; f != nil {
 		s.forgetLentLocked(f) // it was another's, and its machine is now ours
 	}
-	s.describe(a, &js.rec.Job)
+	s.describe(a, &js.rec.Job, js.rank)
 	if a.Exited() {
 		return
 	}
@@ -39,8 +39,8 @@
 	s.closeIfEmptyLocked(m)
 }
 
-func (s *Share) describe(a *fleet.Attempt, j *wire.Job) {
-	a.Team, a.Rank, a.Service = j.Team, j.Priority.Rank(), j.Kind == wire.KindService
+func (s *Share) describe(a *fleet.Attempt, j *wire.Job, rank int) {
+	a.Team, a.Rank, a.Service = j.Team, rank, j.Kind == wire.KindService
 	a.Image, a.ImageGB = j.Image, j.ImageGB
 	a.Size, a.Sized = placement.Of(j), true
 	if j.CheckpointS > 0 {
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -447,7 +447,7 @@
 			a.Team, a.Size, a.Sized = f.Team, sizeOf(f), true
 			s.lendTrackLocked(a, host, fm.Zone)
 		} else if js := s.jobs[a.Job]; js != nil && gained[a.Job] {
-			s.describe(a, &js.rec.Job)
+			s.describe(a, &js.rec.Job, js.rank)
 			s.lendTrackLocked(a, host, fm.Zone)
 		}
 	}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -17,7 +17,11 @@
 
 	share    float64 // the largest part of a machine that a task takes
 	accepted time.Time
-	within   []time.Duration // objectives, from accepted on
+	ready    bool            // all jobs that it needs are done
+	begin    time.Time       // from when its times but the deadline count: when it was accepted, or became ready
+	within   []time.Duration // objectives, from begin on
+	rank     int             // of its priority, or of a job that needs it; 0 is the highest
+	due      time.Time       // by when it must be done, for itself or for a job that needs it; zero: at no time
 
 	next  int   // tasks from here on were never queued for another try
 	retry []int // tasks to place again
@@ -127,14 +131,15 @@
 		failedOn: map[string]bool{}, accepted: time.UnixMilli(r.AcceptedMs), within: s.objectives(j),
 	}
 	js.share, js.fetch = s.dominantShare(js.size), s.fetchTime(j)
+	s.takeStandingLocked(js)
 	return js
 }
 
-// objectives is within what time of its acceptance the job's users want it,
-// as far as they have said: its deadline, and the objectives of its class.
+// objectives is within what time the job's users want it, as far as its class
+// says; a deadline of its own stands for those.
 func (s *Share) objectives(j *wire.Job) []time.Duration {
 	if j.DeadlineS != nil {
-		return []time.Duration{time.Duration(*j.DeadlineS * float64(time.Second))}
+		return nil
 	}
 	var all []time.Duration
 	for _, o := range s.opts.Settings.Objectives {
--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -311,7 +311,7 @@
 			break
 		}
 		a := &fleet.Attempt{Key: key, Job: w.Job, Index: index, Guest: true, Epoch: s.div.Token}
-		s.describe(a, &r.Job)
+		s.describe(a, &r.Job, g.rank)
 		m.Add(a, now)
 		m.looked = 0
 		m.dirty = true
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -155,7 +155,7 @@
 			p.above = p.above || (t.CPUs > 0 || t.CPUsMax > 0) && s.used[name].CPUs > t.CPUs
 		}
 	}
-	return js.rec.Job.Priority.Rank() < s.pass.lowest || guaranteed && s.pass.above
+	return js.rank < s.pass.lowest || guaranteed && s.pass.above
 }
 
 // service tells whether the job's tasks run until it is cancelled.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -79,7 +79,7 @@
 
 // urgency orders jobs of one priority.
 func (js *jobState) urgency(now time.Time) int {
-	waited := now.Sub(js.accepted)
+	waited := now.Sub(js.begin)
 	switch served := js.served(); {
 	case served == 0 && waited > latestBegin/2:
 		return notBegun
@@ -87,11 +87,14 @@
 		return notHalf
 	}
 	estimate := time.Duration(js.rec.Job.EstimateS * float64(time.Second))
-	longest := time.Duration(0)
+	soonest := now.Add(estimate / 2) // estimates are often wrong by half
+	if soonest.Before(js.due) {
+		return canBeInTime
+	}
+	longest := js.deadlineFor()
 	for _, within := range js.within {
 		longest = max(longest, within)
-		// Estimates are often wrong by half.
-		if now.Add(estimate / 2).Before(js.accepted.Add(within)) {
+		if soonest.Before(js.begin.Add(within)) {
 			return canBeInTime
 		}
 	}
@@ -126,7 +129,7 @@
 			}
 			continue
 		}
-		if !now.Before(js.notBefore) {
+		if js.ready && !now.Before(js.notBefore) {
 			queue = append(queue, js)
 		}
 	}
@@ -277,10 +280,10 @@
 func (s *Share) sortQueueLocked(queue []*jobState, now time.Time) []turn {
 	turns := make([]turn, len(queue))
 	for i, js := range queue {
-		turns[i] = turn{js: js, rank: js.rec.Job.Priority.Rank(), guaranteed: -boolInt(s.guaranteed(js)),
+		turns[i] = turn{js: js, rank: js.rank, guaranteed: -boolInt(s.guaranteed(js)),
 			urgency: js.urgency(now), remaining: js.remaining()}
 		if turns[i].urgency <= starved {
-			turns[i].remaining = -now.Sub(js.accepted).Seconds()
+			turns[i].remaining = -now.Sub(js.begin).Seconds()
 		}
 	}
 	slices.SortFunc(turns, func(a, b turn) int {
@@ -581,7 +584,7 @@
 	s.number = max(s.number+1, s.div.Token<<20)
 	j := &js.rec.Job
 	a := &fleet.Attempt{Key: fleet.Key{Task: wire.TaskID(j.ID, index), Attempt: s.number}, Job: j.ID, Index: index}
-	s.describe(a, j)
+	s.describe(a, j, js.rank)
 	return a
 }
 
@@ -681,7 +684,7 @@
 // its guarantee may stop any work that another runs above its own. What a
 // team of another share uses is not known here.
 func (s *Share) mayPreempt(js *jobState, victim *fleet.Attempt, guaranteed bool) bool {
-	if js.rec.Job.Priority.Rank() < victim.Rank {
+	if js.rank < victim.Rank {
 		return true
 	}
 	if !guaranteed || victim.Guest || victim.Team == js.rec.Job.Team {
--- a/internal/scheduler/rent.go
+++ b/internal/scheduler/rent.go
@@ -84,7 +84,7 @@
 		all = append(all, demand{js, int(w.Tasks)})
 	}
 	slices.SortFunc(all, func(a, b demand) int {
-		return cmp.Or(cmp.Compare(a.job.rec.Job.Priority.Rank(), b.job.rec.Job.Priority.Rank()), a.job.accepted.Compare(b.job.accepted))
+		return cmp.Or(cmp.Compare(a.job.rank, b.job.rank), a.job.begin.Compare(b.job.begin))
 	})
 	return all
 }
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -25,18 +25,19 @@
 
 // scripted stands for everything around a share.
 type scripted struct {
-	epoch  cluster.Epoch
-	fenced time.Time
-	active map[string]*job.Record
-	mu     sync.Mutex
-	writes []state.Write
-	fences []state.Fence // of ended jobs
-	listed []*job.Record // all active jobs
-	status *wire.Report  // what workers answer to probes; nil: nothing
-	wants  []*peerpb.Want
-	loads  map[string]cluster.Load
-	since  map[string]uint64 // machines that the peer owns, and its membership
-	items  []wire.Item       // records
+	standings map[string]job.Standing // of jobs that are in a chain
+	epoch     cluster.Epoch
+	fenced    time.Time
+	active    map[string]*job.Record
+	mu        sync.Mutex
+	writes    []state.Write
+	fences    []state.Fence // of ended jobs
+	listed    []*job.Record // all active jobs
+	status    *wire.Report  // what workers answer to probes; nil: nothing
+	wants     []*peerpb.Want
+	loads     map[string]cluster.Load
+	since     map[string]uint64 // machines that the peer owns, and its membership
+	items     []wire.Item       // records
 }
 
 func (p *scripted) Division() (cluster.Epoch, wire.Condition) {
@@ -70,7 +71,13 @@
 func (p *scripted) TransferWrite(string, map[string]json.RawMessage) (wire.Condition, wire.Change, bool) {
 	return wire.Condition{}, wire.Change{}, false
 }
-func (p *scripted) Active(id string) *job.Record     { return p.active[id] }
+func (p *scripted) Active(id string) *job.Record { return p.active[id] }
+func (p *scripted) Standing(r *job.Record) job.Standing {
+	if standing, ok := p.standings[r.Job.ID]; ok {
+		return standing
+	}
+	return job.Standing{Order: job.Order{Rank: r.Job.Priority.Rank()}, Ready: true}
+}
 func (p *scripted) AllActive() []*job.Record         { return p.listed }
 func (p *scripted) Over(string) bool                 { return false }
 func (p *scripted) Listen(job.Listener)              {}
@@ -343,7 +350,7 @@
 		now := time.Now()
 		make := func(id string, tasks int, age time.Duration, priority wire.Priority) *jobState {
 			js := s.addJobLocked(p.add(id, "ours", priority, tasks, 1))
-			js.accepted = now.Add(-age)
+			js.begin = now.Add(-age)
 			return js
 		}
 		queue := []*jobState{
@@ -368,14 +375,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, p, m := newTestShare(t)
 		large := s.addJobLocked(p.add("wk-1", "ours", wire.PriorityNormal, 300, 8))
-		large.accepted = time.Now()
+		large.begin = time.Now()
 		began := time.Now()
 		for i := 2; len(large.live) == 0; i++ {
 			if time.Since(began) > latestBegin {
 				t.Fatal("the largest job has not begun")
 			}
 			small := s.addJobLocked(p.add(fmt.Sprint("wk-", i), "ours", wire.PriorityNormal, 1, 8))
-			small.accepted = time.Now()
+			small.begin = time.Now()
 			time.Sleep(time.Second)
 			m.LastReport, m.lastOwnReport = time.Now(), time.Now()
 			s.scheduleLocked(time.Now())
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -9,7 +9,7 @@
 
 // logLoadLocked tells an operator how full the share is.
 func (s *Share) logLoadLocked(now time.Time) {
-	usable, open, tasks, waiting := 0, 0, 0, 0
+	usable, open, tasks, waiting, notReady := 0, 0, 0, 0, 0
 	for _, m := range s.machines {
 		tasks += m.Live()
 		if s.list.Has(m) {
@@ -21,9 +21,13 @@
 	}
 	_, total, free := s.statusLocked(now)
 	for _, js := range s.jobs {
-		waiting += js.pending()
+		if js.ready {
+			waiting += js.pending()
+		} else {
+			notReady++
+		}
 	}
-	s.log.Info("load", "jobs", len(s.jobs), "lent", len(s.foreign), "waiting", waiting, "tasks", tasks, "machines", len(s.machines), "usable", usable,
+	s.log.Info("load", "jobs", len(s.jobs), "lent", len(s.foreign), "waiting", waiting, "not_ready", notReady, "tasks", tasks, "machines", len(s.machines), "usable", usable,
 		"open", open, "booting", len(s.booting), "cpus", total.CPUs, "free_cpus", free.CPUs, "free_memory_gb", free.MemoryGB,
 		"latency", s.latency(), "passes", s.passes.count, "pass_time", s.passes.total, "longest_pass", s.passes.longest)
 	s.passes = passTimes{}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -231,20 +231,7 @@
 		code, err = 422, s.canRun(&j, types)
 	}
 	if err != nil {
-		// A repeated submission of an accepted job is answered as such,
-		// whatever else it holds now.
-		if j.ID != "" {
-			status, found, serr := s.opts.Jobs.Status(c, j.ID)
-			switch {
-			case serr != nil:
-				s.unavailable(ctx, serr)
-				return
-			case found:
-				s.answer(ctx, 200, status)
-				return
-			}
-		}
-		s.refuse(ctx, code, err)
+		s.refuseSubmission(c, ctx, j.ID, code, err)
 		return
 	}
 	if latency := s.opts.Latency(); latency >= maxSubmitLatency {
@@ -252,7 +239,10 @@
 		return
 	}
 	status, created, err := s.opts.Jobs.Submit(c, j)
+	var field *wire.FieldError
 	switch {
+	case errors.As(err, &field):
+		s.refuseSubmission(c, ctx, j.ID, 422, err)
 	case err != nil:
 		s.unavailable(ctx, err)
 	case created:
@@ -262,6 +252,23 @@
 	}
 }
 
+// refuseSubmission refuses a job for good, unless it was accepted before: a
+// repeated submission is answered as such, whatever else it holds now.
+func (s *Server) refuseSubmission(c context.Context, ctx *fasthttp.RequestCtx, id string, code int, err error) {
+	if id != "" {
+		status, found, serr := s.opts.Jobs.Status(c, id)
+		switch {
+		case serr != nil:
+			s.unavailable(ctx, serr)
+			return
+		case found:
+			s.answer(ctx, 200, status)
+			return
+		}
+	}
+	s.refuse(ctx, code, err)
+}
+
 // canRun tells why a job can never run: its team is unknown, no machine type
 // takes its tasks, or it needs more than its team's limit.
 func (s *Server) canRun(j *wire.Job, types []wire.MachineType) error {
--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -85,6 +85,9 @@
 	return &Committer{client: client, ops: ops}
 }
 
+// Ops is how many changes a transaction may hold.
+func (c *Committer) Ops() int { return c.ops }
+
 // Commit carries out a write, in one transaction with others that wait. The
 // error is a *Conflict with the keys of this write that failed. Each write's
 // conditions must make a late copy of it fail.
--- a/wire/user.go
+++ b/wire/user.go
@@ -21,6 +21,7 @@
 const (
 	FieldTeam  = "roost"
 	FieldTasks = "feathers"
+	FieldNeeds = "follows"
 )
 
 // MaxBody is the largest request body that any interface accepts.
@@ -102,6 +103,9 @@
 	CheckpointS float64  `json:"molt_s"`
 	SaveS       float64  `json:"preen_s"`
 	DeadlineS   *float64 `json:"dusk_s,omitempty"`
+	// Needs are the jobs that have to be done before any task of this one
+	// starts, each named once.
+	Needs []string `json:"follows,omitempty"`
 }
 
 // JobStatus answers a submission, a poll or a cancellation.
@@ -317,8 +321,36 @@
 		deadline := f.parseAmount("dusk_s", raw)
 		j.DeadlineS = &deadline
 	}
+	j.Needs = f.needs(FieldNeeds)
 	if f.err != nil {
 		return j, f.err
 	}
 	return j, nil
 }
+
+// needs reads a list of job ids that may be missing or empty; one that is named
+// again counts once.
+func (f *fields) needs(name string) []string {
+	raw, ok := f.value(name)
+	if !ok {
+		return nil
+	}
+	var ids []*string
+	if json.Unmarshal(raw, &ids) != nil {
+		f.fail(name, "must be a list of job ids")
+		return nil
+	}
+	var needs []string
+	seen := map[string]bool{}
+	for _, id := range ids {
+		if id == nil {
+			f.fail(name, "must be a list of job ids")
+			return nil
+		}
+		if !seen[*id] {
+			seen[*id] = true
+			needs = append(needs, *id)
+		}
+	}
+	return needs
+}
