--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -435,7 +435,7 @@
 	if s.div.Leader != s.opts.Node || ok && s.div.Members[node].Since == since {
 		return nil
 	}
-	p := &page{key: rp.key, version: rp.version, size: rp.size, machines: map[string]bool{}, untidy: true, leftover: map[string]fleet.Record{}}
+	p := &page{key: rp.key, version: rp.version, size: rp.size, machines: map[string]bool{}, untidy: true, written: time.Now(), leftover: map[string]fleet.Record{}}
 	s.pages[p.key] = p
 	return p
 }
@@ -474,7 +474,6 @@
 		m.page.machines[m.Name] = true
 	}
 	m.elsewhere = on
-	m.due = len(m.elsewhere) > 0
 	over := map[string]job.Final{}
 	for _, a := range m.Attempts.All() {
 		if f, ok := ended[a.Job]; ok {
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -24,6 +24,7 @@
 	size       int             // bytes of what it holds
 	machines   map[string]bool // whose records belong on it
 	committing bool
+	written    time.Time // when a write of it last began, or it was taken over
 	// oversized: with what it still holds of machines that now belong on other
 	// pages it does not fit a value. It is written once those have been.
 	oversized bool
@@ -149,12 +150,11 @@
 		if m.returning || !m.due && !m.dirty {
 			continue
 		}
-		if m.due && m.page == nil {
-			m.page = s.pageLocked()
-			m.page.machines[m.Name] = true
+		if m.due {
+			s.assignPageLocked(m)
 		}
 		switch {
-		case m.due && !m.page.committing && !m.page.oversized:
+		case m.due && m.page.writable():
 			due[m.page] = true
 		case m.dirty:
 			dirty = append(dirty, m)
@@ -163,6 +163,7 @@
 	for p := range due {
 		s.writePageLocked(p, state.Safety)
 	}
+	s.consolidateLocked()
 	dirty = slices.DeleteFunc(dirty, func(m *machine) bool { return !m.dirty }) // on a page just written
 	if len(dirty) == 0 {
 		return
@@ -179,6 +180,40 @@
 	s.journaled = now.Add(time.Duration(s.writeJournalsLocked(dirty)) * s.journalEvery())
 }
 
+// assignPageLocked gives a machine a page if it has none.
+func (s *Share) assignPageLocked(m *machine) {
+	if m.page == nil {
+		m.page = s.pageLocked()
+		m.page.machines[m.Name] = true
+	}
+}
+
+// writable tells whether the page can be written now.
+func (p *page) writable() bool { return !p.committing && !p.oversized }
+
+// consolidationsAtOnce bounds the pages that are written only to gather what is
+// on several: they are in the way of pages that journals wait for.
+const consolidationsAtOnce = 2
+
+// consolidateLocked writes the pages of machines that records of former owners
+// also name, so that those can be removed. Nobody waits for it: after a takeover
+// it would use up the writes that submissions wait for. What is not recorded yet
+// is left to the journals.
+func (s *Share) consolidateLocked() {
+	for _, m := range s.machines {
+		if s.consolidating >= consolidationsAtOnce {
+			return
+		}
+		if len(m.elsewhere) == 0 || m.returning {
+			continue
+		}
+		s.assignPageLocked(m)
+		if m.page.writable() {
+			s.writePageLocked(m.page, state.Background)
+		}
+	}
+}
+
 // journalsAtOnce bounds the journals that are written together, for what has
 // gathered and does not fit one: the more, the longer they wait afterwards.
 const journalsAtOnce = 4
@@ -213,28 +248,37 @@
 
 // tidyLocked writes the pages that name machines which are no longer here,
 // and removes those that name none that are.
-func (s *Share) tidyLocked() {
+func (s *Share) tidyLocked(now time.Time) {
 	if !s.loaded || !s.currentLocked() {
 		return
 	}
 	for _, p := range s.pages {
-		if p.untidy && !p.committing && !slices.Contains(s.journals, p) {
+		if p.untidy && p.writable() && !slices.Contains(s.journals, p) && (p.empty() || now.Sub(p.written) > tidyFullEvery) {
 			s.writePageLocked(p, state.Background)
 		}
 	}
 }
 
+// tidyFullEvery is how often pages are tidied that still hold something: what else
+// they name is looked through at a takeover, no more.
+const tidyFullEvery = time.Minute
+
+// empty tells whether the page holds nothing any more.
+func (p *page) empty() bool { return len(p.machines)+len(p.leftover) == 0 }
+
 // pageWrite is one write of the journal, or of a page and those that it was
 // split into.
 type pageWrite struct {
-	write    state.Write
-	journal  bool
-	pages    []*page
-	sizes    []int
-	jobs     map[string]bool               // whose being active it is conditional on
-	attempts map[*machine][]*fleet.Attempt // that it records for the first time
-	moved    []*fleet.Attempt              // that only the journal held
-	recorded []*machine                    // with records left over on other pages
+	write state.Write
+	// consolidates: it only gathers what is recorded already.
+	consolidates bool
+	journal      bool
+	pages        []*page
+	sizes        []int
+	jobs         map[string]bool               // whose being active it is conditional on
+	attempts     map[*machine][]*fleet.Attempt // that it records for the first time
+	moved        []*fleet.Attempt              // that only the journal held
+	recorded     []*machine                    // with records left over on other pages
 }
 
 func (s *Share) newPageWriteLocked(priority state.Priority) *pageWrite {
@@ -270,7 +314,7 @@
 
 // put adds a page to the write.
 func (pw *pageWrite) put(p *page, value json.RawMessage) {
-	p.committing, p.untidy = true, false
+	p.committing, p.untidy, p.written = true, false, time.Now()
 	pw.pages, pw.sizes = append(pw.pages, p), append(pw.sizes, len(value))
 	pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
 	pw.write.Then = append(pw.write.Then, wire.Change{Put: p.key, Value: value})
@@ -450,7 +494,7 @@
 	for name := range p.machines {
 		s.dropStaleGuestsLocked(s.machines[name])
 	}
-	if len(p.machines)+len(p.leftover) == 0 {
+	if p.empty() {
 		s.deletePageLocked(p, priority)
 		return
 	}
@@ -459,6 +503,10 @@
 		return
 	}
 	pw := s.newPageWriteLocked(priority)
+	pw.consolidates = priority == state.Background
+	if pw.consolidates {
+		s.consolidating++
+	}
 	content := s.contentLocked(p, pw)
 	for name := range p.machines {
 		s.recordsMachineLocked(pw, s.machines[name])
@@ -549,10 +597,13 @@
 
 // recordsMachineLocked notes what a write of the machine's page records of it.
 func (s *Share) recordsMachineLocked(pw *pageWrite, m *machine) {
-	m.dirty, m.due = false, false
 	if len(m.elsewhere) > 0 {
 		pw.recorded = append(pw.recorded, m)
 	}
+	m.due = false
+	if !pw.consolidates {
+		m.dirty = false
+	}
 	for _, a := range m.Attempts.All() {
 		switch {
 		case a.Exited():
@@ -560,6 +611,7 @@
 			if a.Journal != "" {
 				pw.moved = append(pw.moved, a)
 			}
+		case pw.consolidates:
 		case s.admitsLocked(pw, a):
 			pw.records(m, a)
 		default:
@@ -573,7 +625,9 @@
 	content := fleet.Page{Machines: make(map[string]fleet.Record, len(p.machines)), Write: s.markLocked()}
 	maps.Copy(content.Machines, p.leftover)
 	for name := range p.machines {
-		content.Machines[name] = s.recordLocked(s.machines[name], func(a *fleet.Attempt) bool { return !s.admitsLocked(pw, a) })
+		content.Machines[name] = s.recordLocked(s.machines[name], func(a *fleet.Attempt) bool {
+			return !a.Durable && (pw.consolidates || !s.admitsLocked(pw, a))
+		})
 	}
 	return content
 }
@@ -617,6 +671,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if pw.consolidates {
+		s.consolidating--
+	}
 	for i, p := range pw.pages {
 		p.committing = false
 		if err == nil {
@@ -654,9 +711,6 @@
 		s.poke() // for what has gathered meanwhile
 		return
 	}
-	for _, m := range pw.recorded {
-		m.due = true
-	}
 	s.log.Debug("recording placements failed", "err", err)
 	s.noteRejectedLocked(err)
 	if conflict != nil {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -187,6 +187,7 @@
 	journal           *page                // the one that is written at present
 	journaled         time.Time            // when one may next be written
 	journalDue        bool                 // and it waits to be written again
+	consolidating     int                  // pages that are written only to gather what several hold
 	valuesCut         int                  // bytes by which values are smaller than the settings allow
 	paged             uint64               // pages named so far
 	donePages         map[string]*donePage // the keys that hold done tasks
@@ -323,7 +324,7 @@
 	s.tellGoneLocked()
 	if now.Sub(s.upkeep.tidied) > tidyEvery {
 		s.upkeep.tidied = now
-		s.tidyLocked()
+		s.tidyLocked(now)
 	}
 	if now.Sub(s.upkeep.logged) > logLoadEvery {
 		s.upkeep.logged = now
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -481,7 +481,7 @@
 			s.placeRecordsLocked(r, nil, map[string]bool{"wk-1": true}, time.Now())
 			for range 3 {
 				s.mu.Lock()
-				s.tidyLocked()
+				s.tidyLocked(time.Now())
 				s.commitLocked()
 				s.mu.Unlock()
 				synctest.Wait()
