--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -177,8 +177,10 @@
 	part := otherPart
 	switch {
 	case leading:
+		// What has ended uses nothing. One that starts is heard within a beat, and
+		// until then asks for no more than the burst that the service allows.
 		others := float64(max(0, len(epoch.Members)-1))
-		without := float64(len(c.settings.Peers)) - others
+		without := max(0, float64(c.members.PeersAlive())-others)
 		part = max(memberPart, 1-others*memberPart-without*otherPart)
 	case member:
 		part = memberPart
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -14,7 +14,7 @@
 	client      Beater
 	lastSeen    time.Time // when its last answer came
 	incarnation uint64
-	token       uint64 // highest epoch token it has said it knows
+	token       uint64       // highest epoch token it has said it knows
 	level       FeatureLevel // of its version, as it last said
 	stateOK     bool
 	workers     uint32
--- a/internal/scheduler/done.go
+++ b/internal/scheduler/done.go
@@ -26,10 +26,21 @@
 	heirs []*donePage
 }
 
-// flushEvery is how often done tasks are written: often enough that a lost
-// machine takes few results with it, and seldom enough that the ends of many
-// tasks are one change.
-const flushEvery = 2 * time.Second
+// Done tasks are written often enough that a lost machine takes few results with
+// it, and seldom enough that the ends of many tasks are one change: every
+// leastFlushEvery where the state service allows flushWriteRPS changes a second,
+// less often where it allows fewer, but at least every mostFlushEvery.
+const (
+	leastFlushEvery = 2 * time.Second
+	mostFlushEvery  = 6 * time.Second
+	flushWriteRPS   = 60
+)
+
+// flushEvery is how often done tasks are written.
+func (s *Share) flushEvery() time.Duration {
+	slower := flushWriteRPS / max(s.opts.Settings.StateWriteRPS, 1)
+	return min(max(leastFlushEvery, time.Duration(slower*float64(leastFlushEvery))), mostFlushEvery)
+}
 
 // donePageLocked returns a page with room for an entry of the size.
 func (s *Share) donePageLocked(size int) *donePage {
@@ -161,7 +172,7 @@
 
 // flushLocked writes the done tasks of jobs that go on.
 func (s *Share) flushLocked(now time.Time) {
-	if !s.loaded || !s.currentLocked() || now.Sub(s.flushed) < flushEvery {
+	if !s.loaded || !s.currentLocked() || now.Sub(s.flushed) < s.flushEvery() {
 		return
 	}
 	s.flushed = now
