--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 
 	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/config"
@@ -32,6 +33,7 @@
 	current atomic.Pointer[controller]
 	alone   atomic.Bool // cut off from its peers
 	busy    atomic.Bool // short of processor time
+	old     atomic.Bool // runs the version that does not know of feature levels
 	stop    context.CancelFunc
 
 	mu    sync.Mutex
@@ -112,8 +114,19 @@
 	if c == nil {
 		return nil, errDown
 	}
+	mine = l.asTold(l.from, mine)
 	l.to.called(func(c *controller) { c.members.HandleBeat(mine) })
-	return c.members.HandleBeat(mine), nil
+	return l.asTold(l.to, c.members.HandleBeat(mine)), nil
+}
+
+// asTold is what the other end takes of a node's status: an old version tells no
+// feature level, and reads none.
+func (l link) asTold(by *node, status *peerpb.Status) *peerpb.Status {
+	if by.old.Load() || l.from.old.Load() || l.to.old.Load() {
+		status = proto.CloneOf(status)
+		status.FeatureLevel = 0
+	}
+	return status
 }
 
 func (l link) Place(_ context.Context, req *peerpb.PlaceRequest) (*peerpb.PlaceReply, error) {
--- a/cmd/heronwick/random_test.go
+++ b/cmd/heronwick/random_test.go
@@ -19,6 +19,9 @@
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			withCluster(t, 8, func(tc *testCluster) {
+				for _, n := range tc.nodes {
+					n.old.Store(seed%2 == 1)
+				}
 				tc.fleet.Types[0].Zones = []string{"z", "y"}
 				tc.fleet.RunFor = func(task string) time.Duration {
 					id, index, _ := wire.SplitTaskID(task)
@@ -31,7 +34,7 @@
 					return 15 * time.Second
 				}
 			}, func(tc *testCluster) {
-				r := &randomDay{testCluster: tc, random: rand.New(rand.NewPCG(seed, 1)), cancelled: map[int]bool{}}
+				r := &randomDay{testCluster: tc, random: rand.New(rand.NewPCG(seed, 1)), cancelled: map[int]bool{}, upgrading: seed%2 == 1}
 				r.play()
 			})
 		})
@@ -44,6 +47,7 @@
 	random    *rand.Rand
 	jobs      int
 	cancelled map[int]bool // whose user was told so
+	upgrading bool         // some controllers still run the old version
 	atEnd     atomic.Bool  // jobs are asked about and cancelled as they end
 }
 
@@ -58,6 +62,36 @@
 
 func jobPath(id int) string { return fmt.Sprintf("/submissions/wk-%06d", id) }
 
+// needs are the jobs before a job: of any team, in a line and in diamonds. Nobody
+// asks for that before every controller has the new version.
+func (r *randomDay) needs(id int) (needs []string) {
+	before := map[int][]int{2: {1}, 3: {1, 2}, 5: {3, 4}, 6: {5}, 8: {7}}[id%10]
+	if r.upgrading {
+		return nil
+	}
+	for _, kind := range before {
+		needs = append(needs, fmt.Sprintf("wk-%06d", id-id%10+kind))
+	}
+	return needs
+}
+
+// upgrade ends the old version's processes, one after the other; each comes back
+// with the new version.
+func (r *randomDay) upgrade() {
+	for i, n := range r.nodes {
+		if !n.old.Load() {
+			continue
+		}
+		if n.current.Load() != nil {
+			r.crash(i)
+			time.Sleep(time.Duration(r.random.IntN(5000)) * time.Millisecond)
+		}
+		n.old.Store(false)
+		r.start(i)
+	}
+	r.upgrading = false
+}
+
 // submit submits the next job to whoever takes it.
 func (r *randomDay) submit() {
 	id := r.jobs
@@ -77,6 +111,9 @@
 		case 9:
 			j["gait"], j["rank"], j["feathers"] = "daemon", "prod", 2
 		}
+		if needs := r.needs(id); len(needs) > 0 {
+			j["follows"] = needs
+		}
 	})
 	for i := range r.nodes {
 		if status, _, _ := r.call(i, "POST", "/submissions", body); status == 201 || status == 200 {
@@ -334,7 +371,10 @@
 	troubles := r.troubles()
 	var names []string
 	var heals []func()
-	for range 25 {
+	for round := range 25 {
+		if round == 5 {
+			r.upgrade()
+		}
 		r.submit()
 		r.submit()
 		if r.random.IntN(4) == 0 {
@@ -358,6 +398,7 @@
 	for _, heal := range heals {
 		heal()
 	}
+	r.upgrade()
 	for i, n := range r.nodes { // ended twice, perhaps
 		if n.current.Load() == nil {
 			r.start(i)
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -46,6 +46,7 @@
 	told      wire.JobState
 	cancelled time.Time // when its user was told so
 	done      map[string]bool
+	needs     []*watched
 }
 
 // NewChecker makes a Checker that has seen nothing.
@@ -99,6 +100,9 @@
 		if j, err := wire.ParseJob(body); err == nil {
 			if w := c.jobLocked(j.ID); !w.submitted {
 				w.submitted, w.job = true, j
+				for _, need := range j.Needs {
+					w.needs = append(w.needs, c.jobLocked(need))
+				}
 			}
 		}
 		return
@@ -140,6 +144,8 @@
 		c.breakLocked("accepted", "%s, which is malformed: %v", id, err)
 	case c.Types != nil && !slices.ContainsFunc(c.Types, func(t wire.MachineType) bool { return allows(&j, &t) }):
 		c.breakLocked("accepted", "%s, which fits no machine type", id)
+	case slices.ContainsFunc(j.Needs, func(need string) bool { return !c.jobLocked(need).submitted }):
+		c.breakLocked("accepted", "%s, which needs a job that nobody has submitted", id)
 	case limited && (j.CPUs > limit || j.Kind == wire.KindService && j.CPUs*float64(j.Tasks) > limit):
 		c.breakLocked("accepted", "%s, which needs more than its team's limit", id)
 	}
@@ -197,7 +203,8 @@
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		w := c.jobs[id]
 		limit, limited := c.Limits[w.job.Team]
-		if !w.accepted || w.asked || w.told.Final() || limited && used[w.job.Team]+w.job.CPUs > limit {
+		notReady := slices.ContainsFunc(w.needs, func(need *watched) bool { return len(need.done) < need.job.Tasks })
+		if !w.accepted || w.before(func(b *watched) bool { return b.asked }) || notReady || w.told.Final() || limited && used[w.job.Team]+w.job.CPUs > limit {
 			continue
 		}
 		for i := range w.job.Tasks {
@@ -225,9 +232,15 @@
 	if w.told.Final() && state != w.told {
 		c.breakLocked("went_back", "%s was %s and is %s", id, w.told, state)
 	}
-	if state == wire.JobCancelled && !w.asked {
+	if state == wire.JobCancelled && !w.before(func(b *watched) bool { return b.asked }) {
 		c.breakLocked("went_back", "%s is cancelled, which its user did not ask for", id)
 	}
+	orphan := func(b *watched) bool {
+		return c.CancelIn > 0 && !b.cancelled.IsZero() && time.Since(b.cancelled) > c.CancelIn
+	}
+	if !state.Final() && w.before(orphan) {
+		c.breakLocked("orphaned", "%s is %s though a job before it was cancelled long ago", id, state)
+	}
 	if state == wire.JobDone && len(w.done) < w.job.Tasks {
 		c.breakLocked("not_done", "%s is done after %d of %d tasks", id, len(w.done), w.job.Tasks)
 	}
@@ -240,6 +253,23 @@
 	w.told = state
 }
 
+// before tells whether a condition holds for a job, or for any job before it.
+func (w *watched) before(holds func(*watched) bool) bool {
+	seen := map[*watched]bool{w: true}
+	for work := []*watched{w}; len(work) > 0; work = work[1:] {
+		if holds(work[0]) {
+			return true
+		}
+		for _, need := range work[0].needs {
+			if !seen[need] {
+				seen[need] = true
+				work = append(work, need)
+			}
+		}
+	}
+	return false
+}
+
 // stillThere looks for tasks of a job that must be gone.
 func (c *Checker) stillThere(id string) {
 	c.mu.Lock()
@@ -263,6 +293,11 @@
 	if c.CancelIn > 0 && !w.cancelled.IsZero() && time.Since(w.cancelled) > c.CancelIn {
 		c.breakLocked("ran_cancelled", "%s starts", task)
 	}
+	for _, need := range w.needs {
+		if len(need.done) < need.job.Tasks {
+			c.breakLocked("too_early", "%s starts before %s is done", task, need.job.ID)
+		}
+	}
 	if !c.allowsLocked(w, id, at) {
 		c.breakLocked("wrong_place", "%s starts on %+v", task, at)
 	}
--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -27,7 +27,8 @@
 			t.Fatal(err)
 		}
 		c.Asked("POST", wire.PathJobs, body)
-		c.Answered(wire.PathJobs, body, 201, wire.JobStatus{ID: id, State: wire.JobQueued})
+		uid, _ := j["uid"].(string)
+		c.Answered(wire.PathJobs, body, 201, wire.JobStatus{ID: uid, State: wire.JobQueued})
 	}
 	told := func(c *Checker, state wire.JobState) {
 		c.Answered(path, nil, 200, wire.JobStatus{ID: id, State: state})
@@ -36,6 +37,14 @@
 		c.Asked("POST", path+"/"+wire.SuffixCancel, nil)
 		told(c, wire.JobCancelled)
 	}
+	// follow submits a job that needs the first.
+	const after, afterPath = "wk-000002", wire.PathJobs + "/wk-000002"
+	follow := func(c *Checker) {
+		submit(c, func(j map[string]any) { j["uid"], j["follows"] = after, []string{id} })
+	}
+	toldAfter := func(c *Checker, state wire.JobState) {
+		c.Answered(afterPath, nil, 200, wire.JobStatus{ID: after, State: state})
+	}
 	run := func(c *Checker, at Spot, tasks ...string) {
 		for _, task := range tasks {
 			c.Started(task, at)
@@ -66,6 +75,38 @@
 			time.Sleep(time.Minute)
 		}},
 		{"ran_twice", func(c *Checker) { submit(c, nil); run(c, here, id+"/0", id+"/0") }},
+		{"", func(c *Checker) {
+			submit(c, nil)
+			follow(c)
+			run(c, here, id+"/0", id+"/1")
+			c.Ended(id+"/0", true)
+			c.Ended(id+"/1", true)
+			run(c, here, after+"/0")
+		}},
+		{"too_early", func(c *Checker) {
+			submit(c, nil)
+			follow(c)
+			run(c, here, id+"/0", id+"/1")
+			c.Ended(id+"/0", true)
+			c.Ended(id+"/1", false)
+			run(c, here, after+"/0")
+		}},
+		{"", func(c *Checker) {
+			submit(c, nil)
+			follow(c)
+			cancel(c)
+			toldAfter(c, wire.JobQueued)
+			time.Sleep(5 * time.Second)
+			toldAfter(c, wire.JobCancelled)
+		}},
+		{"orphaned", func(c *Checker) {
+			submit(c, nil)
+			follow(c)
+			cancel(c)
+			time.Sleep(time.Minute)
+			toldAfter(c, wire.JobQueued)
+		}},
+		{"went_back", func(c *Checker) { submit(c, nil); follow(c); toldAfter(c, wire.JobCancelled) }},
 		{"quota", func(c *Checker) {
 			submit(c, func(j map[string]any) { j["feathers"] = 9 })
 			run(c, here, id+"/0", id+"/1", id+"/2")
@@ -178,7 +219,8 @@
 			t.Fatal(err)
 		}
 		c.Asked("POST", wire.PathJobs, body)
-		c.Answered(wire.PathJobs, body, 201, wire.JobStatus{ID: id, State: wire.JobQueued})
+		uid, _ := j["uid"].(string)
+		c.Answered(wire.PathJobs, body, 201, wire.JobStatus{ID: uid, State: wire.JobQueued})
 	}
 	none := func(map[string]any) {}
 	submit("wk-000001", none) // waits
