--- a/internal/job/catalog_test.go
+++ b/internal/job/catalog_test.go
@@ -137,5 +137,5 @@
 }
 
 func testJob(i int) wire.Job {
-	return wire.Job{ID: fmt.Sprintf("job-%06d", i), Team: "red", Class: "c", Kind: wire.KindArray, Tasks: 3, CPUs: 1, MemoryGB: 1, Image: "i"}
+	return wire.Job{ID: fmt.Sprintf("wk-%06d", i), Team: "red", Class: "c", Kind: wire.KindArray, Tasks: 3, CPUs: 1, MemoryGB: 1, Image: "i"}
 }
--- /dev/null
+++ b/internal/job/chain_test.go
@@ -0,0 +1,197 @@
+package job_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heronwick/internal/job"
+	"heronwick/internal/standin"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+// catalogs are controllers' catalogs over one state service.
+type catalogs struct {
+	*testing.T
+	ctx     context.Context
+	service *standin.State
+	running sync.WaitGroup
+}
+
+func withCatalogs(t *testing.T, f func(c *catalogs)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &catalogs{T: t, ctx: ctx, service: standin.NewState()}
+		f(c)
+		cancel()
+		c.running.Wait()
+		time.Sleep(30 * time.Second) // lets the last transactions end
+	})
+}
+
+// start starts a catalog that knows all jobs; stop ends its following of the
+// store, so that it hears of nothing any more.
+func (c *catalogs) start(txnOps int) (catalog *job.Catalog, stop func()) {
+	client := state.NewClient(c.service.Node("a"), state.NewBudget(1000, 1000, txnOps))
+	catalog = job.NewCatalog(job.Options{Client: client, Committer: state.NewCommitter(client, txnOps), MaxValue: 16 << 10,
+		AcceptsChains: func() bool { return true }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.running.Go(func() { _ = catalog.Run(ctx) })
+	if err := catalog.Wait(c.ctx); err != nil {
+		c.Fatal(err)
+	}
+	return catalog, cancel
+}
+
+func (c *catalogs) submit(catalog *job.Catalog, id int, needs ...int) {
+	c.Helper()
+	j := testJob(id)
+	for _, need := range needs {
+		j.Needs = append(j.Needs, testJob(need).ID)
+	}
+	if _, _, err := catalog.Submit(c.ctx, j); err != nil {
+		c.Fatalf("submitting %d: %v", id, err)
+	}
+}
+
+func (c *catalogs) expect(catalog *job.Catalog, id int, want wire.JobState) {
+	c.Helper()
+	status, found, err := catalog.Status(c.ctx, testJob(id).ID)
+	if err != nil || !found || status.State != want {
+		c.Errorf("job %d is %q, %v, %v; want %q", id, status.State, found, err, want)
+	}
+}
+
+// A controller that has heard of nothing for a while calls no job queued once
+// another one may have called it cancelled: its answer rests on the records of all
+// jobs before it, or, where those are too many for a transaction, on what it learns
+// up to that moment.
+func TestAnswersForChainsAreCurrent(t *testing.T) {
+	for _, length := range []int{2, 4, 40} {
+		withCatalogs(t, func(c *catalogs) {
+			fresh, _ := c.start(4)
+			c.submit(fresh, 1)
+			for id := 2; id <= length; id++ {
+				c.submit(fresh, id, id-1)
+			}
+			stale, stop := c.start(4)
+			time.Sleep(time.Second)
+			stop()
+			c.expect(stale, length, wire.JobQueued)
+			if _, _, err := fresh.Cancel(c.ctx, testJob(1).ID); err != nil {
+				t.Fatal(err)
+			}
+			c.expect(fresh, length, wire.JobCancelled)
+			c.expect(stale, length, wire.JobCancelled)
+		})
+	}
+}
+
+// What is needed and was over before a controller started is looked up: a job after
+// one that is done is ready, since that one's end; one after a cancelled job is
+// cancelled. The version before wrote no time of an end.
+func TestChainsAreKnownAfterARestart(t *testing.T) {
+	withCatalogs(t, func(c *catalogs) {
+		before, stop := c.start(16)
+		for id := 1; id <= 2; id++ {
+			c.submit(before, id)
+		}
+		c.submit(before, 3, 1)
+		c.submit(before, 4, 3)
+		c.submit(before, 5, 2)
+		time.Sleep(10 * time.Second)
+		ended := time.Now()
+		fence := state.Fence{Condition: wire.Condition{Key: epochKey}, Current: func() bool { return true }}
+		if err := before.Finish(c.ctx, before.Active(testJob(1).ID), fence); err != nil {
+			t.Fatal(err)
+		}
+		stop()
+		if _, _, err := before.Cancel(c.ctx, testJob(2).ID); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		after, _ := c.start(16)
+		time.Sleep(2 * time.Second)
+		standing := after.Standing(after.Active(testJob(3).ID))
+		if !standing.Ready || standing.ReadyAt.Sub(ended).Abs() > time.Second {
+			t.Errorf("job 3 is ready: %v, since %v, want %v", standing.Ready, standing.ReadyAt, ended)
+		}
+		if after.Standing(after.Active(testJob(4).ID)).Ready {
+			t.Error("job 4 is ready")
+		}
+		c.expect(after, 4, wire.JobQueued)
+		c.expect(after, 5, wire.JobCancelled)
+		time.Sleep(10 * time.Second)
+		if c.service.Get("jobs/active/"+testJob(5).ID) != nil {
+			t.Error("the record of a cancelled job is still that of an active one")
+		}
+		c.expect(after, 5, wire.JobCancelled)
+	})
+}
+
+// A job takes the highest priority and the earliest start of all jobs that need
+// it, for as long as they do; work and memory stay in proportion on long chains and
+// wide fans.
+func TestOrderComesFromTheEndOfTheChain(t *testing.T) {
+	withCatalogs(t, func(c *catalogs) {
+		catalog, _ := c.start(16)
+		submit := func(id int, priority wire.Priority, deadline float64, needs ...int) {
+			j := testJob(id)
+			j.Priority, j.EstimateS = priority, 10
+			if deadline > 0 {
+				j.DeadlineS = &deadline
+			}
+			for _, need := range needs {
+				j.Needs = append(j.Needs, testJob(need).ID)
+			}
+			if _, _, err := catalog.Submit(c.ctx, j); err != nil {
+				t.Fatal(err)
+			}
+		}
+		submit(1, wire.PriorityLow, 0)
+		submit(2, wire.PriorityNormal, 0, 1)
+		submit(3, wire.PriorityLow, 0, 1)
+		began := time.Now()
+		submit(4, wire.PriorityHigh, 100, 2, 3)
+		expect := func(id int, rank int, due time.Duration) {
+			t.Helper()
+			standing := catalog.Standing(catalog.Active(testJob(id).ID))
+			if standing.Rank != rank || (due > 0) != !standing.Due.IsZero() || due > 0 && (standing.Due.Sub(began)-due).Abs() > time.Second {
+				t.Errorf("job %d has rank %d and is due after %v, want %d and %v", id, standing.Rank, standing.Due.Sub(began), rank, due)
+			}
+		}
+		for id, due := range map[int]time.Duration{4: 100 * time.Second, 3: 90 * time.Second, 2: 90 * time.Second, 1: 80 * time.Second} {
+			expect(id, wire.PriorityHigh.Rank(), due)
+		}
+		if _, _, err := catalog.Cancel(c.ctx, testJob(4).ID); err != nil {
+			t.Fatal(err)
+		}
+		expect(3, wire.PriorityLow.Rank(), 0)
+		expect(2, wire.PriorityNormal.Rank(), 0)
+		expect(1, wire.PriorityNormal.Rank(), 0)
+	})
+}
+
+// What a job names was accepted, or it is refused for good.
+func TestNeedsWereAccepted(t *testing.T) {
+	withCatalogs(t, func(c *catalogs) {
+		one, _ := c.start(16)
+		other, stop := c.start(16)
+		stop()
+		c.submit(one, 1)
+		c.submit(other, 2, 1) // accepted elsewhere a moment ago
+		j := testJob(3)
+		j.Needs = []string{fmt.Sprintf("wk-%d", 99)}
+		var field *wire.FieldError
+		if _, _, err := other.Submit(c.ctx, j); !errors.As(err, &field) || field.Field != wire.FieldNeeds {
+			t.Errorf("a job that needs one that was never accepted: %v", err)
+		}
+	})
+}
