--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -51,6 +51,26 @@
 	drained          time.Time
 }
 
+// Lower lowers the limits of a value and of a transaction's changes. What is
+// stored stays readable.
+func (s *State) Lower(valueBytes, ops int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ValueBytes, s.Ops, s.TooLarge = valueBytes, ops, 0
+}
+
+// Largest returns the size of the largest value, and its key.
+func (s *State) Largest() (key string, size int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, item := range s.items {
+		if len(item.Value) > size {
+			key, size = k, len(item.Value)
+		}
+	}
+	return key, size
+}
+
 // overLocked tells whether a request with so many changes is over the limits.
 func (s *State) overLocked(writes int) bool {
 	if s.RPS == 0 {
