--- a/cmd/heronwick/chain_test.go
+++ b/cmd/heronwick/chain_test.go
@@ -239,3 +239,41 @@
 		})
 	}
 }
+
+// A chain in danger is shown early to operators, with every job of it, and counted
+// once; one that is in time is not.
+func TestChainInDangerIsShown(t *testing.T) {
+	withCluster(t, 4, nil, func(tc *testCluster) {
+		deadline := func(seconds float64, change func(map[string]any)) func(map[string]any) {
+			return func(j map[string]any) { j["dusk_s"] = seconds; change(j) }
+		}
+		tc.expect(0, "POST", "/submissions", submission(1, nil), 201, "")
+		tc.expect(0, "POST", "/submissions", submission(2, after(1)), 201, "")
+		tc.expect(0, "POST", "/submissions", submission(3, deadline(50, after(2))), 201, "") // needs 60 s
+		tc.expect(0, "POST", "/submissions", submission(4, deadline(500, after(1))), 201, "")
+		time.Sleep(5 * time.Second)
+		endangered := int64(0)
+		for i, n := range tc.nodes {
+			_, answer, _ := tc.call(i, "GET", "/chains", nil)
+			chains, _ := answer["chains"].([]any)
+			if len(chains) != 2 {
+				t.Fatalf("%d chains are shown, want 2: %v", len(chains), answer)
+			}
+			first, _ := chains[0].(map[string]any)
+			second, _ := chains[1].(map[string]any)
+			jobs, _ := first["jobs"].([]any)
+			if first["last"] != "wk-000003" || first["in_danger"] != true || second["in_danger"] != false || len(jobs) != 3 {
+				t.Errorf("%s shows %v", n.name, answer)
+			}
+			endangered += n.current.Load().chains.endangered.Load()
+		}
+		if endangered != 1 {
+			t.Errorf("the chain in danger was counted %d times", endangered)
+		}
+		time.Sleep(90 * time.Second)
+		_, answer, _ := tc.call(1, "GET", "/chains", nil)
+		if answer["chains"] != nil {
+			t.Errorf("chains that are over are shown: %v", answer)
+		}
+	})
+}
--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -70,6 +70,7 @@
 	told      atomic.Pointer[[]*peerpb.Progress] // progress
 	requests  scheduler.Requests
 	cutAt     atomic.Int64 // when the share last could not reach most workers
+	chains    *chainWatch
 }
 
 // peerShares are the other controllers' shares.
@@ -116,9 +117,11 @@
 		Progress: c.progress, OnProgress: c.takeProgress, Log: log,
 	})
 	c.catalog.SetReplicator(c.members)
+	c.chains = newChainWatch(c.catalog, c.owns, log)
 	c.front = server.New(server.Options{
 		Settings: settings, Jobs: c.catalog, Types: c.offers.Types, Checkin: c.checkin, Ready: c.ready,
 		Latency: func() time.Duration { return c.latency() }, Gauges: c.gauges(), Log: log,
+		Chains: func() []wire.Chain { return c.catalog.Chains(time.Now()) },
 	})
 	return c
 }
@@ -132,6 +135,7 @@
 	g.Go(func() error { return every(ctx, logUsageEvery, c.logUsage) })
 	g.Go(func() error { return every(ctx, balanceEvery, c.balance) })
 	g.Go(func() error { return every(ctx, progressEvery, c.takeOwnProgress) })
+	g.Go(func() error { return every(ctx, chainsEvery, c.chains.look) })
 	return g.Wait()
 }
 
@@ -292,6 +296,13 @@
 	return weights
 }
 
+// owns tells whether a job is of this controller's share.
+func (c *controller) owns(id string) bool {
+	r := c.catalog.Active(id)
+	epoch, _, member := c.members.Current()
+	return member && r != nil && epoch.OwnerOf(r.Job.Team, id) == c.settings.Node
+}
+
 // Place implements cluster.Host.
 func (c *controller) Place(req *peerpb.PlaceRequest) *peerpb.PlaceReply {
 	if s := c.share.Load(); s != nil {
@@ -329,6 +340,14 @@
 			Value: of(func(s *peerpb.Status) float64 { return s.FreeCpus })},
 		{Name: "heronwick_token", Help: "Token of the epoch that this controller knows.",
 			Value: func() float64 { return float64(c.members.Token()) }},
+		{Name: "heronwick_feature_level", Help: "What all controllers support, as recorded; 1: jobs may need others.",
+			Value: func() float64 { return float64(c.members.FeatureLevel()) }},
+		{Name: "heronwick_chains", Help: "Chains of jobs that are live.",
+			Value: func() float64 { return float64(c.chains.live.Load()) }},
+		{Name: "heronwick_chains_in_danger", Help: "Live chains whose last job misses its deadline by estimates.",
+			Value: func() float64 { return float64(c.chains.inDanger.Load()) }},
+		{Name: "heronwick_chains_endangered", Help: "Chains that have come into danger since this controller started, of those whose last job is its own.",
+			Value: func() float64 { return float64(c.chains.endangered.Load()) }},
 		{Name: "heronwick_permitted", Help: "1 while this controller may answer workers.",
 			Value: func() float64 {
 				if c.members.Permitted() {
--- a/cmd/heronwick/main.go
+++ b/cmd/heronwick/main.go
@@ -22,7 +22,7 @@
 	"heronwick/internal/state"
 )
 
-const version = "0.1.0"
+const version = "0.2.0"
 
 // Exit codes.
 const (
@@ -100,7 +100,8 @@
 	if err != nil {
 		return fmt.Errorf("listening for peers: %w", err)
 	}
-	log.Info("started", "version", version, "listen", settings.Listen, "peers", len(settings.Peers))
+	log.Info("started", "version", version, "listen", settings.Listen, "peers", len(settings.Peers),
+		"value_bytes", settings.ValueBytes, "txn_ops", settings.TxnOps, "write_rps", settings.StateWriteRPS)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.front.Serve(ctx, ln) })
 	g.Go(func() error {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -55,6 +55,30 @@
 	}
 }
 
+// Limits of the state service that are announced count from the start where they
+// are lower; wrong ones are named like all else.
+func TestAnnouncedLimits(t *testing.T) {
+	next := func(text string) string {
+		return strings.Replace(good, "[cluster.cloud]", "[cluster.state.next]\n"+text+"\n[cluster.cloud]", 1)
+	}
+	s, err := Parse([]byte(next("write_rps = 14.0\nvalue_kb = 2.0\ntxn_ops = 32")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.StateRPS != 50 || s.StateWriteRPS != 14 || s.ValueBytes != 2048 || s.TxnOps != 8 {
+		t.Errorf("limits read wrong: %+v", s)
+	}
+	_, err = Parse([]byte(next("rps = -1.0\nvalue_kb = 0.1\ntxn_ops = 0\nwrite_rps = nan")))
+	if err == nil {
+		t.Fatal("wrong limits were taken")
+	}
+	for _, key := range []string{"rps", "value_kb", "txn_ops", "write_rps"} {
+		if !strings.Contains(err.Error(), "cluster.state.next."+key) {
+			t.Errorf("error does not name %q:\n%v", key, err)
+		}
+	}
+}
+
 // Every wrong key is named at once, so that an operator corrects the file in
 // one go.
 func TestParseReportsEveryKey(t *testing.T) {
--- /dev/null
+++ b/internal/job/chains.go
@@ -0,0 +1,105 @@
+package job
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"heronwick/wire"
+)
+
+// Chains tells of all chains that are live, those in danger first, then by
+// deadline.
+func (c *Catalog) Chains(now time.Time) []wire.Chain {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var chains []wire.Chain
+	for _, last := range c.graph.lasts() {
+		chains = append(chains, c.chainLocked(last, now))
+	}
+	slices.SortFunc(chains, func(a, b wire.Chain) int {
+		return cmp.Or(compareDanger(a, b), compareDeadlines(a.LeftS, b.LeftS), cmp.Compare(a.Last, b.Last))
+	})
+	return chains
+}
+
+func compareDanger(a, b wire.Chain) int {
+	switch {
+	case a.InDanger == b.InDanger:
+		return 0
+	case a.InDanger:
+		return -1
+	}
+	return 1
+}
+
+// compareDeadlines puts what is due sooner first, and what is not due last.
+func compareDeadlines(a, b *float64) int {
+	switch {
+	case a != nil && b != nil:
+		return cmp.Compare(*a, *b)
+	case a != nil:
+		return -1
+	case b != nil:
+		return 1
+	}
+	return 0
+}
+
+// chainLocked tells of the chain that ends with a job.
+func (c *Catalog) chainLocked(last *vertex, now time.Time) wire.Chain {
+	id := last.record.Job.ID
+	chain := wire.Chain{Last: id}
+	expected := map[string]time.Time{} // when each should be done
+	for _, v := range c.graph.upTo(last) {
+		progress := c.progress[v.record.Job.ID]
+		expected[v.record.Job.ID] = v.expectedDone(now, expected, progress)
+		chain.Jobs = append(chain.Jobs, v.chainJob(progress))
+	}
+	chain.ExpectedS = expected[id].Sub(now).Seconds()
+	if due := last.order.Due; !due.IsZero() {
+		left := due.Sub(now).Seconds()
+		chain.Deadline, chain.LeftS = &due, &left
+		chain.InDanger = expected[id].After(due)
+	}
+	return chain
+}
+
+// expectedDone is when the job should be done by its estimate, given when those
+// that it needs should be. One that runs is taken to have begun when it could.
+func (v *vertex) expectedDone(now time.Time, needs map[string]time.Time, p Progress) time.Time {
+	if v.over {
+		return now
+	}
+	if p.Running > 0 || p.Done > 0 {
+		begin := time.UnixMilli(v.record.AcceptedMs)
+		if v.readyAt.After(begin) {
+			begin = v.readyAt
+		}
+		if done := begin.Add(v.expected()); done.After(now) {
+			return done
+		}
+		return now
+	}
+	start := now
+	for id := range v.unfinished {
+		if needs[id].After(start) {
+			start = needs[id]
+		}
+	}
+	return start.Add(v.expected())
+}
+
+func (v *vertex) chainJob(p Progress) wire.ChainJob {
+	j := &v.record.Job
+	shown := wire.ChainJob{ID: j.ID, Class: j.Class, State: wire.JobQueued, Tasks: j.Tasks, Done: p.Done, Running: p.Running}
+	switch {
+	case v.over:
+		shown.State, shown.Done, shown.Running = wire.JobDone, j.Tasks, 0
+	case p.Running > 0:
+		shown.State = wire.JobRunning
+	}
+	shown.WaitsFor = slices.Sorted(maps.Keys(v.unfinished))
+	return shown
+}
--- a/internal/job/graph.go
+++ b/internal/job/graph.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"heronwick/wire"
 )
 
 // Order is what decides how soon a job is served: its own priority and deadline,
@@ -343,14 +341,3 @@
 	})
 	return all
 }
-
-// stateOf is what a vertex shows of its job's end.
-func (v *vertex) stateOf(p Progress) wire.JobState {
-	switch {
-	case v.over:
-		return wire.JobDone
-	case p.Running > 0:
-		return wire.JobRunning
-	}
-	return wire.JobQueued
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -38,8 +38,10 @@
 	Ready   func() bool
 	// Latency is how long goroutines of this process lately waited for the processor.
 	Latency func() time.Duration
-	Gauges  []Gauge
-	Log     *slog.Logger
+	// Chains tells operators of the chains of jobs that are live.
+	Chains func() []wire.Chain
+	Gauges []Gauge
+	Log    *slog.Logger
 }
 
 // Deadlines of requests: users wait 2 s for a poll and 5 s for the rest.
@@ -142,6 +144,13 @@
 			s.metrics.serve(ctx)
 		}
 		return "metrics"
+	case path == wire.PathChains:
+		if s.allow(ctx, method, "GET") {
+			s.answer(ctx, 200, struct {
+				Chains []wire.Chain `json:"chains"`
+			}{s.opts.Chains()})
+		}
+		return "chains"
 	case path == wire.PathReady:
 		if s.allow(ctx, method, "GET") {
 			s.ready(ctx)
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -57,6 +58,38 @@
 	})
 }
 
+// A transaction that is rejected since it is too large is never sent again as it
+// is: its writes go one by one, and only one that is too large itself fails, also
+// if it would be tried until the service answers.
+func TestRejectedTransactionIsSplit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewState()
+		_, c := newCommitter(s)
+		s.Lower(100, 2)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		errs := make([]error, 12)
+		var wg sync.WaitGroup
+		for i := range errs {
+			w := put(fmt.Sprintf("k%d", i), 0, i)
+			w.Persist = true
+			if i == 5 {
+				w.Then[0].Value = json.RawMessage(`"` + strings.Repeat("x", 200) + `"`)
+			}
+			wg.Go(func() { _, errs[i] = c.Commit(ctx, w) })
+		}
+		wg.Wait()
+		for i, err := range errs {
+			if (err != nil) != (i == 5) || i == 5 && !errors.Is(err, state.ErrRejected) {
+				t.Errorf("write %d: %v", i, err)
+			}
+		}
+		if s.TooLarge > 4 {
+			t.Errorf("%d transactions were rejected: some were sent again as they were", s.TooLarge)
+		}
+	})
+}
+
 // Many writes share few transactions, and one conflict takes out only its
 // own write.
 func TestGroupCommitWithConflict(t *testing.T) {
