--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -19,8 +19,8 @@
 	If       []wire.Condition
 	Then     []wire.Change
 	// Persist keeps the write going until the service gives a definite answer
-	// or the context ends. Otherwise it fails with ErrUnavailable or
-	// ErrUnknown after one try.
+	// or the context ends. Otherwise it fails with ErrUnavailable after one try,
+	// with ErrUnknown after a second without response.
 	Persist bool
 	// Fresh tells, right before sending, whether the write can still succeed.
 	// Without it one that cannot would use up budget that others wait for.
@@ -49,6 +49,9 @@
 	done    chan outcome
 }
 
+// mayBeMade tells whether an earlier try may have made the write's changes.
+func (w *pending) mayBeMade() bool { return w.unknown && len(w.Then) > 0 }
+
 type outcome struct {
 	revision uint64
 	err      error
@@ -254,8 +257,10 @@
 			unknown := !errors.Is(err, ErrUnavailable)
 			var again []*pending
 			for _, w := range batch {
+				// Most often the connection broke, and another path has an answer.
+				second := unknown && !w.unknown
 				w.unknown = w.unknown || unknown
-				if w.Persist && w.ctx.Err() == nil {
+				if (w.Persist || second) && w.ctx.Err() == nil {
 					again = append(again, w)
 					continue
 				}
@@ -285,7 +290,7 @@
 func (c *Committer) splitRejected(l *lane, batch []*pending, err error) {
 	if len(batch) == 1 {
 		w := batch[0]
-		if !w.unknown {
+		if !w.mayBeMade() {
 			w.done <- outcome{err: err}
 			return
 		}
@@ -320,7 +325,7 @@
 		switch {
 		case len(mine) == 0:
 			again = append(again, w)
-		case !w.unknown:
+		case !w.mayBeMade():
 			w.done <- outcome{err: &Conflict{Failed: mine}}
 		default:
 			w.done <- c.readBack(w, mine)
--- a/internal/state/route.go
+++ b/internal/state/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -25,7 +26,11 @@
 		NoDefaultUserAgentHeader:      true,
 		DisableHeaderNamesNormalizing: true,
 		Dial: func(addr string) (net.Conn, error) {
-			return fasthttp.DialTimeout(addr, time.Second)
+			conn, err := fasthttp.DialTimeout(addr, time.Second)
+			if err != nil {
+				return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+			}
+			return conn, nil
 		},
 	}}
 }
@@ -51,6 +56,9 @@
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
 }
 
+// ErrNotSent says that a request was surely not sent: there was no connection.
+var ErrNotSent = errors.New("not sent")
+
 // directRetry is how long a failed direct path is left alone.
 const directRetry = time.Second
 
@@ -107,16 +115,17 @@
 	}
 }
 
-// Do implements Doer. After a 503 (surely not carried out) another path is
-// tried at once; after silence the caller must decide, since the request may
-// have been carried out.
+// Do implements Doer. After a 503, or without a connection, the request was surely
+// not carried out, and another path is tried at once; after silence the caller
+// must decide, since it may have been.
 func (r *Route) Do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
 	r.mu.Lock()
 	direct := !time.Now().Before(r.badTo)
 	r.mu.Unlock()
 	if direct {
 		status, reply, err := r.Direct(ctx, method, target, body)
-		if err != nil || status != 503 {
+		unsent := errors.Is(err, ErrNotSent) || err == nil && status == 503
+		if !unsent {
 			return status, reply, err
 		}
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -138,6 +138,64 @@
 	})
 }
 
+// A write for a user whose response is lost is tried once more, by then over
+// another path perhaps; a comparison that then fails is a conflict: it had nothing
+// to carry out.
+func TestLostResponseToAUser(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewState()
+		_, c := newCommitter(s)
+		s.LoseResponses(1)
+		if _, err := c.Commit(context.Background(), put("k", 0, 1)); err != nil {
+			t.Errorf("the write: %v", err)
+		}
+		s.LoseResponses(1)
+		_, err := c.Commit(context.Background(), state.Write{If: []wire.Condition{{Key: "k", Version: 99}}})
+		if conflict := (*state.Conflict)(nil); !errors.As(err, &conflict) {
+			t.Errorf("the comparison: %v", err)
+		}
+		s.LoseResponses(9)
+		if _, err := c.Commit(context.Background(), put("l", 0, 1)); !errors.Is(err, state.ErrUnknown) {
+			t.Errorf("without any response: %v", err)
+		}
+	})
+}
+
+// path is a path to the state service that answers always alike.
+type path struct {
+	status int
+	err    error
+	calls  int
+}
+
+func (p *path) Do(context.Context, string, string, []byte) (int, []byte, error) {
+	p.calls++
+	return p.status, nil, p.err
+}
+
+// Without a connection a request was not sent, so it goes through another
+// controller at once; after a broken one it may have been carried out.
+func TestRouteWithoutAConnection(t *testing.T) {
+	for _, test := range []struct {
+		direct path
+		want   int
+	}{
+		{path{err: fmt.Errorf("dialling: %w", state.ErrNotSent)}, 200},
+		{path{status: 503}, 200},
+		{path{err: errors.New("connection reset")}, 0},
+	} {
+		other := &path{status: 200}
+		status, _, err := state.NewRoute(&test.direct, func() []state.Doer { return []state.Doer{other} }).Do(context.Background(), "GET", "/", nil)
+		if status != test.want || (err != nil) != (test.want == 0) {
+			t.Errorf("direct %+v: got %d, %v", test.direct, status, err)
+		}
+	}
+	alone := &path{err: state.ErrNotSent}
+	if status, _, err := state.NewRoute(alone, nil).Do(context.Background(), "GET", "/", nil); status != 503 || err != nil {
+		t.Errorf("without another controller: got %d, %v", status, err)
+	}
+}
+
 // A transaction that is carried out late must fail: its conditions have been
 // moved on by the try that came after it.
 func TestLateTransactionFails(t *testing.T) {
