--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -230,23 +230,33 @@
 	c.setRates()
 }
 
+// backgroundPart is which part of its writes a controller uses for what nobody
+// waits for while another one is short of them.
+const backgroundPart = 0.15
+
 // setRates sets this controller's budget: its part, and while it is short what
 // the others leave, divided among those who are.
 func (c *controller) setRates() {
 	requests, writes := c.rates()
-	if mine := c.spare.Load(); mine != nil && mine.short {
-		peers := c.members.Peers()
-		for _, p := range peers {
-			sharers := 1.0
-			for _, other := range peers {
-				if other != p && other.Short {
-					sharers++
-				}
+	rates := state.Rates{Requests: requests, Writes: writes, Background: writes}
+	mine := c.spare.Load()
+	peers := c.members.Peers()
+	for _, p := range peers {
+		if p.Short {
+			rates.Background = writes * backgroundPart
+		}
+		if mine == nil || !mine.short {
+			continue
+		}
+		sharers := 1.0
+		for _, other := range peers {
+			if other != p && other.Short {
+				sharers++
 			}
-			requests, writes = requests+p.SpareRequests/sharers, writes+p.SpareWrites/sharers
 		}
+		rates.Requests, rates.Writes = rates.Requests+p.SpareRequests/sharers, rates.Writes+p.SpareWrites/sharers
 	}
-	c.budget.SetRates(requests, writes, c.settings.TxnOps)
+	c.budget.SetRates(rates, c.settings.TxnOps)
 }
 
 // runShare runs the share while this controller is a member.
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -34,22 +34,24 @@
 	mu       sync.Mutex
 	requests bucket
 	writes   bucket
-	waiting  [priorities][]*waiter
-	timer    *time.Timer
-	pausedTo time.Time
-	usage    [priorities]Usage
-	window   Usage // since Window was last called
+	// background is what of the writes Background may use.
+	background bucket
+	waiting    [priorities][]*waiter
+	timer      *time.Timer
+	pausedTo   time.Time
+	usage      [priorities]Usage
+	window     Usage // since Window was last called
 }
 
-// Window returns what was used since it was last called, of all priorities.
-// What still waits counts as having waited until now.
+// Window returns what was used since it was last called, of all priorities, and
+// how long what somebody waits for has waited; what still does, until now.
 func (b *Budget) Window() Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	w := b.window
 	b.window = Usage{}
-	for p := range b.waiting {
+	for p := range Background {
 		for _, waiter := range b.waiting[p] {
 			w.Longest = max(w.Longest, now.Sub(waiter.since))
 		}
@@ -63,6 +65,11 @@
 	Waited, Longest  time.Duration // for the budget, all together and at most
 }
 
+func (u *Usage) add(writes int, waited time.Duration) {
+	u.Requests, u.Writes = u.Requests+1, u.Writes+writes
+	u.Waited, u.Longest = u.Waited+waited, max(u.Longest, waited)
+}
+
 // Usage returns what was used under each priority since it was last asked.
 func (b *Budget) Usage() [priorities]Usage {
 	b.mu.Lock()
@@ -106,16 +113,24 @@
 	b.requests = bucket{rate: requests, level: max(requests, 1), burst: max(requests, 1), last: now}
 	burst := max(writes, float64(largest))
 	b.writes = bucket{rate: writes, level: burst, burst: burst, last: now}
+	b.background = b.writes
 	return b
 }
 
+// Rates are requests and writes a second.
+type Rates struct {
+	Requests, Writes float64
+	Background       float64 // writes, of which Background may use so many
+}
+
 // SetRates changes the budget, for example when this controller becomes the
 // leader.
-func (b *Budget) SetRates(requests, writes float64, largest int) {
+func (b *Budget) SetRates(r Rates, largest int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.requests.setRate(requests, 1)
-	b.writes.setRate(writes, float64(largest))
+	b.requests.setRate(r.Requests, 1)
+	b.writes.setRate(r.Writes, float64(largest))
+	b.background.setRate(r.Background, float64(largest))
 }
 
 // Pause holds every request back for a while: the service said 429, so
@@ -166,11 +181,12 @@
 	now := time.Now()
 	b.requests.refill(now)
 	b.writes.refill(now)
+	b.background.refill(now)
 	saving := false // somebody waits for writes
 	for p := range b.waiting {
 		var still []*waiter
 		for i, w := range b.waiting[p] {
-			requests, writes := b.shortfall(now, w)
+			requests, writes := b.shortfall(now, Priority(p), w)
 			if requests > 0 {
 				b.wakeIn(requests)
 				b.waiting[p] = append(still, b.waiting[p][i:]...)
@@ -186,34 +202,55 @@
 			}
 			w.granted = w.least
 			if !saving {
-				w.granted = max(w.least, min(w.most, math.Floor(b.writes.level)))
+				w.granted = max(w.least, min(w.most, math.Floor(b.availableTo(Priority(p)))))
 			}
 			b.requests.level--
 			b.writes.level -= w.granted
+			if Priority(p) == Background {
+				b.background.level -= w.granted
+			}
 			waited := now.Sub(w.since)
-			for _, u := range []*Usage{&b.usage[p], &b.window} {
-				u.Requests, u.Writes = u.Requests+1, u.Writes+int(w.granted)
-				u.Waited, u.Longest = u.Waited+waited, max(u.Longest, waited)
+			b.usage[p].add(int(w.granted), waited)
+			if Priority(p) == Background {
+				waited = 0
 			}
+			b.window.add(int(w.granted), waited)
 			close(w.ready)
 		}
 		b.waiting[p] = still
 	}
 }
 
+// availableTo is how many writes a priority may use now.
+func (b *Budget) availableTo(p Priority) float64 {
+	if p == Background {
+		return min(b.writes.level, b.background.level)
+	}
+	return b.writes.level
+}
+
 // shortfall tells how long a waiter has to wait for a request, and for its
 // writes.
-func (b *Budget) shortfall(now time.Time, w *waiter) (requests, writes time.Duration) {
-	requests = b.pausedTo.Sub(now)
-	if lack := 1 - b.requests.level; lack > 0 {
-		requests = max(requests, time.Duration(lack/b.requests.rate*float64(time.Second))+time.Millisecond)
-	}
-	if lack := w.least - b.writes.level; w.least > 0 && lack > 0 {
-		writes = time.Duration(lack/b.writes.rate*float64(time.Second)) + time.Millisecond
+func (b *Budget) shortfall(now time.Time, p Priority, w *waiter) (requests, writes time.Duration) {
+	requests = max(b.pausedTo.Sub(now), b.requests.wait(1))
+	if w.least > 0 {
+		writes = b.writes.wait(w.least)
+		if p == Background {
+			writes = max(writes, b.background.wait(w.least))
+		}
 	}
 	return requests, writes
 }
 
+// wait is how long it takes until the bucket holds so much.
+func (b *bucket) wait(amount float64) time.Duration {
+	lack := amount - b.level
+	if lack <= 0 {
+		return 0
+	}
+	return time.Duration(lack/b.rate*float64(time.Second)) + time.Millisecond
+}
+
 func (b *Budget) wakeIn(d time.Duration) {
 	if b.timer != nil {
 		b.timer.Stop()
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -279,6 +279,30 @@
 	})
 }
 
+// What nobody waits for uses no more than its part of the writes, and its waiting
+// does not count as being short of them.
+func TestBackgroundKeepsToItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := state.NewBudget(100, 10, 2)
+		b.SetRates(state.Rates{Requests: 100, Writes: 10, Background: 1}, 2)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		written := 0
+		for b.Acquire(ctx, state.Background, 1) == nil {
+			written++
+		}
+		if written < 20 || written > 24 {
+			t.Errorf("%d writes in 20 s at one a second", written)
+		}
+		if longest := b.Window().Longest; longest > 0 {
+			t.Errorf("somebody waited for %v", longest)
+		}
+		if err := b.Acquire(context.Background(), state.Submission, 5); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // Who waits for writes holds up others that want some, but not those that
 // only ask: answers to users need no writes.
 func TestAskingPassesWhoWaitsForWrites(t *testing.T) {
