--- a/internal/scheduler/dependencies.go
+++ b/internal/scheduler/dependencies.go
@@ -32,6 +32,7 @@
 		}
 		before := js.rank
 		s.takeStandingLocked(js)
+		s.log.Debug("standing changed", "job", id, "ready", js.ready, "rank", js.rank, "due", js.due)
 		if js.rank != before {
 			ranks[id] = js.rank
 		}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -119,7 +119,8 @@
 	j := &r.Job
 	js := s.newJob(r)
 	s.jobs[j.ID] = js
-	s.log.Debug("job queued", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "cpus", j.CPUs, "image", j.Image, "estimate_s", j.EstimateS)
+	s.log.Debug("job queued", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "cpus", j.CPUs, "image", j.Image, "estimate_s", j.EstimateS,
+		"needs", j.Needs, "ready", js.ready, "rank", js.rank)
 	return js
 }
 
