--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -77,12 +77,6 @@
 	late
 )
 
-// lateness is by which part of its time a job may miss its deadline and still come
-// before those that are late. One that comes last as soon as it is a little late is
-// as late as can be: a chain whose first job was delayed lost all its other jobs'
-// turns to large ones that had more time.
-const lateness = 0.5
-
 // urgency orders jobs of one priority.
 func (js *jobState) urgency(now time.Time) int {
 	waited := now.Sub(js.begin)
@@ -94,7 +88,7 @@
 	}
 	estimate := time.Duration(js.rec.Job.EstimateS * float64(time.Second))
 	soonest := now.Add(estimate / 2) // estimates are often wrong by half
-	if soonest.Before(js.due.Add(time.Duration(lateness * float64(js.deadlineFor())))) {
+	if soonest.Before(js.due) {
 		return canBeInTime
 	}
 	longest := js.deadlineFor()
