--- a/internal/scheduler/done.go
+++ b/internal/scheduler/done.go
@@ -36,6 +36,11 @@
 	flushWriteRPS   = 60
 )
 
+// flushPriority is that of writing done tasks. They are few changes for many tasks,
+// and a takeover runs again what they do not name: as what nobody waits for, behind
+// submissions in a burst, they were a minute late.
+const flushPriority = state.Safety
+
 // flushEvery is how often done tasks are written.
 func (s *Share) flushEvery() time.Duration {
 	slower := flushWriteRPS / max(s.opts.Settings.StateWriteRPS, 1)
@@ -227,7 +232,7 @@
 			change = wire.Change{Put: page.key, Value: value}
 		}
 		page.committing = true
-		dw.write = s.fenceLocked().Bind(state.Write{Priority: state.Background, Persist: true,
+		dw.write = s.fenceLocked().Bind(state.Write{Priority: flushPriority, Persist: true,
 			If: []wire.Condition{{Key: page.key, Version: page.version}}, Then: []wire.Change{change}})
 		s.goDo(func(ctx context.Context) { s.writeDonePage(ctx, dw) })
 	}
@@ -237,7 +242,7 @@
 	version, err := s.opts.Committer.Commit(ctx, dw.write)
 	known := err == nil
 	if err != nil {
-		version, known = s.reread(ctx, state.Background, dw.page.key, err)
+		version, known = s.reread(ctx, flushPriority, dw.page.key, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
