--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -169,13 +169,7 @@
 		return
 	}
 	now := time.Now()
-	next := s.journaled
-	if !slices.ContainsFunc(dirty, (*machine).startsService) {
-		// Their users wait for tens of seconds: with half of the writes, more
-		// starts go with each.
-		next = next.Add(s.journalEvery())
-	}
-	if wait := next.Sub(now); wait > 0 {
+	if wait := s.journaled.Sub(now); wait > 0 {
 		if !s.journalDue {
 			s.journalDue = true
 			time.AfterFunc(wait, s.poke)
@@ -220,11 +214,6 @@
 	}
 }
 
-// startsService tells whether a service's replica waits to be recorded on the machine.
-func (m *machine) startsService() bool {
-	return slices.ContainsFunc(m.Attempts.All(), func(a *fleet.Attempt) bool { return a.Service && !a.Durable && !a.Exited() })
-}
-
 // journalsAtOnce bounds the journals that are written together, for what has
 // gathered and does not fit one: the more, the longer they wait afterwards.
 const journalsAtOnce = 4
