--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -656,28 +656,11 @@
 	for _, a := range best.victims {
 		s.log.Info("preempting", "task", a.Task, "machine", best.m.Name, "for", js.rec.Job.ID)
 		a.Stop = true
-		s.waitAfterPreemptionLocked(a, now)
 	}
 	s.sendLocked(best.m)
 	return true
 }
 
-// preemptedFor is how long an array waits after a task of it was preempted early:
-// room that higher priorities leave is too small for them, and theirs again as soon
-// as a little more is free.
-const preemptedFor = 3 * time.Second
-
-// preemptedEarly is until when after its placement a preemption shows that.
-const preemptedEarly = 10 * time.Second
-
-// waitAfterPreemptionLocked keeps the job of a task that is being preempted from
-// taking the same room again at once, if it had it for a short time only.
-func (s *Share) waitAfterPreemptionLocked(a *fleet.Attempt, now time.Time) {
-	if js := s.jobs[a.Job]; js != nil && !a.Service && now.Sub(a.Placed) < preemptedEarly {
-		js.notBefore = now.Add(preemptedFor)
-	}
-}
-
 // lossOf is what stopping an attempt loses, in seconds of work.
 func (s *Share) lossOf(a *fleet.Attempt, now time.Time) float64 {
 	if a.Running.IsZero() {
