--- /dev/null
+++ b/internal/scheduler/place.go
@@ -0,0 +1,274 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"heronwick/internal/fleet"
+	"heronwick/internal/placement"
+	"heronwick/wire"
+)
+
+// placeGangLocked places all tasks of a gang in one walk, opening machines as
+// needed, or none: then its bookings are freed. While some tasks of an earlier
+// try may still run, the others wait: without peers they end by themselves.
+func (s *Share) placeGangLocked(js *jobState, now time.Time) {
+	if len(js.live) > 0 || !s.withinLimitBy(js, js.pending()) {
+		return
+	}
+	type booking struct {
+		m     *machine
+		a     *fleet.Attempt
+		dirty bool // whether the machine's record was to be written anyway
+	}
+	var booked []booking
+	for {
+		index, ok := js.nextTask()
+		if !ok {
+			js.waiting = time.Time{}
+			return
+		}
+		m, _ := s.findHeldLocked(js, now, false)
+		if m == nil {
+			m = s.findAnyLocked(js, now)
+		}
+		if m == nil {
+			break
+		}
+		js.took()
+		dirty := m.dirty
+		a := s.placeLocked(js, index, m, now)
+		if len(booked) > 0 {
+			// Peers find each other by the number of their attempt.
+			m.Attempts.Delete(a.Key)
+			a.Attempt = booked[0].a.Attempt
+			m.Attempts.Put(a)
+		}
+		booked = append(booked, booking{m, a, dirty})
+	}
+	if len(booked) > 0 { // there is more room again
+		clear(s.pass.full)
+		clear(s.pass.lacks)
+	}
+	// Without waking the scheduler or writing records: that would set off the
+	// next try at once, for as long as the gang waits.
+	for _, b := range slices.Backward(booked) {
+		b.m.Attempts.Delete(b.a.Key)
+		b.m.looked = 0
+		b.m.dirty = b.dirty
+		s.releaseLocked(b.a)
+		s.closeIfEmptyLocked(b.m)
+	}
+	if js.waiting.IsZero() {
+		js.waiting = now
+	}
+}
+
+// placeJobLocked places a job's tasks as far as there is room. With held, they
+// go where the job's image is, and elsewhere only once the job has passed up
+// enough.
+func (s *Share) placeJobLocked(js *jobState, now time.Time, held bool) {
+	for {
+		index, ok := js.nextTask()
+		if !ok {
+			if js.asking == 0 {
+				js.waiting = time.Time{}
+			}
+			return
+		}
+		if !s.withinLimit(js) {
+			js.waiting = time.Time{} // more machines would not help
+			return
+		}
+		var m *machine
+		sh, plain := js.shapeOf()
+		if full := plain && s.pass.full[sh] || s.lacksRoomLocked(js.size, now); !full || js.service() {
+			var wait bool
+			m, wait = s.findHeldLocked(js, now, s.guaranteed(js))
+			if wait || m == nil && s.awaitHeldLocked(js, now) {
+				return
+			}
+			switch {
+			case m != nil:
+				js.passedUp = time.Time{}
+			case full:
+			case held && s.hasRoomLocked(js, now) && s.passesUpLocked(js, now):
+				return
+			default:
+				m = s.findAnyLocked(js, now)
+			}
+		}
+		if m == nil {
+			if plain {
+				s.pass.full[sh] = true
+			}
+			if js.waiting.IsZero() {
+				js.waiting = now
+			}
+			s.preemptLocked(js, now, false, s.guaranteed(js))
+			return
+		}
+		js.took()
+		s.placeLocked(js, index, m, now)
+	}
+}
+
+func (s *Share) fits(js *jobState, now time.Time) func(*machine) bool {
+	return func(m *machine) bool { return s.fitsLocked(js, m, now) }
+}
+
+// findHeldLocked chooses among machines that hold the image, which come first
+// since a fetch takes longer than all the rest of a start: the most recently
+// used one that fits, else an idle one, which it opens. For a service, room is
+// made on one of those before another machine fetches the image; wait tells
+// that this is under way.
+func (s *Share) findHeldLocked(js *jobState, now time.Time, guaranteed bool) (m *machine, wait bool) {
+	if s.lacksRoomLocked(js.size, now) {
+		return nil, js.service() && s.preemptLocked(js, now, true, guaranteed)
+	}
+	fits := s.fits(js, now)
+	holds := func(m *machine) bool { return fits(m) && m.HoldsImage(js.rec.Job.Image) }
+	service := js.rec.Job.Kind == wire.KindService
+	first := holds
+	if service {
+		first = func(m *machine) bool { return holds(m) && s.belowHalfLocked(js, m) }
+	}
+	if m, ok := s.list.Walk(first); ok {
+		return m, false
+	}
+	if idle := s.idleLocked(js, now); idle != nil && idle.HoldsImage(js.rec.Job.Image) {
+		s.list.MoveToFront(idle)
+		return idle, false
+	}
+	if !service {
+		return nil, false
+	}
+	if m, ok := s.list.Walk(holds); ok {
+		return m, false
+	}
+	return nil, s.preemptLocked(js, now, true, guaranteed)
+}
+
+// findAnyLocked chooses among all machines in the same way. Replicas stacked on one machine
+// are all lost with it, and their images are then nowhere else: as long as
+// another machine can take a replica, they fill half of one at most.
+func (s *Share) findAnyLocked(js *jobState, now time.Time) *machine {
+	if s.lacksRoomLocked(js.size, now) {
+		return nil
+	}
+	fits := s.fits(js, now)
+	idle := s.idleLocked(js, now)
+	if js.rec.Job.Kind == wire.KindService {
+		roomy := func(m *machine) bool { return fits(m) && s.belowHalfLocked(js, m) }
+		if m, ok := s.list.Walk(roomy); ok {
+			return m
+		}
+		if idle != nil {
+			s.list.MoveToFront(idle)
+			return idle
+		}
+	}
+	if m, ok := s.list.Walk(fits); ok {
+		return m
+	}
+	if idle != nil {
+		s.list.MoveToFront(idle)
+	}
+	return idle
+}
+
+// hasRoomLocked tells whether any machine takes a task of the job.
+func (s *Share) hasRoomLocked(js *jobState, now time.Time) bool {
+	if s.lacksRoomLocked(js.size, now) {
+		return false
+	}
+	if s.idleLocked(js, now) != nil {
+		return true
+	}
+	_, ok := s.list.Find(s.fits(js, now))
+	return ok
+}
+
+// heldPatience is how long a service's task waits for the other shares to say
+// whether they have room beside its image, before it goes where that must be
+// fetched.
+const heldPatience = 300 * time.Millisecond
+
+// awaitHeldLocked tells whether the other shares are still to be asked.
+func (s *Share) awaitHeldLocked(js *jobState, now time.Time) bool {
+	if js.rec.Job.Kind != wire.KindService || len(s.div.Members) < 2 {
+		return false
+	}
+	if js.wantsHeld.IsZero() {
+		js.wantsHeld = now
+		time.AfterFunc(heldPatience, s.poke)
+	}
+	return now.Sub(js.wantsHeld) < heldPatience
+}
+
+// belowHalfLocked tells whether one more replica leaves services on at most
+// half of the machine.
+func (s *Share) belowHalfLocked(js *jobState, m *machine) bool {
+	if m == nil || m.Type == nil {
+		return false
+	}
+	sum := js.size
+	for _, a := range m.Attempts.All() {
+		if a.Service && !a.Exited() {
+			sum = sum.Plus(a.Size)
+		}
+	}
+	return sum.Within(placement.Capacity(m.Type).Times(0.5))
+}
+
+// acceptsLocked tells whether new tasks may go to the machine, if there is room.
+func (s *Share) acceptsLocked(m *machine, now time.Time) bool {
+	return s.synced(m) && m.Type != nil && !m.returning && !m.suspect && m.failures == 0 && m.unreachableSince.IsZero() &&
+		m.Notice.IsZero() && !now.Before(m.cooling) && now.Sub(m.LastReport) < s.silentAfter() && !s.stoppedReporting(m, now)
+}
+
+// usableLocked tells whether new tasks may go to the machine at all.
+func (s *Share) usableLocked(m *machine, now time.Time) bool {
+	if !s.acceptsLocked(m, now) {
+		return false
+	}
+	_, sized := m.Room()
+	return sized
+}
+
+func (s *Share) fitsLocked(js *jobState, m *machine, now time.Time) bool {
+	if s.lookLocked(m, now); !m.usable || !js.size.Within(m.free) {
+		return false
+	}
+	return (len(m.reservations) == 0 || js.size.Within(s.roomLocked(m, js.rec.Job.ID, now))) && s.allowedLocked(js, m)
+}
+
+func (s *Share) allowedLocked(js *jobState, m *machine) bool {
+	if !placement.Allows(&js.rec.Job, m.Place(), placement.Spread{ByZone: js.zones}) {
+		return false
+	}
+	if js.failedOn[m.Name] && !js.mistaken() {
+		return false
+	}
+	return m.Attempts.Len() < s.maxAttempts()
+}
+
+// placeLocked books a task on a machine. The attempt's number rises with each
+// placement, across controllers and restarts, since tokens do.
+func (s *Share) placeLocked(js *jobState, index int, m *machine, now time.Time) *fleet.Attempt {
+	a := s.newAttempt(js, index)
+	m.Add(a, now)
+	m.looked = 0
+	s.countLocked(m.Zone, a)
+	m.dirty = true
+	s.log.Debug("placed", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "image_held", m.HoldsImage(a.Image))
+	return a
+}
+
+func (s *Share) newAttempt(js *jobState, index int) *fleet.Attempt {
+	s.number = max(s.number+1, s.div.Token<<20)
+	j := &js.rec.Job
+	a := &fleet.Attempt{Key: fleet.Key{Task: wire.TaskID(j.ID, index), Attempt: s.number}, Job: j.ID, Index: index}
+	s.describe(a, j, js.rank)
+	return a
+}
