--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -214,35 +214,6 @@
 	}
 }
 
-// journalsAtOnce bounds the journals that are written together, for what has
-// gathered and does not fit one: the more, the longer they wait afterwards.
-const journalsAtOnce = 4
-
-// writeJournalsLocked records new placements in as many journals as it takes,
-// and returns how many those are.
-func (s *Share) writeJournalsLocked(dirty []*machine) (written int) {
-	for written < journalsAtOnce && len(dirty) > 0 {
-		before := len(dirty)
-		if !s.writeJournalLocked(dirty) {
-			break
-		}
-		written++
-		dirty = slices.DeleteFunc(dirty, func(m *machine) bool { return !m.dirty })
-		if len(dirty) == before {
-			break
-		}
-	}
-	return written
-}
-
-// journalEvery is how long one write of the journal waits after the one
-// before: it comes before the ends of jobs, and must leave them, and the other
-// shares, most of the state service's limit.
-func (s *Share) journalEvery() time.Duration {
-	const part = 6 // of the writes of all controllers
-	return time.Duration(part / max(s.opts.Settings.StateWriteRPS, 1) * float64(time.Second))
-}
-
 // tidyEvery is how often pages are tidied: nobody waits for it.
 const tidyEvery = 10 * time.Second
 
@@ -320,140 +291,9 @@
 	pw.write.Then = append(pw.write.Then, wire.Change{Put: p.key, Value: value})
 }
 
-// Whoever takes over reads what the journals hold together, so their number is
-// bounded: by what the tasks of so many machines fill, since in journals that are
-// too few for them nothing is over before its journal is written again, and the
-// pages take the writes that users wait for.
-const (
-	leastJournals   = 8
-	bytesPerMachine = 820 // of journals
-)
-
-func (s *Share) maxJournals() int {
-	return max(leastJournals, len(s.machines)*bytesPerMachine/s.opts.Settings.ValueBytes)
-}
-
-// nextJournalLocked returns the journal to write. Most tasks are over before
-// their journal is written again, and so never come onto a page. It stays the
-// same until what still runs fills three quarters of it, and goes on with the
-// emptiest. When all are half full, the pages of the fullest one's machines are
-// due.
-func (s *Share) nextJournalLocked(limit int) *page {
-	held := s.heldLocked()
-	if s.journal != nil && !s.journal.committing && held[s.journal.key] < limit*3/4 {
-		return s.journal
-	}
-	var least, most *page
-	for _, j := range s.journals {
-		if !j.committing && (least == nil || held[j.key] < held[least.key]) {
-			least = j
-		}
-		if most == nil || held[j.key] > held[most.key] {
-			most = j
-		}
-	}
-	if least == nil || held[least.key] > limit/2 {
-		if len(s.journals) < s.maxJournals() {
-			least = &page{key: fleet.JournalKey(s.opts.Node, s.div.Members[s.opts.Node].Since, len(s.journals))}
-			s.journals = append(s.journals, least)
-			s.pages[least.key] = least
-		} else if most != nil && !s.checkpointingLocked() {
-			for _, m := range s.machines {
-				if _, ok := m.Extract(most.key, true); ok {
-					m.due = true
-				}
-			}
-			s.poke()
-		}
-	}
-	s.journal = least
-	return least
-}
-
-// heldLocked is about how many bytes each journal must hold.
-func (s *Share) heldLocked() map[string]int {
-	held := map[string]int{}
-	for _, m := range s.machines {
-		seen := ""
-		for _, a := range m.Attempts.All() {
-			if a.Journal == "" || a.Exited() {
-				continue
-			}
-			held[a.Journal] += fleet.AttemptBytes(a.Task, a.Attempt)
-			if a.Journal != seen {
-				seen = a.Journal
-				held[a.Journal] += m.extractSize()
-			}
-		}
-	}
-	return held
-}
-
 // paged tells whether a page in the store has the machine's record.
 func (m *machine) paged() bool { return m.page != nil && m.page.version > 0 }
 
-// extractSize is what the machine's record takes of a journal besides its
-// attempts.
-func (m *machine) extractSize() int {
-	size := fleet.RecordBytes(m.Name)
-	if !m.paged() {
-		size += m.PlaceBytes()
-	}
-	return size
-}
-
-// writeJournalLocked writes a journal: the attempts that are on no record, as far
-// as it has room for them, and those that it alone holds. It returns false if
-// none can be written now.
-func (s *Share) writeJournalLocked(dirty []*machine) bool {
-	limit := s.valueLimit()
-	journal := s.nextJournalLocked(limit)
-	if journal == nil || journal.committing {
-		return false
-	}
-	pw := s.newPageWriteLocked(state.Placement)
-	pw.journal = true
-	content := fleet.Page{Machines: map[string]fleet.Record{}, Write: s.markLocked()}
-	size := 0
-	for _, m := range s.machines {
-		if r, ok := m.Extract(journal.key, m.paged()); ok {
-			content.Machines[m.Name] = r
-			size += r.Size(m.Name)
-		}
-	}
-	for _, m := range dirty {
-		s.dropStaleGuestsLocked(m)
-		m.dirty = false
-		for _, a := range m.Attempts.All() {
-			if a.Durable || a.Exited() {
-				continue
-			}
-			_, begun := content.Machines[m.Name]
-			more := fleet.AttemptBytes(a.Task, a.Attempt)
-			if !begun {
-				more += m.extractSize()
-			}
-			if size+more > limit || !s.admitsLocked(pw, a) {
-				m.dirty = true
-				continue
-			}
-			if !begun {
-				r, _ := m.Extract(journal.key, m.paged())
-				r.Attempts = map[string]uint64{}
-				content.Machines[m.Name] = r
-			}
-			size += more
-			content.Machines[m.Name].Attempts[a.Task] = a.Attempt
-			pw.records(m, a)
-		}
-	}
-	if len(pw.attempts) == 0 {
-		return false
-	}
-	s.putPageLocked(pw, journal, content)
-	return true
-}
-
 // putPageLocked encodes a page and commits it.
 func (s *Share) putPageLocked(pw *pageWrite, p *page, content fleet.Page) {
 	value, err := json.Marshal(content)
@@ -465,22 +305,6 @@
 	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
 }
 
-// checkpointingLocked tells whether pages are still due since the journals last
-// filled: what they gain meanwhile goes with the next round of them.
-func (s *Share) checkpointingLocked() bool {
-	for _, p := range s.pages {
-		if p.committing && !slices.Contains(s.journals, p) {
-			return true
-		}
-	}
-	for _, m := range s.machines {
-		if m.due && !m.returning {
-			return true
-		}
-	}
-	return false
-}
-
 // markLocked returns what no other write bears.
 func (s *Share) markLocked() string {
 	s.serial++ // any number that never comes again under this token
