Pages that only gather what is recorded keep no full journals waiting

While such a page, which waits behind all else, was on its way, journals that were full were not emptied.

--- a/internal/scheduler/journals.go
+++ b/internal/scheduler/journals.go
@@ -172,7 +172,7 @@
 // filled: what they gain meanwhile goes with the next round of them.
 func (s *Share) checkpointingLocked() bool {
 	for _, p := range s.pages {
-		if p.committing && !slices.Contains(s.journals, p) {
+		if p.committing && !p.gathers && !slices.Contains(s.journals, p) {
 			return true
 		}
 	}
--- a/internal/scheduler/limits_test.go
+++ b/internal/scheduler/limits_test.go
@@ -184,3 +184,24 @@
 		t.Errorf("one write names machines in %d bytes", len(value))
 	}
 }
+
+// Full journals are emptied also while pages are written that only gather what is
+// recorded already: those wait behind all else, and placements waited for them.
+func TestGatheringDelaysNoFullJournals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newLowShare(t)
+		m := s.machines["m1"]
+		former := &page{key: "machines/old/1/1", version: 1, machines: map[string]bool{}, leftover: map[string]fleet.Record{"m1": {Session: 1}}}
+		s.pages[former.key] = former
+		m.elsewhere = []*page{former}
+		s.mu.Lock()
+		s.consolidateLocked()
+		checkpointing := s.checkpointingLocked()
+		writing := m.writing()
+		s.mu.Unlock()
+		if !writing || checkpointing {
+			t.Errorf("the page is being written: %v; journals wait for it: %v", writing, checkpointing)
+		}
+		synctest.Wait()
+	})
+}
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -24,6 +24,7 @@
 	size       int             // bytes of what it holds
 	machines   map[string]bool // whose records belong on it
 	committing bool
+	gathers    bool      // that write only gathers what is recorded already
 	written    time.Time // when a write of it last began, or it was taken over
 	// oversized: with what it still holds of machines that now belong on other
 	// pages it does not fit a value. It is written once those have been.
@@ -328,6 +329,7 @@
 	}
 	pw := s.newPageWriteLocked(priority)
 	pw.consolidates = priority == state.Background
+	p.gathers = pw.consolidates
 	if pw.consolidates {
 		s.consolidating++
 	}
