Jobs: one pause, one rule of an active job's state, one list of implied cancellations

Read again: all finals were looked through every 2 s for the few that only follow from another cancellation; they have a map of their own now. The wait of a failed read and the rule that a job with running tasks is running stood twice; two errors were used as texts only.

--- a/internal/cluster/features.go
+++ b/internal/cluster/features.go
@@ -42,11 +42,7 @@
 }
 
 // Supports tells whether the deployment has the level, which is for ever.
-func (c *Cluster) Supports(level FeatureLevel) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.features.level >= level
-}
+func (c *Cluster) Supports(level FeatureLevel) bool { return c.FeatureLevel() >= level }
 
 // FeatureLevel is the deployment's level.
 func (c *Cluster) FeatureLevel() FeatureLevel {
--- a/internal/job/answers.go
+++ b/internal/job/answers.go
@@ -36,19 +36,23 @@
 
 func (c *Catalog) activeStatusLocked(id string) wire.JobStatus {
 	p := c.progress[id]
-	s := wire.JobStatus{ID: id, State: wire.JobQueued, Done: p.Done, Running: p.Running}
+	return wire.JobStatus{ID: id, State: p.state(), Done: p.Done, Running: p.Running}
+}
+
+// state is that of an active job.
+func (p Progress) state() wire.JobState {
 	if p.Running > 0 {
-		s.State = wire.JobRunning
+		return wire.JobRunning
 	}
-	return s
+	return wire.JobQueued
 }
 
 // read asks the store for a job and caches what it says. Finals come first:
 // a job that ends between the two reads is found by reading them once more.
 func (c *Catalog) read(ctx context.Context, id string) (status wire.JobStatus, found bool, err error) {
 	for range 2 {
-		for _, read := range []func(context.Context, string) (bool, error){c.readFinal, c.readActive} {
-			if found, err = read(ctx, id); err != nil {
+		for _, key := range []string{finalPrefix + id, activePrefix + id} {
+			if found, err = c.readKey(ctx, key); err != nil {
 				return wire.JobStatus{}, false, err
 			}
 			if found {
@@ -60,16 +64,6 @@
 	return wire.JobStatus{}, false, nil
 }
 
-// readFinal asks the store how a job ended.
-func (c *Catalog) readFinal(ctx context.Context, id string) (found bool, err error) {
-	return c.readKey(ctx, finalPrefix+id)
-}
-
-// readActive asks the store for an active job.
-func (c *Catalog) readActive(ctx context.Context, id string) (found bool, err error) {
-	return c.readKey(ctx, activePrefix+id)
-}
-
 // readKey asks the store for a record and caches it.
 func (c *Catalog) readKey(ctx context.Context, key string) (found bool, err error) {
 	item, err := c.client.Get(ctx, state.Safety, key)
--- a/internal/job/catalog.go
+++ b/internal/job/catalog.go
@@ -102,8 +102,9 @@
 	listener   Listener
 	replicator Replicator
 	graph      *graph
-	unresolved map[string]bool // jobs that others need and that are neither known to be active nor over
-	toResolve  chan struct{}   // poked when there are more of those
+	implied    map[string]*Record // jobs cancelled since one before them is, which the store still has as active
+	unresolved map[string]bool    // jobs that others need and that are neither known to be active nor over
+	toResolve  chan struct{}      // poked when there are more of those
 
 	cancelled []learnt // in the order in which they were learnt
 	base      uint64   // all that are known and came after this revision are among them
@@ -114,9 +115,6 @@
 	Final
 	revision   uint64 // of the store, at which it ended
 	replicated bool   // a cancellation that users may be told of
-	// implied: the job is cancelled since one before it is; the store still has
-	// its record as that of an active job.
-	implied *Record
 }
 
 // Progress is how far a job is, for display.
@@ -141,7 +139,7 @@
 		client: opts.Client, commit: opts.Committer, maxValue: opts.MaxValue, acceptsChains: opts.AcceptsChains, log: opts.Log,
 		loaded: make(chan struct{}),
 		active: map[string]*Record{}, final: map[string]*ending{}, progress: map[string]Progress{},
-		graph: newGraph(), unresolved: map[string]bool{}, toResolve: make(chan struct{}, 1),
+		graph: newGraph(), implied: map[string]*Record{}, unresolved: map[string]bool{}, toResolve: make(chan struct{}, 1),
 	}
 }
 
@@ -229,7 +227,7 @@
 		if !fresh {
 			if err := c.load(ctx); err != nil {
 				c.log.Debug("reading jobs failed", "err", err)
-				pause(ctx)
+				pause(ctx, retryPause())
 				continue
 			}
 			fresh = true
@@ -241,7 +239,7 @@
 		events, err := c.client.Watch(ctx, prefix, after, 4*time.Second)
 		if err != nil {
 			fresh = !errors.Is(err, state.ErrCompacted)
-			pause(ctx)
+			pause(ctx, retryPause())
 			continue
 		}
 		c.take(events, 0)
@@ -249,8 +247,12 @@
 	return nil
 }
 
-func pause(ctx context.Context) {
-	t := time.NewTimer(100*time.Millisecond + rand.N(200*time.Millisecond))
+// retryPause is how long what has failed waits before it is tried again.
+func retryPause() time.Duration { return 100*time.Millisecond + rand.N(200*time.Millisecond) }
+
+// pause waits for a while, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -386,8 +388,9 @@
 func (c *Catalog) setFinalLocked(id string, f Final, revision uint64) (n news) {
 	switch o := c.final[id]; {
 	case o == nil:
-	case o.implied != nil:
-		o.implied, o.revision = nil, revision
+	case c.implied[id] != nil:
+		delete(c.implied, id)
+		o.revision = revision
 		return n
 	default:
 		return n
@@ -411,6 +414,7 @@
 	if len(c.final) >= maxFinals {
 		for old := range c.final {
 			delete(c.final, old)
+			delete(c.implied, old)
 			break
 		}
 	}
--- a/internal/job/catalog_test.go
+++ b/internal/job/catalog_test.go
@@ -131,7 +131,12 @@
 // newCatalog makes a catalog that may write so many changes a second, and in one
 // transaction, and the client that it writes with.
 func newCatalog(writesPerSecond float64, txnOps int) (*state.Client, *job.Catalog) {
-	client := state.NewClient(standin.NewState().Node("a"), state.NewBudget(50, writesPerSecond, txnOps))
+	return newCatalogOn(standin.NewState(), 50, writesPerSecond, txnOps)
+}
+
+// newCatalogOn makes a catalog on a state service that others may use too.
+func newCatalogOn(service *standin.State, requestsPerSecond, writesPerSecond float64, txnOps int) (*state.Client, *job.Catalog) {
+	client := state.NewClient(service.Node("a"), state.NewBudget(requestsPerSecond, writesPerSecond, txnOps))
 	return client, job.NewCatalog(job.Options{Client: client, Committer: state.NewCommitter(client, txnOps), MaxValue: 16 << 10,
 		AcceptsChains: func() bool { return true }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 }
--- a/internal/job/chain_test.go
+++ b/internal/job/chain_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -39,9 +37,7 @@
 // start starts a catalog that knows all jobs; stop ends its following of the
 // store, so that it hears of nothing any more.
 func (c *catalogs) start(txnOps int) (catalog *job.Catalog, stop func()) {
-	client := state.NewClient(c.service.Node("a"), state.NewBudget(1000, 1000, txnOps))
-	catalog = job.NewCatalog(job.Options{Client: client, Committer: state.NewCommitter(client, txnOps), MaxValue: 16 << 10,
-		AcceptsChains: func() bool { return true }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	_, catalog = newCatalogOn(c.service, 1000, 1000, txnOps)
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.running.Go(func() { _ = catalog.Run(ctx) })
 	if err := catalog.Wait(c.ctx); err != nil {
--- a/internal/job/chains.go
+++ b/internal/job/chains.go
@@ -93,12 +93,9 @@
 
 func (v *vertex) chainJob(p Progress) wire.ChainJob {
 	j := &v.record.Job
-	shown := wire.ChainJob{ID: j.ID, Class: j.Class, State: wire.JobQueued, Tasks: j.Tasks, Done: p.Done, Running: p.Running}
-	switch {
-	case v.over:
+	shown := wire.ChainJob{ID: j.ID, Class: j.Class, State: p.state(), Tasks: j.Tasks, Done: p.Done, Running: p.Running}
+	if v.over {
 		shown.State, shown.Done, shown.Running = wire.JobDone, j.Tasks, 0
-	case p.Running > 0:
-		shown.State = wire.JobRunning
 	}
 	shown.WaitsFor = slices.Sorted(maps.Keys(v.unfinished))
 	return shown
--- a/internal/job/dependencies.go
+++ b/internal/job/dependencies.go
@@ -56,7 +56,8 @@
 // get none, so nobody need be told before its user is.
 func (c *Catalog) implyOneLocked(cancelled string, r *Record) Final {
 	f := finalOf(&r.Job, wire.JobCancelled, time.Now())
-	c.keepFinalLocked(r.Job.ID, &ending{Final: f, revision: c.final[cancelled].revision, replicated: true, implied: r})
+	c.keepFinalLocked(r.Job.ID, &ending{Final: f, revision: c.final[cancelled].revision, replicated: true})
+	c.implied[r.Job.ID] = r
 	return f
 }
 
@@ -129,48 +130,39 @@
 	return c.Over(r.Job.ID), nil
 }
 
-// ErrNeverAccepted says that a job names one that was never accepted.
-var ErrNeverAccepted = errors.New("never accepted")
-
-// ErrNeedsService says that a job names a service, which is never done.
-var ErrNeedsService = errors.New("is a service, which is never done")
-
 // checkNeeds tells whether all jobs that a job names were accepted: that is so for
 // ever. The error is a *wire.FieldError if one of them never was.
 func (c *Catalog) checkNeeds(ctx context.Context, j *wire.Job) error {
 	for _, id := range j.Needs {
-		reason, err := c.checkNeed(ctx, j, id)
-		if err != nil {
+		if err := c.checkNeed(ctx, j, id); err != nil {
 			return err
 		}
-		if reason != nil {
-			return &wire.FieldError{Field: wire.FieldNeeds, Reason: id + " " + reason.Error()}
-		}
 	}
 	return nil
 }
 
-func (c *Catalog) checkNeed(ctx context.Context, j *wire.Job, id string) (reason, err error) {
+func (c *Catalog) checkNeed(ctx context.Context, j *wire.Job, id string) error {
+	never := &wire.FieldError{Field: wire.FieldNeeds, Reason: id + " never accepted"}
 	if id == j.ID || !wire.ValidJobID(id) {
-		return ErrNeverAccepted, nil
+		return never
 	}
 	for range 2 {
 		_, r, final := c.cached(id)
 		switch {
 		case final:
-			return nil, nil
+			return nil
 		case r != nil && r.Job.Kind == wire.KindService:
-			return ErrNeedsService, nil
+			return &wire.FieldError{Field: wire.FieldNeeds, Reason: id + " is a service, which is never done"}
 		case r != nil:
-			return nil, nil
+			return nil
 		}
 		if _, found, err := c.read(ctx, id); err != nil {
-			return nil, err
+			return err
 		} else if !found {
-			return ErrNeverAccepted, nil
+			return never
 		}
 	}
-	return nil, nil // accepted, and forgotten here since
+	return nil // accepted, and forgotten here since
 }
 
 // resolveLaterLocked has a job looked up that others need.
@@ -221,7 +213,7 @@
 	}
 	if err := g.Wait(); err != nil {
 		c.log.Debug("looking up jobs that others need failed", "err", err)
-		pause(ctx)
+		pause(ctx, retryPause())
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		for id := range c.unresolved {
@@ -242,18 +234,14 @@
 // them is, so that they need not be looked up again after a restart.
 func (c *Catalog) runImplied(ctx context.Context) error {
 	for ctx.Err() == nil {
-		t := time.NewTimer(settleImpliedEvery/2 + rand.N(settleImpliedEvery))
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		pause(ctx, settleImpliedEvery/2+rand.N(settleImpliedEvery))
 		c.mu.Lock()
 		var implied []*Record
-		for _, o := range c.final {
-			if o.implied != nil && len(implied) < maxImpliedAtOnce {
-				implied = append(implied, o.implied)
+		for _, r := range c.implied {
+			if len(implied) == maxImpliedAtOnce {
+				break
 			}
+			implied = append(implied, r)
 		}
 		c.mu.Unlock()
 		for _, r := range implied {
@@ -265,10 +253,9 @@
 
 func (c *Catalog) settleImplied(ctx context.Context, r *Record) {
 	c.mu.Lock()
-	o := c.final[r.Job.ID]
-	settled := o == nil || o.implied == nil
+	o, implied := c.final[r.Job.ID], c.implied[r.Job.ID] != nil
 	c.mu.Unlock()
-	if settled {
+	if !implied {
 		return
 	}
 	revision, err := c.commit.Commit(ctx, endWrite(r, &o.Final, state.Background))
@@ -278,7 +265,7 @@
 		c.setFinal(r.Job.ID, o.Final, revision)
 	case errors.As(err, &conflict):
 		// Another controller, or the job's user, came first.
-		if _, err := c.readFinal(ctx, r.Job.ID); err != nil {
+		if _, err := c.readKey(ctx, finalPrefix+r.Job.ID); err != nil {
 			c.log.Debug("reading a cancelled job's end failed", "job", r.Job.ID, "err", err)
 		}
 	default:
