TestCancelMeetsTheEnd: the test's own load no longer feeds on repeated reports

Cause: the test's stand-in submits nine jobs more for each report of a done task.

Ruled out: a write that is lost or never tried again (its goroutine waits in the Committer's queue, and each try ends with a new epoch); the place in the queue lost at each epoch (a trial that keeps it changed nothing: all that wait lose theirs together).

Seen and not mended: submissions that other controllers accept take writes that the ends of jobs wait for at the one that owns them.

--- a/cmd/heronwick/meetings_test.go
+++ b/cmd/heronwick/meetings_test.go
@@ -106,18 +106,29 @@
 			return 5 * time.Second
 		}
 		var mu sync.Mutex
-		ended := map[string]int{} // tasks by job, as reports have told
+		ended := map[string]int{}     // tasks by job, as reports have told
+		reported := map[string]bool{} // tasks that are done
 		others := 1000
 		tc.fleet.Report = func(node string, r *wire.Report) (int, *wire.ReportReply, string) {
-			if slices.ContainsFunc(r.Tasks, func(task wire.TaskReport) bool { return task.Why == wire.WhyDone && task.Task < "wk-001000" }) {
-				// As many writes under way as may be, so that what comes now waits.
-				mu.Lock()
+			mu.Lock()
+			news := slices.ContainsFunc(r.Tasks, func(task wire.TaskReport) bool {
+				return task.Why == wire.WhyDone && task.Task < "wk-001000" && !reported[task.Task]
+			})
+			for _, task := range r.Tasks {
+				reported[task.Task] = reported[task.Task] || task.Why == wire.WhyDone
+			}
+			if news {
+				// As many writes under way as may be, so that what comes now waits. Only
+				// for what is new: a worker repeats a report until the job's end is
+				// written, and more submissions for each would keep that from happening.
 				for i := range 9 {
 					others++
 					body := submission(others, func(j map[string]any) { j["feathers"] = 1 })
 					go tc.call(i%3, "POST", "/submissions", body)
 				}
-				mu.Unlock()
+			}
+			mu.Unlock()
+			if news {
 				time.Sleep(time.Millisecond)
 			}
 			status, reply, redirect := tc.report(node, r)
