--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,98 +149,124 @@
 	})
 }
 
-// A pass over 2,000 full machines with 200 waiting jobs.
-func BenchmarkPass(b *testing.B) {
-	s, p := newLargeShare(2000)
+// fleetSizes are the sizes of fleet at which work is measured: what follows what
+// changed must not grow with them.
+var fleetSizes = []int{1000, 2000, 4000}
+
+// atEachSize measures the same work with fleets of several sizes.
+func atEachSize(b *testing.B, measure func(b *testing.B, machines int)) {
+	for _, machines := range fleetSizes {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			b.ReportAllocs()
+			measure(b, machines)
+		})
+	}
+}
+
+// newFullShare makes a share of so many machines on which tasks run, with 200 jobs
+// that wait for room.
+func newFullShare(machines int, prepare func(i int, j *wire.Job)) *Share {
+	s, p := newLargeShare(machines)
 	fill(s, rand.New(rand.NewPCG(1, 1)))
 	for i := range 200 {
-		r := p.add(fmt.Sprintf("wk-%d", i), "ours", wire.PriorityNormal, 300, float64(2+2*(i%4)))
-		r.Job.Image = fmt.Sprint("i", i%8)
+		r := p.add(fmt.Sprintf("wk-%d", i), "ours", wire.PriorityNormal, 1_000_000, 2)
+		prepare(i, &r.Job)
 		s.addJobLocked(r)
 	}
 	s.scheduleLocked(time.Now()) // fills what is left
-	b.ReportAllocs()
-	for b.Loop() {
-		s.scheduleLocked(time.Now())
-	}
+	return s
+}
+
+// A pass over full machines with 200 waiting jobs.
+func BenchmarkPass(b *testing.B) {
+	atEachSize(b, func(b *testing.B, machines int) {
+		s := newFullShare(machines, func(i int, j *wire.Job) {
+			j.CPUs, j.Image = float64(2+2*(i%4)), fmt.Sprint("i", i%8)
+		})
+		for b.Loop() {
+			s.scheduleLocked(time.Now())
+		}
+	})
 }
 
-// A pass over 2,000 full machines with 200 waiting jobs after one task has ended:
-// it places one.
+// A pass over full machines with 200 waiting jobs after one task has ended: it
+// places one.
 func BenchmarkPassWithNews(b *testing.B) {
-	s, p := newLargeShare(2000)
-	fill(s, rand.New(rand.NewPCG(1, 1)))
-	for i := range 200 {
-		s.addJobLocked(p.add(fmt.Sprintf("wk-%d", i), "ours", wire.PriorityNormal, 1_000_000, 2))
-	}
-	s.scheduleLocked(time.Now()) // fills what is left
-	machines := make([]*machine, 0, len(s.machines))
-	for _, m := range s.machines {
-		machines = append(machines, m)
-	}
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		m := machines[i%len(machines)]
-		for _, a := range m.Attempts.All() {
-			m.Attempts.Delete(a.Key)
-			s.uncountLocked(a)
-			break
+	atEachSize(b, func(b *testing.B, machines int) {
+		s := newFullShare(machines, func(int, *wire.Job) {})
+		all := slices.Collect(maps.Values(s.machines))
+		for i := 0; b.Loop(); i++ {
+			m := all[i%len(all)]
+			for _, a := range m.Attempts.All() {
+				m.Attempts.Delete(a.Key)
+				s.uncountLocked(a)
+				break
+			}
+			s.scheduleLocked(time.Now())
 		}
-		s.scheduleLocked(time.Now())
-	}
+	})
 }
 
-// What a second costs in which nothing happens, with 500 machines that hold
-// tasks: five ticks, and the passes after them.
+// What a second costs in which nothing happens, with machines that hold tasks: five
+// ticks, and the passes after them.
 func BenchmarkIdleSecond(b *testing.B) {
-	s, _ := newLargeShare(500)
-	fill(s, rand.New(rand.NewPCG(1, 1)))
-	now := time.Now()
-	b.ReportAllocs()
-	for b.Loop() {
-		for range time.Second / tickEvery {
-			now = now.Add(tickEvery)
-			for _, m := range s.machines {
-				m.LastReport, m.lastOwnReport = now, now
+	atEachSize(b, func(b *testing.B, machines int) {
+		s, _ := newLargeShare(machines)
+		fill(s, rand.New(rand.NewPCG(1, 1)))
+		now := time.Now()
+		for b.Loop() {
+			for range time.Second / tickEvery {
+				now = now.Add(tickEvery)
+				for _, m := range s.machines {
+					m.LastReport, m.lastOwnReport = now, now
+				}
+				s.tick(now)
+				s.schedule()
 			}
-			s.tick(now)
-			s.schedule()
 		}
-	}
+	})
 }
 
 // A report of a machine with eight running tasks, and its answer.
 func BenchmarkReport(b *testing.B) {
-	s, _ := newLargeShare(2000)
-	r := &wire.Report{Machine: "host-000000", Address: "a", Type: "m", Zone: "a", Session: 1, Token: 5}
-	for i := range 8 {
-		r.Tasks = append(r.Tasks, wire.TaskReport{Task: fmt.Sprintf("wk-000001/%d", i), Attempt: 1, State: wire.TaskRunning})
-	}
-	b.ReportAllocs()
-	for i := uint64(2); b.Loop(); i++ {
-		r.Seq = i
-		s.Checkin(r)
-	}
+	atEachSize(b, func(b *testing.B, machines int) {
+		s, _ := newLargeShare(machines)
+		r := &wire.Report{Machine: "host-000000", Address: "a", Type: "m", Zone: "a", Session: 1, Token: 5}
+		for i := range 8 {
+			r.Tasks = append(r.Tasks, wire.TaskReport{Task: fmt.Sprintf("wk-000001/%d", i), Attempt: 1, State: wire.TaskRunning})
+		}
+		for i := uint64(2); b.Loop(); i++ {
+			r.Seq = i
+			s.Checkin(r)
+		}
+	})
 }
 
-// Taking over 2,000 machines with four tasks each.
-func BenchmarkEpochChange(b *testing.B) {
-	random := rand.New(rand.NewPCG(1, 1))
-	full, _ := newLargeShare(2000)
-	fill(full, random)
-	var r records
-	for _, m := range full.machines {
-		if len(r.pages) == 0 || len(r.pages[len(r.pages)-1].Machines) == 30 {
-			r.pages = append(r.pages, recordPage{Page: fleet.Page{Machines: map[string]fleet.Record{}}, key: fleet.PageKey("old", 1, uint64(len(r.pages)+1)), version: 1})
+// Taking over machines with about two tasks each.
+func BenchmarkTakeover(b *testing.B) {
+	atEachSize(b, func(b *testing.B, machines int) {
+		full, _ := newLargeShare(machines)
+		fill(full, rand.New(rand.NewPCG(1, 1)))
+		left := recordsOf(full)
+		for b.Loop() {
+			s, p := newLargeShare(0)
+			s.mu.Lock() // workers are asked meanwhile
+			s.addJobLocked(p.add("wk-0", "ours", wire.PriorityNormal, 4*machines, 2))
+			s.placeRecordsLocked(left, nil, map[string]bool{"wk-0": true}, time.Now())
+			s.mu.Unlock()
 		}
-		r.pages[len(r.pages)-1].Machines[m.Name] = m.Record(func(*fleet.Attempt) bool { return false })
-	}
-	b.ReportAllocs()
-	for b.Loop() {
-		s, p := newLargeShare(0)
-		s.mu.Lock() // workers are asked meanwhile
-		s.addJobLocked(p.add("wk-0", "ours", wire.PriorityNormal, 9000, 2))
-		s.placeRecordsLocked(r, nil, map[string]bool{"wk-0": true}, time.Now())
-		s.mu.Unlock()
+	})
+}
+
+// recordsOf is what a share that has ended left of its machines.
+func recordsOf(s *Share) (left records) {
+	const machinesPerPage = 30
+	for _, m := range s.machines {
+		if last := len(left.pages) - 1; last < 0 || len(left.pages[last].Machines) == machinesPerPage {
+			key := fleet.PageKey("old", 1, uint64(len(left.pages)+1))
+			left.pages = append(left.pages, recordPage{Page: fleet.Page{Machines: map[string]fleet.Record{}}, key: key, version: 1})
+		}
+		left.pages[len(left.pages)-1].Machines[m.Name] = m.Record(func(*fleet.Attempt) bool { return false })
 	}
+	return left
 }
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -238,15 +238,14 @@
 // empty tells whether the page holds nothing any more.
 func (p *page) empty() bool { return len(p.machines)+len(p.leftover) == 0 }
 
-// pageWrite is one write of the journal, or of a page and those that it was
-// split into.
+// pageWrite is one write of a journal or a page.
 type pageWrite struct {
 	write state.Write
 	// consolidates: it only gathers what is recorded already.
 	consolidates bool
 	journal      bool
-	pages        []*page
-	sizes        []int
+	page         *page                         // nil: it removes one
+	size         int                           // bytes that the page then holds
 	jobs         map[string]bool               // whose being active it is conditional on
 	attempts     map[*machine][]*fleet.Attempt // that it records for the first time
 	moved        []*fleet.Attempt              // that only the journal held
@@ -284,10 +283,10 @@
 	pw.attempts[m] = append(pw.attempts[m], a)
 }
 
-// put adds a page to the write.
+// put makes the write one of a page.
 func (pw *pageWrite) put(p *page, value json.RawMessage) {
 	p.committing, p.untidy, p.written = true, false, time.Now()
-	pw.pages, pw.sizes = append(pw.pages, p), append(pw.sizes, len(value))
+	pw.page, pw.size = p, len(value)
 	pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
 	pw.write.Then = append(pw.write.Then, wire.Change{Put: p.key, Value: value})
 }
@@ -485,69 +484,80 @@
 
 func (s *Share) commit(ctx context.Context, pw *pageWrite) {
 	version, err := s.opts.Committer.Commit(ctx, pw.write)
-	var conflict *state.Conflict
-	reread := map[*page]uint64{}
-	if err != nil && ctx.Err() == nil {
-		errors.As(err, &conflict)
-		for _, p := range pw.pages {
-			if v, ok := s.reread(ctx, state.Placement, p.key, err); ok {
-				reread[p] = v
-			}
-		}
+	known := err == nil
+	if err != nil && pw.page != nil {
+		version, known = s.reread(ctx, state.Placement, pw.page.key, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if pw.consolidates {
 		s.consolidating--
 	}
-	for i, p := range pw.pages {
-		p.committing = false
-		if err == nil {
-			p.version, p.size = version, pw.sizes[i]
-			for _, m := range pw.recorded {
-				if m.page == p {
-					m.dropLeftovers()
-				}
-			}
-		} else if v, ok := reread[p]; ok {
-			p.version = v
+	if pw.page != nil {
+		pw.page.committing = false
+		if known {
+			pw.page.version = version
 		}
-		p.untidy = p.untidy || err != nil
 	}
-	for m, attempts := range pw.attempts {
-		if err != nil {
-			m.dirty = true
-			continue
+	if err != nil {
+		s.notRecordedLocked(pw, err)
+		if ctx.Err() == nil {
+			time.AfterFunc(commitAgainAfter, s.poke)
+		}
+		return
+	}
+	s.recordedLocked(pw)
+	s.poke() // for what has gathered meanwhile
+}
+
+// commitAgainAfter is how long what could not be recorded waits.
+const commitAgainAfter = 100 * time.Millisecond
+
+// recordedLocked draws the consequences of a write of records that was made.
+func (s *Share) recordedLocked(pw *pageWrite) {
+	if pw.page != nil {
+		pw.page.size = pw.size
+	}
+	for _, m := range pw.recorded {
+		if m.page == pw.page {
+			m.dropLeftovers()
 		}
+	}
+	for m, attempts := range pw.attempts {
 		for _, a := range attempts {
 			a.Durable, a.Paged = true, a.Paged || !pw.journal
 			a.Journal = ""
 			if !a.Paged {
-				a.Journal = pw.pages[0].key
+				a.Journal = pw.page.key
 			}
 		}
 		if s.machines[m.Name] == m {
 			s.sendLocked(m)
 		}
 	}
-	if err == nil {
-		for _, a := range pw.moved {
-			a.Journal, a.Paged = "", true
-		}
-		s.poke() // for what has gathered meanwhile
-		return
+	for _, a := range pw.moved {
+		a.Journal, a.Paged = "", true
 	}
+}
+
+// notRecordedLocked draws the consequences of a write of records that failed.
+func (s *Share) notRecordedLocked(pw *pageWrite, err error) {
 	s.log.Debug("recording placements failed", "err", err)
+	if pw.page != nil {
+		pw.page.untidy = true
+	}
+	for m := range pw.attempts {
+		m.dirty = true
+	}
 	s.noteRejectedLocked(err)
-	if conflict != nil {
-		for _, failed := range conflict.Failed {
-			if id, ok := job.IsActive(failed); ok {
-				s.dropUnsentLocked(pw, id)
-			}
-		}
+	var conflict *state.Conflict
+	if !errors.As(err, &conflict) {
+		return
 	}
-	if ctx.Err() == nil {
-		time.AfterFunc(100*time.Millisecond, s.poke)
+	for _, failed := range conflict.Failed {
+		if id, ok := job.IsActive(failed); ok {
+			s.dropUnsentLocked(pw, id)
+		}
 	}
 }
 
