--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -207,6 +207,31 @@
 	})
 }
 
+// Recording one placement in a journal, on machines full of tasks that run, whose
+// records are on pages.
+func BenchmarkRecordPlacement(b *testing.B) {
+	atEachSize(b, func(b *testing.B, machines int) {
+		s, p := newLargeShare(machines)
+		fill(s, rand.New(rand.NewPCG(1, 1)))
+		js := s.addJobLocked(p.add("wk-1", "ours", wire.PriorityNormal, 1_000_000, 0))
+		all := slices.Collect(maps.Values(s.machines))
+		for i := 0; b.Loop(); i++ {
+			m := all[i%len(all)]
+			s.mu.Lock()
+			a := s.placeLocked(js, i, m, time.Now())
+			s.journaled = time.Time{}
+			s.commitLocked()
+			s.mu.Unlock()
+			_ = s.group.Wait()
+			s.mu.Lock()
+			m.Attempts.Delete(a.Key)
+			s.uncountLocked(a)
+			s.mu.Unlock()
+			p.writes = p.writes[:0]
+		}
+	})
+}
+
 // What a second costs in which nothing happens, with machines that hold tasks: five
 // ticks, and the passes after them.
 func BenchmarkIdleSecond(b *testing.B) {
