Two limits fixed below 4,000 machines: lent tasks asked about in one message, numbers of attempts

Found by going through the constants for a large fleet.

A share asked a host about all tasks lent to it in one message. gRPC takes 4 MiB: some 40,000 tasks, as after a full restart of 4,000 machines with ten tasks each, would exceed it every time, and none of them would ever be known to have ended. Now 8,192 at a time.

Attempts are numbered from token<<20 on. Beyond a million starts under one token (an hour of 300 a second without any change of the epoch) numbers ran into those of the next token and a new owner would have given them again. The share now asks for another token with a quarter left, and places nothing with an eighth left until it has it.

Tests seen failing without: TestManyLentTasksAreSettledInParts (8.7 MB), TestAttemptNumbersStayWithinTheirToken.

--- a/internal/scheduler/lend.go
+++ b/internal/scheduler/lend.go
@@ -38,6 +38,9 @@
 const (
 	lendTimeout = time.Second
 	settleEvery = 400 * time.Millisecond
+	// maxSettled bounds the attempts of one request: all of a large fleet in one
+	// would exceed what gRPC takes as a message, and hold the host's lock for long.
+	maxSettled = 8192
 	// maxAsked bounds the tasks of one request.
 	maxAsked = 48
 	// maxAskedPerJob bounds those of one job in it.
@@ -72,7 +75,7 @@
 // lendLocked asks the other shares for room for what waits: the leader first,
 // which has the idle machines.
 func (s *Share) lendLocked(now time.Time) {
-	if !s.loaded || !s.permitted() || len(s.div.Members) < 2 {
+	if !s.loaded || !s.permitted() || len(s.div.Members) < 2 || !s.numbersLeftLocked(now) {
 		return
 	}
 	var waiting []*jobState
@@ -424,15 +427,18 @@
 		s.mu.Lock()
 		requests := s.settleRequestsLocked()
 		s.mu.Unlock()
-		for node, req := range requests {
-			s.settle(ctx, node, req)
+		for node, parts := range requests {
+			for _, req := range parts {
+				s.settle(ctx, node, req)
+			}
 		}
 	}
 }
 
-// settleRequestsLocked asks each host about the attempts that it may have.
-func (s *Share) settleRequestsLocked() map[string]*peerpb.SettleRequest {
-	requests := map[string]*peerpb.SettleRequest{}
+// settleRequestsLocked asks each host about the attempts that it may have, in as
+// many requests as it takes.
+func (s *Share) settleRequestsLocked() map[string][]*peerpb.SettleRequest {
+	requests := map[string][]*peerpb.SettleRequest{}
 	for key, f := range s.foreign {
 		if f.asked {
 			continue
@@ -449,11 +455,12 @@
 			}
 			continue
 		}
-		req := requests[f.host]
-		if req == nil {
-			req = &peerpb.SettleRequest{Node: s.opts.Node, Token: s.div.Token, Since: f.since}
-			requests[f.host] = req
+		parts := requests[f.host]
+		if len(parts) == 0 || len(parts[len(parts)-1].Attempts)+len(parts[len(parts)-1].Handled) >= maxSettled {
+			parts = append(parts, &peerpb.SettleRequest{Node: s.opts.Node, Token: s.div.Token, Since: f.since})
+			requests[f.host] = parts
 		}
+		req := parts[len(parts)-1]
 		at := &peerpb.Attempt{Task: key.Task, Attempt: key.Attempt}
 		switch {
 		case !f.Exited():
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -132,7 +132,7 @@
 			queue = append(queue, js)
 		}
 	}
-	if len(queue) == 0 {
+	if len(queue) == 0 || !s.numbersLeftLocked(now) {
 		return
 	}
 	// Guests take their turn: what they want is kept free until they ask again.
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,15 +39,19 @@
 	loads     map[string]cluster.Load
 	since     map[string]uint64 // machines that the peer owns, and its membership
 	items     []wire.Item       // records
+	raised    atomic.Int64      // how often another token was asked for
 }
 
 func (p *scripted) Division() (cluster.Epoch, wire.Condition) {
 	return p.epoch, wire.Condition{Key: "epoch", Version: p.epoch.Token}
 }
-func (p *scripted) Token() uint64                                      { return p.epoch.Token }
-func (p *scripted) Permit() (uint64, bool)                             { return p.epoch.Token, true }
-func (p *scripted) Fenced(uint64) (time.Time, bool)                    { return p.fenced, !p.fenced.IsZero() }
-func (p *scripted) Raise(context.Context) error                        { return nil }
+func (p *scripted) Token() uint64                   { return p.epoch.Token }
+func (p *scripted) Permit() (uint64, bool)          { return p.epoch.Token, true }
+func (p *scripted) Fenced(uint64) (time.Time, bool) { return p.fenced, !p.fenced.IsZero() }
+func (p *scripted) Raise(context.Context) error {
+	p.raised.Add(1)
+	return nil
+}
 func (p *scripted) Owners() (map[string]cluster.Owner, []string, bool) { return nil, nil, true }
 func (p *scripted) Home(string) (string, bool)                         { return "me", true }
 func (p *scripted) HostOf(epoch *cluster.Epoch, machine string) string {
@@ -272,8 +277,8 @@
 			t.Errorf("%d hosts asked about a request under way", n)
 		}
 		s.foreign[a.Key].asked = false
-		if req := s.settleRequestsLocked()["peer"]; req == nil || req.Since != 4 {
-			t.Errorf("asked %v, want the membership of peer", req)
+		if parts := s.settleRequestsLocked()["peer"]; len(parts) != 1 || parts[0].Since != 4 {
+			t.Errorf("asked %v, want the membership of peer", parts)
 		}
 	})
 }
--- /dev/null
+++ b/internal/scheduler/size_test.go
@@ -0,0 +1,89 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/fleet"
+	"heronwick/wire"
+)
+
+// Where one share has most machines of a large fleet, tens of thousands of tasks
+// are lent to it. They are asked about in messages of a size that gRPC takes: one
+// that is larger fails each time, and no lent task would ever end.
+func TestManyLentTasksAreSettledInParts(t *testing.T) {
+	const largestMessage = 4 << 20 // what gRPC takes by default
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newTestShare(t)
+		const tasks = 100_000
+		js := s.addJobLocked(p.add("wk-with-a-name-of-usual-length", "ours", wire.PriorityNormal, tasks, 2))
+		for range tasks {
+			index, _ := js.nextTask()
+			js.took()
+			s.lendTrackLocked(s.newAttempt(js, index), "peer", "")
+		}
+		asked := map[fleet.Key]bool{}
+		for _, req := range s.settleRequestsLocked()["peer"] {
+			reply := &peerpb.SettleReply{Ready: true}
+			for _, at := range req.Attempts {
+				asked[fleet.Key{Task: at.Task, Attempt: at.Attempt}] = true
+				reply.Hosted = append(reply.Hosted, &peerpb.Hosted{Attempt: at, Known: true, Zone: "a-zone-with-a-long-name",
+					State: string(wire.TaskExited), Why: string(wire.WhyDone)})
+			}
+			if size := max(proto.Size(req), proto.Size(reply)); size > largestMessage/2 {
+				t.Errorf("a message of %d bytes", size)
+			}
+		}
+		if len(asked) != tasks {
+			t.Errorf("asked about %d of %d", len(asked), tasks)
+		}
+	})
+}
+
+// A share that has used up the numbers of its token places nothing until it has
+// another one: a number beyond them would be given again under the next token.
+func TestAttemptNumbersStayWithinTheirToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestShare(t)
+		end := (s.div.Token + 1) << attemptBits
+		place := func(id string) bool {
+			s.mu.Lock()
+			js := s.addJobLocked(p.add(id, "ours", wire.PriorityNormal, 1, 1))
+			s.scheduleLocked(time.Now())
+			s.mu.Unlock()
+			synctest.Wait()
+			return len(js.live) > 0
+		}
+		s.number = end - fewNumbersLeft - 10
+		if !place("wk-1") || p.raised.Load() != 0 {
+			t.Errorf("with many numbers left: raised %d times", p.raised.Load())
+		}
+		s.number = end - fewNumbersLeft
+		if !place("wk-2") || p.raised.Load() != 1 {
+			t.Errorf("with few numbers left: raised %d times", p.raised.Load())
+		}
+		s.number = end - noNumbersLeft
+		s.raised = time.Time{} // the time between two tries has passed
+		if place("wk-3") || p.raised.Load() != 2 {
+			t.Errorf("without numbers: placed, or raised only %d times", p.raised.Load())
+		}
+		p.epoch.Token++
+		epoch, condition := p.Division()
+		s.mu.Lock()
+		s.takeDivisionLocked(epoch, condition)
+		s.scheduleLocked(time.Now())
+		s.mu.Unlock()
+		if m.Live() != 3 {
+			t.Errorf("%d of 3 tasks are placed under the next token", m.Live())
+		}
+		for _, a := range m.Attempts.All() {
+			if a.Attempt >= (s.div.Token+1)<<attemptBits {
+				t.Errorf("attempt %d is not of token %d", a.Attempt, s.div.Token)
+			}
+		}
+	})
+}
