--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,6 +10,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"runtime/pprof"
 	"slices"
 	"strings"
 	"sync"
@@ -229,7 +231,26 @@
 	c.latency = n.latency
 	n.stop = stop
 	n.current.Store(c)
-	go func() { _ = c.run(ctx) }()
+	go pprof.Do(ctx, pprof.Labels(nodeLabel, n.name), func(ctx context.Context) { _ = c.run(ctx) })
+}
+
+// nodeLabel marks the goroutines of a node's controller.
+const nodeLabel = "node"
+
+// goroutines counts those of the node's controller.
+func (n *node) goroutines() (count int) {
+	var profile bytes.Buffer
+	if err := pprof.Lookup("goroutine").WriteTo(&profile, 1); err != nil {
+		panic(err) // a buffer takes everything
+	}
+	alike := 0 // goroutines of the stack that is being read
+	for line := range strings.Lines(profile.String()) {
+		_, _ = fmt.Sscanf(line, "%d @", &alike)
+		if strings.HasPrefix(line, "# labels:") && strings.Contains(line, fmt.Sprintf("%q:%q", nodeLabel, n.name)) {
+			count += alike
+		}
+	}
+	return count
 }
 
 func (tc *testCluster) crash(i int) {
--- a/cmd/heronwick/large_test.go
+++ b/cmd/heronwick/large_test.go
@@ -10,21 +10,22 @@
 	"heronwick/wire"
 )
 
-// A fleet of two thousand takes bursts of large arrays while a controller ends
-// and is back at once, all end twice, two stay away so that one carries all, a
-// hundred machines die and two hundred are cut off for twice a lease and come
-// back with what they had, and old messages and transactions come again: within
-// the state service's limits, no lease is lost to slowness, no rule is broken,
-// and every job is known to everybody and ends.
+// A fleet of four thousand is quiet at first. Then it takes bursts of large arrays
+// while a controller ends and is back at once, all end twice, two stay away so that
+// one carries all, a hundred machines die and two hundred are cut off for twice a
+// lease and come back with what they had, the leader ends during an outage of the
+// state service, and old messages and transactions come again: within the state
+// service's limits, no lease is lost to slowness, no rule is broken, and every job
+// is known to everybody and ends. What a controller needs for it is counted.
 func TestLargeFleet(t *testing.T) {
-	const machines, lease = 2000, 26500 * time.Millisecond
+	const machines, lease = 4000, 26500 * time.Millisecond
 	withCluster(t, machines, func(tc *testCluster) {
 		tc.settings = func(s *config.Settings) {
-			s.Teams = []config.Team{{Name: "red", CPUsMax: 16}, {Name: "blue", CPUs: 12000}}
+			s.Teams = []config.Team{{Name: "red", CPUsMax: 16}, {Name: "blue", CPUs: 24000}}
 			s.ReportEvery, s.LeaseFor, s.CancelIn = 5*time.Second, lease, 46500*time.Millisecond
-			s.StateRPS, s.StateWriteRPS = 350, 150
+			s.StateRPS, s.StateWriteRPS = 700, 300
 		}
-		tc.state.RPS, tc.state.WriteRPS, tc.state.ValueBytes, tc.state.Ops = 350, 150, 16<<10, 16
+		tc.state.RPS, tc.state.WriteRPS, tc.state.ValueBytes, tc.state.Ops = 700, 300, 16<<10, 16
 		tc.fleet.ReportEvery, tc.fleet.Lease = 5*time.Second, lease
 		tc.fleet.Types = []wire.MachineType{{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 30, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"z"}}}
 		tc.fleet.RunFor = func(job string) time.Duration {
@@ -47,7 +48,12 @@
 				}
 			}
 		}
-		for services < 200 {
+		quiet := tc.state.Writes
+		time.Sleep(20 * time.Second)
+		if writes := tc.state.Writes - quiet; writes > 100 {
+			t.Errorf("%d writes in 20 s in which nothing happens", writes)
+		}
+		for services < 400 {
 			tc.call(services%3, "POST", "/submissions", submission(1000+services, func(j map[string]any) {
 				j["gait"], j["rank"], j["feathers"], j["ram_gb"], j["plumage"] = "daemon", "prod", 6, 6.0, fmt.Sprintf("img-%d", services%8)
 			}))
@@ -69,12 +75,17 @@
 			}
 		}
 		lapsed := 0
+		restarted := 0
+		var usage largeUsage
 		for second := range 150 {
 			switch second % 10 {
 			case 0:
-				submit(300)
+				submit(600)
 			default:
-				submit(50)
+				submit(100)
+			}
+			if second%10 == 5 {
+				usage.sample(tc)
 			}
 			switch second {
 			case 15:
@@ -104,6 +115,15 @@
 				cut(0, 100, true)
 			case 90:
 				cut(100, 280, true)
+			case 100:
+				tc.state.SetOutage(true)
+			case 103:
+				restarted = tc.leader()
+				crash(restarted)
+			case 106:
+				start(restarted)
+			case 115:
+				tc.state.SetOutage(false)
 			case 143: // twice a lease later
 				cut(100, 280, false)
 			}
@@ -125,8 +145,39 @@
 		if jobs < 120 {
 			t.Errorf("only %d jobs were accepted", jobs)
 		}
+		usage.check(t, machines)
 		if tc.state.Refused > tc.state.Requests/100 || tc.state.TooLarge > 0 {
 			t.Errorf("of %d requests %d were over the state service's limits, and %d too large", tc.state.Requests, tc.state.Refused, tc.state.TooLarge)
 		}
 	})
 }
+
+// largeUsage is the most that was seen of what grows with a fleet.
+type largeUsage struct {
+	goroutines int // of one controller
+	values     int // in the state service
+	bytes      int // of the largest of them
+}
+
+func (u *largeUsage) sample(tc *testCluster) {
+	for _, n := range tc.nodes {
+		u.goroutines = max(u.goroutines, n.goroutines())
+	}
+	_, largest := tc.state.Largest()
+	u.values, u.bytes = max(u.values, tc.state.Count()), max(u.bytes, largest)
+}
+
+// check compares it with what a fleet of the size may need. Requests are served by
+// goroutines of the stand-ins, so those are not among a controller's here.
+func (u *largeUsage) check(t *testing.T, machines int) {
+	t.Logf("at most %d goroutines of a controller, %d values, the largest of %d bytes", u.goroutines, u.values, u.bytes)
+	if u.goroutines > machines/2 {
+		t.Errorf("%d goroutines of one controller for %d machines", u.goroutines, machines)
+	}
+	if u.values > machines {
+		t.Errorf("%d values for %d machines", u.values, machines)
+	}
+	if u.bytes > 16<<10 {
+		t.Errorf("a value of %d bytes", u.bytes)
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -71,6 +71,13 @@
 	return key, size
 }
 
+// Count returns how many values there are.
+func (s *State) Count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.items)
+}
+
 // overLocked tells whether a request with so many changes is over the limits.
 func (s *State) overLocked(writes int) bool {
 	if s.RPS == 0 {
