--- a/internal/state/route.go
+++ b/internal/state/route.go
@@ -11,6 +11,10 @@
 	"github.com/valyala/fasthttp"
 )
 
+// maxConnections is how many requests are under way at once: a few watches and
+// transactions, and what users and a takeover read.
+const maxConnections = 32
+
 // HTTP sends requests straight to the state service.
 type HTTP struct {
 	client *fasthttp.HostClient
@@ -20,7 +24,7 @@
 func NewHTTP(addr string) *HTTP {
 	return &HTTP{client: &fasthttp.HostClient{
 		Addr:                          addr,
-		MaxConns:                      32,
+		MaxConns:                      maxConnections,
 		MaxIdleConnDuration:           time.Minute,
 		MaxIdemponentCallAttempts:     1, // a silent second try would hide that the first may have been carried out
 		NoDefaultUserAgentHeader:      true,
@@ -51,6 +55,9 @@
 		deadline = time.Now().Add(RequestTimeout)
 	}
 	if err := h.client.DoDeadline(req, resp, deadline); err != nil {
+		if errors.Is(err, fasthttp.ErrNoFreeConns) {
+			err = fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
 		return 0, nil, fmt.Errorf("%s %s: %w", method, target, err)
 	}
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
