--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -473,7 +473,7 @@
 		m.page, on = on[0], on[1:]
 		m.page.machines[m.Name] = true
 	}
-	m.elsewhere = on
+	s.scatterLocked(m, on...)
 	over := map[string]job.Final{}
 	for _, a := range m.Attempts.All() {
 		if f, ok := ended[a.Job]; ok {
--- a/internal/scheduler/journals.go
+++ b/internal/scheduler/journals.go
@@ -56,29 +56,28 @@
 // emptiest. When all are half full, the pages of the fullest one's machines are
 // due.
 func (s *Share) nextJournalLocked(limit int) *page {
-	held := s.heldLocked()
-	if s.journal != nil && !s.journal.committing && held[s.journal.key] < limit*3/4 {
+	if s.journal != nil && !s.journal.committing && s.heldLocked(s.journal) < limit*3/4 {
 		return s.journal
 	}
 	var least, most *page
+	held := map[*page]int{}
 	for _, j := range s.journals {
-		if !j.committing && (least == nil || held[j.key] < held[least.key]) {
+		held[j] = s.heldLocked(j)
+		if !j.committing && (least == nil || held[j] < held[least]) {
 			least = j
 		}
-		if most == nil || held[j.key] > held[most.key] {
+		if most == nil || held[j] > held[most] {
 			most = j
 		}
 	}
-	if least == nil || held[least.key] > limit/2 {
+	if least == nil || held[least] > limit/2 {
 		if len(s.journals) < s.maxJournals() {
-			least = &page{key: fleet.JournalKey(s.opts.Node, s.div.Members[s.opts.Node].Since, len(s.journals))}
+			least = &page{key: fleet.JournalKey(s.opts.Node, s.div.Members[s.opts.Node].Since, len(s.journals)), journaled: map[*machine]bool{}}
 			s.journals = append(s.journals, least)
 			s.pages[least.key] = least
 		} else if most != nil && !s.checkpointingLocked() {
-			for _, m := range s.machines {
-				if _, ok := m.Extract(most.key, true); ok {
-					m.due = true
-				}
+			for m := range s.extractsLocked(most) {
+				m.due = true
 			}
 			s.poke()
 		}
@@ -87,25 +86,42 @@
 	return least
 }
 
-// heldLocked is about how many bytes each journal must hold.
-func (s *Share) heldLocked() map[string]int {
-	held := map[string]int{}
-	for _, m := range s.machines {
-		seen := ""
+// heldLocked is about how many bytes a journal must hold.
+func (s *Share) heldLocked(journal *page) (held int) {
+	for m := range journal.journaled {
+		if s.machines[m.Name] != m {
+			continue
+		}
+		begun := false
 		for _, a := range m.Attempts.All() {
-			if a.Journal == "" || a.Exited() {
+			if a.Journal != journal.key || a.Exited() {
 				continue
 			}
-			held[a.Journal] += fleet.AttemptBytes(a.Task, a.Attempt)
-			if a.Journal != seen {
-				seen = a.Journal
-				held[a.Journal] += m.extractSize()
+			held += fleet.AttemptBytes(a.Task, a.Attempt)
+			if !begun {
+				begun = true
+				held += m.extractSize()
 			}
 		}
 	}
 	return held
 }
 
+// extractsLocked returns what the journal alone holds of the share's machines, and
+// forgets those of which it holds nothing any more.
+func (s *Share) extractsLocked(journal *page) map[*machine]fleet.Record {
+	extracts := make(map[*machine]fleet.Record, len(journal.journaled))
+	for m := range journal.journaled {
+		r, ok := m.Extract(journal.key, m.paged())
+		if !ok || s.machines[m.Name] != m {
+			delete(journal.journaled, m)
+			continue
+		}
+		extracts[m] = r
+	}
+	return extracts
+}
+
 // extractSize is what the machine's record takes of a journal besides its
 // attempts.
 func (m *machine) extractSize() int {
@@ -129,11 +145,9 @@
 	pw.journal = true
 	content := fleet.Page{Machines: map[string]fleet.Record{}, Write: s.markLocked()}
 	size := 0
-	for _, m := range s.machines {
-		if r, ok := m.Extract(journal.key, m.paged()); ok {
-			content.Machines[m.Name] = r
-			size += r.Size(m.Name)
-		}
+	for m, r := range s.extractsLocked(journal) {
+		content.Machines[m.Name] = r
+		size += r.Size(m.Name)
 	}
 	for _, m := range dirty {
 		s.dropStaleGuestsLocked(m)
--- a/internal/scheduler/limits_test.go
+++ b/internal/scheduler/limits_test.go
@@ -193,7 +193,7 @@
 		m := s.machines["m1"]
 		former := &page{key: "machines/old/1/1", version: 1, machines: map[string]bool{}, leftover: map[string]fleet.Record{"m1": {Session: 1}}}
 		s.pages[former.key] = former
-		m.elsewhere = []*page{former}
+		s.scatterLocked(m, former)
 		s.mu.Lock()
 		s.consolidateLocked()
 		checkpointing := s.checkpointingLocked()
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -34,6 +34,8 @@
 	// belong on another one, until that one has been written: a page written
 	// without it before would leave no record of what may be on the machine.
 	leftover map[string]fleet.Record
+	// journaled are, of a journal, the machines with attempts that it alone may hold.
+	journaled map[*machine]bool
 }
 
 // valueSlack is left free of what a value may hold, for what it holds beside
@@ -121,17 +123,27 @@
 		m.page.untidy = m.page.untidy || m.page.version > 0
 		m.page = nil
 	}
-	m.dropLeftovers()
+	s.dropLeftoversLocked(m)
 }
 
-// dropLeftovers ends the keeping of the machine's records on other pages: its
+// dropLeftoversLocked ends the keeping of the machine's records on other pages: its
 // own page holds what may be on it, or nothing is.
-func (m *machine) dropLeftovers() {
+func (s *Share) dropLeftoversLocked(m *machine) {
 	for _, p := range m.elsewhere {
 		delete(p.leftover, m.Name)
 		p.untidy, p.oversized = true, false
 	}
 	m.elsewhere = nil
+	delete(s.scattered, m)
+}
+
+// scatterLocked notes that pages besides the machine's own still hold a record of it.
+func (s *Share) scatterLocked(m *machine, on ...*page) {
+	if len(on) == 0 {
+		return
+	}
+	m.elsewhere = append(m.elsewhere, on...)
+	s.scattered[m] = true
 }
 
 // writing tells whether a record of the machine is on its way.
@@ -201,11 +213,11 @@
 // it would use up the writes that submissions wait for. What is not recorded yet
 // is left to the journals.
 func (s *Share) consolidateLocked() {
-	for _, m := range s.machines {
+	for m := range s.scattered {
 		if s.consolidating >= consolidationsAtOnce {
 			return
 		}
-		if len(m.elsewhere) == 0 || m.returning {
+		if m.returning {
 			continue
 		}
 		s.assignPageLocked(m)
@@ -413,7 +425,7 @@
 			from.leftover[name] = s.recordLocked(m, func(a *fleet.Attempt) bool { return !a.Durable })
 		}
 		if !slices.Contains(m.elsewhere, from) {
-			m.elsewhere = append(m.elsewhere, from)
+			s.scatterLocked(m, from)
 		}
 	}
 	s.writePageLocked(to, priority)
@@ -520,7 +532,7 @@
 	}
 	for _, m := range pw.recorded {
 		if m.page == pw.page {
-			m.dropLeftovers()
+			s.dropLeftoversLocked(m)
 		}
 	}
 	for m, attempts := range pw.attempts {
@@ -529,6 +541,7 @@
 			a.Journal = ""
 			if !a.Paged {
 				a.Journal = pw.page.key
+				pw.page.journaled[m] = true
 			}
 		}
 		if s.machines[m.Name] == m {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -183,6 +183,7 @@
 	asking            map[string]*asking
 	machines          map[string]*machine
 	pages             map[string]*page     // the keys that hold the machines' records
+	scattered         map[*machine]bool    // of which several pages hold a record
 	journals          []*page              // hold what the pages do not hold yet
 	journal           *page                // the one that is written at present
 	journaled         time.Time            // when one may next be written
@@ -234,7 +235,7 @@
 		used: map[string]placement.Resources{}, returned: map[string]time.Time{},
 		booting: map[string]*booting{}, refused: map[placement.Place]refusal{}, resolve: map[string]bool{},
 		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, denied: map[fleet.Key]time.Time{},
-		asking: map[string]*asking{}, moving: map[string]bool{}, pages: map[string]*page{}, donePages: map[string]*donePage{},
+		asking: map[string]*asking{}, moving: map[string]bool{}, pages: map[string]*page{}, scattered: map[*machine]bool{}, donePages: map[string]*donePage{},
 	}
 	s.syncRate, s.probeRate = syncRate(opts.Settings.CoreShare), probeRate(opts.Settings.CoreShare)
 	for i := range opts.Types {
