--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -295,3 +296,41 @@
 	}
 	return left
 }
+
+// liveHeap is how many bytes are in use after a collection.
+func liveHeap() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// The live heap of a share: for each machine, each task that may be on one, and
+// each job that waits.
+func BenchmarkLiveHeap(b *testing.B) {
+	const jobs = 1000
+	atEachSize(b, func(b *testing.B, machines int) {
+		for b.Loop() {
+			empty := liveHeap()
+			s, p := newLargeShare(machines)
+			withMachines := liveHeap()
+			tasks := 0
+			for _, m := range s.machines {
+				for i := range 10 {
+					m.Add(&fleet.Attempt{Key: fleet.Key{Task: fmt.Sprintf("wk-%06d/%d", tasks/50, i), Attempt: uint64(tasks)},
+						Job: "wk-000000", Sized: true, Durable: true, State: wire.TaskRunning}, time.Now())
+					tasks++
+				}
+			}
+			withTasks := liveHeap()
+			for i := range jobs {
+				s.addJobLocked(p.add(fmt.Sprintf("wk-%06d", i), "ours", wire.PriorityNormal, 50, 2))
+			}
+			withJobs := liveHeap()
+			b.ReportMetric((withMachines-empty)/float64(machines), "B/machine")
+			b.ReportMetric((withTasks-withMachines)/float64(tasks), "B/task")
+			b.ReportMetric((withJobs-withTasks)/jobs, "B/job")
+			runtime.KeepAlive(s)
+		}
+	})
+}
--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -48,11 +48,22 @@
 // where replicas would be down, since the probes then end with deadAfter.
 func (s *Share) probeAfter(m *machine) time.Duration {
 	if m.serves() {
-		return s.deadAfter() - deadProbes*probeTimeout
+		return s.probeServingAfter()
 	}
 	return s.silentAfter()
 }
 
+func (s *Share) probeServingAfter() time.Duration {
+	return s.deadAfter() - deadProbes*probeTimeout
+}
+
+// silent tells whether the worker has been silent for so long that it is asked.
+func (s *Share) silent(m *machine, now time.Time) bool {
+	silence := now.Sub(m.LastReport)
+	// Whether it serves is only looked up of those that may be silent.
+	return silence > min(s.probeServingAfter(), s.silentAfter()) && silence > s.probeAfter(m)
+}
+
 // probeEvery is how long to wait between two probes of a worker: what could be
 // learnt soon is known after a few, and hundreds may be silent for minutes.
 func (s *Share) probeEvery(m *machine) time.Duration {
@@ -263,7 +274,7 @@
 }
 
 func (s *Share) probeIfSilentLocked(m *machine, now time.Time) {
-	asked := now.Sub(m.LastReport) > s.probeAfter(m) || !m.unreachableSince.IsZero()
+	asked := s.silent(m, now) || !m.unreachableSince.IsZero()
 	if asked && now.Sub(m.probed) >= s.probeEvery(m) && !m.probing && s.probeRate.Allow() {
 		s.probeLocked(m, now)
 	}
