--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -187,7 +187,7 @@
 			}
 		}
 	}
-	s.forgetDoneLocked(id)
+	s.done.forget(id)
 	delete(s.jobs, id)
 	delete(s.guests, id)
 	s.endTasksLocked(id, f, goneBy)
