--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -265,32 +265,19 @@
 	return a
 }
 
-// attemptBits is how many bits number the attempts under one token: those of a later
-// token are all higher.
-const attemptBits = 20
-
-const (
-	// fewNumbersLeft is when another token is asked for.
-	fewNumbersLeft = 1 << (attemptBits - 2)
-	// noNumbersLeft is when nothing is placed until it is there: more than one pass
-	// over the largest fleet places.
-	noNumbersLeft = 1 << (attemptBits - 3)
-)
-
 // numbersLeftLocked makes sure that there are numbers for attempts under the
 // token, and returns false while there are not.
 func (s *Share) numbersLeftLocked(now time.Time) bool {
-	end := (s.div.Token + 1) << attemptBits
-	if s.number+fewNumbersLeft >= end {
+	left := s.numbers.left(s.div.Token)
+	if left < fewNumbersLeft {
 		s.raiseLocked(now)
 	}
-	return s.number+noNumbersLeft < end
+	return left >= noNumbersLeft
 }
 
 func (s *Share) newAttempt(js *jobState, index int) *fleet.Attempt {
-	s.number = max(s.number+1, s.div.Token<<attemptBits)
 	j := &js.rec.Job
-	a := &fleet.Attempt{Key: fleet.Key{Task: wire.TaskID(j.ID, index), Attempt: s.number}, Job: j.ID, Index: index}
+	a := &fleet.Attempt{Key: fleet.Key{Task: wire.TaskID(j.ID, index), Attempt: s.numbers.next(s.div.Token)}, Job: j.ID, Index: index}
 	s.describe(a, j, js.rank)
 	return a
 }
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -203,8 +203,8 @@
 	list              placement.List[*machine]
 	pass              pass
 	used              map[string]placement.Resources // by team, all that may be on machines
-	number            uint64                         // last attempt number
-	returned          map[string]time.Time           // machines that are surely gone
+	numbers           attemptNumbers
+	returned          map[string]time.Time // machines that are surely gone
 	booting           map[string]*booting
 	refused           map[placement.Place]refusal
 	serial            uint64 // numbers what must never be named alike under one token
--- a/internal/scheduler/size_test.go
+++ b/internal/scheduler/size_test.go
@@ -58,15 +58,15 @@
 			synctest.Wait()
 			return len(js.live) > 0
 		}
-		s.number = end - fewNumbersLeft - 10
+		s.numbers.last = end - fewNumbersLeft - 10
 		if !place("wk-1") || p.raised.Load() != 0 {
 			t.Errorf("with many numbers left: raised %d times", p.raised.Load())
 		}
-		s.number = end - fewNumbersLeft
+		s.numbers.last = end - fewNumbersLeft
 		if !place("wk-2") || p.raised.Load() != 1 {
 			t.Errorf("with few numbers left: raised %d times", p.raised.Load())
 		}
-		s.number = end - noNumbersLeft
+		s.numbers.last = end - noNumbersLeft
 		s.raised = time.Time{} // the time between two tries has passed
 		if place("wk-3") || p.raised.Load() != 2 {
 			t.Errorf("without numbers: placed, or raised only %d times", p.raised.Load())
