--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -428,7 +428,7 @@
 // for one that is this share's already: what that says of a machine that is
 // only now taken is from before the machine was given away, idle.
 func (s *Share) takePageLocked(rp recordPage) *page {
-	if s.pages[rp.key] != nil {
+	if s.records.pages[rp.key] != nil {
 		return nil
 	}
 	node, since, ok := fleet.PageOwner(rp.key)
@@ -436,7 +436,7 @@
 		return nil
 	}
 	p := &page{key: rp.key, version: rp.version, size: rp.size, machines: map[string]bool{}, untidy: true, written: time.Now(), leftover: map[string]fleet.Record{}}
-	s.pages[p.key] = p
+	s.records.pages[p.key] = p
 	return p
 }
 
@@ -473,7 +473,7 @@
 		m.page, on = on[0], on[1:]
 		m.page.machines[m.Name] = true
 	}
-	s.scatterLocked(m, on...)
+	s.records.scatter(m, on...)
 	over := map[string]job.Final{}
 	for _, a := range m.Attempts.All() {
 		if f, ok := ended[a.Job]; ok {
@@ -556,7 +556,7 @@
 			about[m.Name] = value
 			batch = append(batch, m)
 			s.list.Close(m)
-			s.leavePageLocked(m)
+			s.records.leave(m)
 			delete(s.machines, m.Name)
 			s.moving[m.Name] = true
 		}
--- a/internal/scheduler/journals.go
+++ b/internal/scheduler/journals.go
@@ -50,76 +50,16 @@
 	return max(leastJournals, len(s.machines)*bytesPerMachine/s.opts.Settings.ValueBytes)
 }
 
-// nextJournalLocked returns the journal to write. Most tasks are over before
-// their journal is written again, and so never come onto a page. It stays the
-// same until what still runs fills three quarters of it, and goes on with the
-// emptiest. When all are half full, the pages of the fullest one's machines are
-// due.
+// nextJournalLocked returns the journal to write, nil if there is none now.
 func (s *Share) nextJournalLocked(limit int) *page {
-	if s.journal != nil && !s.journal.committing && s.heldLocked(s.journal) < limit*3/4 {
-		return s.journal
-	}
-	var least, most *page
-	held := map[*page]int{}
-	for _, j := range s.journals {
-		held[j] = s.heldLocked(j)
-		if !j.committing && (least == nil || held[j] < held[least]) {
-			least = j
-		}
-		if most == nil || held[j] > held[most] {
-			most = j
-		}
-	}
-	if least == nil || held[least] > limit/2 {
-		if len(s.journals) < s.maxJournals() {
-			least = &page{key: fleet.JournalKey(s.opts.Node, s.div.Members[s.opts.Node].Since, len(s.journals)), journaled: map[*machine]bool{}}
-			s.journals = append(s.journals, least)
-			s.pages[least.key] = least
-		} else if most != nil && !s.checkpointingLocked() {
-			for m := range s.extractsLocked(most) {
-				m.due = true
-			}
-			s.poke()
-		}
-	}
-	s.journal = least
-	return least
-}
-
-// heldLocked is about how many bytes a journal must hold.
-func (s *Share) heldLocked(journal *page) (held int) {
-	for m := range journal.journaled {
-		if s.machines[m.Name] != m {
-			continue
-		}
-		begun := false
-		for _, a := range m.Attempts.All() {
-			if a.Journal != journal.key || a.Exited() {
-				continue
-			}
-			held += fleet.AttemptBytes(a.Task, a.Attempt)
-			if !begun {
-				begun = true
-				held += m.extractSize()
-			}
-		}
-	}
-	return held
-}
-
-// extractsLocked returns what the journal alone holds of the share's machines, and
-// forgets those of which it holds nothing any more.
-func (s *Share) extractsLocked(journal *page) map[*machine]fleet.Record {
-	extracts := make(map[*machine]fleet.Record, len(journal.journaled))
-	for m := range journal.journaled {
-		r, ok := m.Extract(journal.key, m.paged())
-		if !ok || s.machines[m.Name] != m {
-			delete(journal.journaled, m)
-			continue
+	journal, full := s.records.nextJournal(limit, s.maxJournals())
+	if full != nil && !s.checkpointingLocked() {
+		for m := range s.records.extracts(full) {
+			m.due = true
 		}
-		extracts[m] = r
+		s.poke()
 	}
-	return extracts
+	return journal
 }
 
 // extractSize is what the machine's record takes of a journal besides its
@@ -145,7 +85,7 @@
 	pw.journal = true
 	content := fleet.Page{Machines: map[string]fleet.Record{}, Write: s.markLocked()}
 	size := 0
-	for m, r := range s.extractsLocked(journal) {
+	for m, r := range s.records.extracts(journal) {
 		content.Machines[m.Name] = r
 		size += r.Size(m.Name)
 	}
@@ -185,8 +125,8 @@
 // checkpointingLocked tells whether pages are still due since the journals last
 // filled: what they gain meanwhile goes with the next round of them.
 func (s *Share) checkpointingLocked() bool {
-	for _, p := range s.pages {
-		if p.committing && !p.gathers && !slices.Contains(s.journals, p) {
+	for _, p := range s.records.pages {
+		if p.committing && !p.gathers && !s.records.writesJournal(p) {
 			return true
 		}
 	}
--- a/internal/scheduler/limits_test.go
+++ b/internal/scheduler/limits_test.go
@@ -192,8 +192,8 @@
 		s := newLowShare(t)
 		m := s.machines["m1"]
 		former := &page{key: "machines/old/1/1", version: 1, machines: map[string]bool{}, leftover: map[string]fleet.Record{"m1": {Session: 1}}}
-		s.pages[former.key] = former
-		s.scatterLocked(m, former)
+		s.records.pages[former.key] = former
+		s.records.scatter(m, former)
 		s.mu.Lock()
 		s.consolidateLocked()
 		checkpointing := s.checkpointingLocked()
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -98,7 +98,7 @@
 func (s *Share) goneLocked(m *machine) {
 	s.handleLocked(m, m.Gone())
 	s.list.Close(m)
-	s.leavePageLocked(m)
+	s.records.leave(m)
 	delete(s.machines, m.Name)
 	if _, named := s.opts.Authority.OwnerOf(m.Name); named {
 		// Whoever takes over what is ours must not take it for a machine.
--- a/internal/scheduler/pages.go
+++ b/internal/scheduler/pages.go
@@ -15,29 +15,6 @@
 	"heronwick/wire"
 )
 
-// page is one key of the store with the records of some dozens of the share's
-// machines. Only this share writes it, and only one write of it is under way
-// at a time.
-type page struct {
-	key        string
-	version    uint64
-	size       int             // bytes of what it holds
-	machines   map[string]bool // whose records belong on it
-	committing bool
-	gathers    bool      // that write only gathers what is recorded already
-	written    time.Time // when a write of it last began, or it was taken over
-	// oversized: with what it still holds of machines that now belong on other
-	// pages it does not fit a value. It is written once those have been.
-	oversized bool
-	untidy    bool // what the store holds names machines that are no longer here
-	// leftover holds, by machine, what the page says of machines that now
-	// belong on another one, until that one has been written: a page written
-	// without it before would leave no record of what may be on the machine.
-	leftover map[string]fleet.Record
-	// journaled are, of a journal, the machines with attempts that it alone may hold.
-	journaled map[*machine]bool
-}
-
 // valueSlack is left free of what a value may hold, for what it holds beside
 // records: its syntax, a write's mark, a transfer's new owner.
 const valueSlack = 256
@@ -85,65 +62,17 @@
 	return r
 }
 
-// pageLocked returns the page for a machine that has none: the fullest with
-// room for another record, so that few pages change.
-func (s *Share) pageLocked() *page {
-	limit := s.opts.Settings.ValueBytes * 3 / 4
-	var best *page
-	for _, p := range s.pages {
-		if fleet.IsJournal(p.key) || p.oversized {
-			continue
-		}
-		// What is booked since the last write is not in its size yet.
-		each := max(p.size/max(len(p.machines), 1), 512)
-		if each*(len(p.machines)+1) <= limit && (best == nil || len(p.machines) > len(best.machines) ||
-			len(p.machines) == len(best.machines) && p.key < best.key) {
-			best = p
-		}
-	}
-	if best != nil {
-		return best
-	}
-	return s.newPageLocked()
-}
+// pageLimit is how many bytes a page may come to that takes another machine.
+func (s *Share) pageLimit() int { return s.opts.Settings.ValueBytes * 3 / 4 }
 
-func (s *Share) newPageLocked() *page {
-	s.paged++
-	p := &page{key: fleet.PageKey(s.opts.Node, s.div.Members[s.opts.Node].Since, s.paged), machines: map[string]bool{}}
-	s.pages[p.key] = p
-	return p
+// pageKey names the n-th page of the share.
+func (s *Share) pageKey(n uint64) string {
+	return fleet.PageKey(s.opts.Node, s.div.Members[s.opts.Node].Since, n)
 }
 
-// leavePageLocked takes a machine that is no longer the share's off its page.
-// Until the page is written again its record there is outdated, which is safe:
-// whoever reads it asks the machine's owner or its worker.
-func (s *Share) leavePageLocked(m *machine) {
-	if m.page != nil {
-		delete(m.page.machines, m.Name)
-		m.page.untidy = m.page.untidy || m.page.version > 0
-		m.page = nil
-	}
-	s.dropLeftoversLocked(m)
-}
-
-// dropLeftoversLocked ends the keeping of the machine's records on other pages: its
-// own page holds what may be on it, or nothing is.
-func (s *Share) dropLeftoversLocked(m *machine) {
-	for _, p := range m.elsewhere {
-		delete(p.leftover, m.Name)
-		p.untidy, p.oversized = true, false
-	}
-	m.elsewhere = nil
-	delete(s.scattered, m)
-}
-
-// scatterLocked notes that pages besides the machine's own still hold a record of it.
-func (s *Share) scatterLocked(m *machine, on ...*page) {
-	if len(on) == 0 {
-		return
-	}
-	m.elsewhere = append(m.elsewhere, on...)
-	s.scattered[m] = true
+// journalKey names the n-th journal of the share.
+func (s *Share) journalKey(n int) string {
+	return fleet.JournalKey(s.opts.Node, s.div.Members[s.opts.Node].Since, n)
 }
 
 // writing tells whether a record of the machine is on its way.
@@ -164,7 +93,7 @@
 			continue
 		}
 		if m.due {
-			s.assignPageLocked(m)
+			s.records.assign(m)
 		}
 		switch {
 		case m.due && m.page.writable():
@@ -193,17 +122,6 @@
 	s.journaled = now.Add(time.Duration(s.writeJournalsLocked(dirty)) * s.journalEvery())
 }
 
-// assignPageLocked gives a machine a page if it has none.
-func (s *Share) assignPageLocked(m *machine) {
-	if m.page == nil {
-		m.page = s.pageLocked()
-		m.page.machines[m.Name] = true
-	}
-}
-
-// writable tells whether the page can be written now.
-func (p *page) writable() bool { return !p.committing && !p.oversized }
-
 // consolidationsAtOnce bounds the pages that are written only to gather what is
 // on several: they are in the way of pages that journals wait for.
 const consolidationsAtOnce = 2
@@ -213,14 +131,14 @@
 // it would use up the writes that submissions wait for. What is not recorded yet
 // is left to the journals.
 func (s *Share) consolidateLocked() {
-	for m := range s.scattered {
+	for m := range s.records.scattered {
 		if s.consolidating >= consolidationsAtOnce {
 			return
 		}
 		if m.returning {
 			continue
 		}
-		s.assignPageLocked(m)
+		s.records.assign(m)
 		if m.page.writable() {
 			s.writePageLocked(m.page, state.Background)
 		}
@@ -236,8 +154,8 @@
 	if !s.loaded || !s.currentLocked() {
 		return
 	}
-	for _, p := range s.pages {
-		if p.untidy && p.writable() && !slices.Contains(s.journals, p) && (p.empty() || now.Sub(p.written) > tidyFullEvery) {
+	for _, p := range s.records.pages {
+		if p.untidy && p.writable() && !s.records.writesJournal(p) && (p.empty() || now.Sub(p.written) > tidyFullEvery) {
 			s.writePageLocked(p, state.Background)
 		}
 	}
@@ -247,9 +165,6 @@
 // they name is looked through at a takeover, no more.
 const tidyFullEvery = time.Minute
 
-// empty tells whether the page holds nothing any more.
-func (p *page) empty() bool { return len(p.machines)+len(p.leftover) == 0 }
-
 // pageWrite is one write of a journal or a page.
 type pageWrite struct {
 	write state.Write
@@ -353,7 +268,7 @@
 
 // deletePageLocked removes a page that holds nothing any more.
 func (s *Share) deletePageLocked(p *page, priority state.Priority) {
-	delete(s.pages, p.key)
+	delete(s.records.pages, p.key)
 	if p.version == 0 {
 		return
 	}
@@ -404,7 +319,7 @@
 // moveToNewPageLocked moves as many of the machines as fit from a page to a new
 // one and writes that. It returns the others.
 func (s *Share) moveToNewPageLocked(from *page, names []string, priority state.Priority) (others []string) {
-	to := s.newPageLocked()
+	to := s.records.add()
 	size := 0
 	for i, name := range names {
 		m := s.machines[name]
@@ -425,7 +340,7 @@
 			from.leftover[name] = s.recordLocked(m, func(a *fleet.Attempt) bool { return !a.Durable })
 		}
 		if !slices.Contains(m.elsewhere, from) {
-			s.scatterLocked(m, from)
+			s.records.scatter(m, from)
 		}
 	}
 	s.writePageLocked(to, priority)
@@ -532,7 +447,7 @@
 	}
 	for _, m := range pw.recorded {
 		if m.page == pw.page {
-			s.dropLeftoversLocked(m)
+			s.records.gathered(m)
 		}
 	}
 	for m, attempts := range pw.attempts {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -182,21 +182,17 @@
 	denied            map[fleet.Key]time.Time
 	asking            map[string]*asking
 	machines          map[string]*machine
-	pages             map[string]*page  // the keys that hold the machines' records
-	scattered         map[*machine]bool // of which several pages hold a record
-	journals          []*page           // hold what the pages do not hold yet
-	journal           *page             // the one that is written at present
-	journaled         time.Time         // when one may next be written
-	journalDue        bool              // and it waits to be written again
-	consolidating     int               // pages that are written only to gather what several hold
-	valuesCut         int               // bytes by which values are smaller than the settings allow
-	paged             uint64            // pages named so far
-	done              *doneTable        // the keys that hold done tasks
-	gone              []string          // machines that are gone, which the others are still to be told
-	telling           bool              // they are being told
-	moving            map[string]bool   // machines whose owner is being written
-	unsynced          []*machine        // whose workers are to be shown the token
-	syncing           int               // that are being shown it
+	records           *recordTable
+	journaled         time.Time       // when one may next be written
+	journalDue        bool            // and it waits to be written again
+	consolidating     int             // pages that are written only to gather what several hold
+	valuesCut         int             // bytes by which values are smaller than the settings allow
+	done              *doneTable      // the keys that hold done tasks
+	gone              []string        // machines that are gone, which the others are still to be told
+	telling           bool            // they are being told
+	moving            map[string]bool // machines whose owner is being written
+	unsynced          []*machine      // whose workers are to be shown the token
+	syncing           int             // that are being shown it
 	syncRate          *rate.Limiter
 	probeRate         *rate.Limiter
 	syncWaits         bool // for that
@@ -233,7 +229,12 @@
 		used: map[string]placement.Resources{}, returned: map[string]time.Time{},
 		booting: map[string]*booting{}, refused: map[placement.Place]refusal{}, resolve: map[string]bool{},
 		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, denied: map[fleet.Key]time.Time{},
-		asking: map[string]*asking{}, moving: map[string]bool{}, pages: map[string]*page{}, scattered: map[*machine]bool{},
+		asking: map[string]*asking{}, moving: map[string]bool{},
+	}
+	s.records = &recordTable{
+		pages: map[string]*page{}, scattered: map[*machine]bool{},
+		pageKey: s.pageKey, journalKey: s.journalKey, pageLimit: s.pageLimit,
+		owns: func(m *machine) bool { return s.machines[m.Name] == m },
 	}
 	s.done = newDoneTable(s.doneKey, s.donePageLimit)
 	s.syncRate, s.probeRate = syncRate(opts.Settings.CoreShare), probeRate(opts.Settings.CoreShare)
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -794,7 +794,7 @@
 		old.Members = map[string]cluster.Member{"me": {Incarnation: 1, Since: 1}, "peer": {Incarnation: 2, Since: 3}}
 		p.epoch = old
 		s.rebuild(context.Background(), old, condition, nil, nil)
-		if s.machines["m9"] != nil || s.pages[p.items[0].Key] != nil {
+		if s.machines["m9"] != nil || s.records.pages[p.items[0].Key] != nil {
 			t.Error("a machine or a journal of a member was taken")
 		}
 		next := old
@@ -803,7 +803,7 @@
 		p.epoch = next
 		_, condition = p.Division()
 		s.rebuild(context.Background(), next, condition, nil, []string{"m9"})
-		if m, journal := s.machines["m9"], s.pages[p.items[0].Key]; m == nil || journal == nil || journal.leftover["m9"].Attempts["wk-000001/0"] != 7 {
+		if m, journal := s.machines["m9"], s.records.pages[p.items[0].Key]; m == nil || journal == nil || journal.leftover["m9"].Attempts["wk-000001/0"] != 7 {
 			t.Errorf("machine %v, journal %v: the record is not kept with the machine", m, journal)
 		}
 	})
