--- a/internal/job/cancelled.go
+++ b/internal/job/cancelled.go
@@ -44,14 +44,31 @@
 	at time.Time
 }
 
-// rememberLocked keeps a cancellation to be handed over.
-func (c *Catalog) rememberLocked(n Cancellation) {
-	now := time.Now()
-	c.cancelled = append(c.cancelled, learnt{n, now})
-	for len(c.cancelled) > maxCancelled || now.Sub(c.cancelled[0].at) > keepCancelled {
-		c.base = max(c.base, c.cancelled[0].Revision)
-		c.cancelled = c.cancelled[1:]
+// cancellationLog keeps the cancellations that are to be handed over to others.
+type cancellationLog struct {
+	entries []learnt // in the order in which they were learnt
+	// base is a revision of the store: all that are known and came after it are
+	// among the entries.
+	base uint64
+}
+
+// add keeps a cancellation, and drops those that are too old or too many.
+func (l *cancellationLog) add(n Cancellation, now time.Time) {
+	l.entries = append(l.entries, learnt{n, now})
+	for len(l.entries) > maxCancelled || now.Sub(l.entries[0].at) > keepCancelled {
+		l.base = max(l.base, l.entries[0].Revision)
+		l.entries = l.entries[1:]
+	}
+}
+
+// after returns those that were carried out after a revision.
+func (l *cancellationLog) after(revision uint64) (named []Cancellation) {
+	for i := range l.entries {
+		if l.entries[i].Revision > revision {
+			named = append(named, l.entries[i].Cancellation)
+		}
 	}
+	return named
 }
 
 // Knowledge is what a controller knows of cancellations.
@@ -73,13 +90,7 @@
 	if !c.Ready() {
 		return Knowledge{}
 	}
-	k := Knowledge{Read: true, Revision: c.revision, Base: c.base}
-	for i := range c.cancelled {
-		if c.cancelled[i].Revision > after {
-			k.Named = append(k.Named, c.cancelled[i].Cancellation)
-		}
-	}
-	return k
+	return Knowledge{Read: true, Revision: c.revision, Base: c.cancelled.base, Named: c.cancelled.after(after)}
 }
 
 // Learn takes cancellations that another controller knows.
--- a/internal/job/catalog.go
+++ b/internal/job/catalog.go
@@ -105,9 +105,7 @@
 	implied    map[string]*Record // jobs cancelled since one before them is, which the store still has as active
 	unresolved map[string]bool    // jobs that others need and that are neither known to be active nor over
 	toResolve  chan struct{}      // poked when there are more of those
-
-	cancelled []learnt // in the order in which they were learnt
-	base      uint64   // all that are known and came after this revision are among them
+	cancelled  cancellationLog
 }
 
 // ending is how a job ended.
@@ -288,7 +286,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// Of what ended unseen before this, no name is known.
-	c.revision, c.base = max(c.revision, revision), max(c.base, revision)
+	c.revision, c.cancelled.base = max(c.revision, revision), max(c.cancelled.base, revision)
 	if !c.Ready() {
 		close(c.loaded)
 	}
@@ -403,7 +401,7 @@
 		n.changed = append(n.changed, ready...)
 		return n
 	}
-	c.rememberLocked(Cancellation{Job: id, Revision: revision, Final: f})
+	c.cancelled.add(Cancellation{Job: id, Revision: revision, Final: f}, time.Now())
 	maps.Copy(n.ended, c.implyAfterLocked(id))
 	n.changed = c.graph.remove(id)
 	return n
