Who accepts jobs leaves writes to a controller that is late with the ends of jobs

A controller whose ends, cancellations or records have waited for 2 s says so (late); the others then accept with 15% of their writes, and what they leave goes to those that are late alone. A write tried anew under another epoch keeps its place and its age.

--- a/cmd/heronwick/budget.go
+++ b/cmd/heronwick/budget.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"slices"
 	"time"
 
+	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/state"
 )
 
@@ -38,6 +40,9 @@
 	balanceEvery = time.Second
 	// shortAfter is how long something must have waited for the limits.
 	shortAfter = 40 * time.Millisecond
+	// lateAfter is how long a write that is more important than submissions must
+	// have waited.
+	lateAfter = 2 * time.Second
 	// headroom is what a controller keeps beyond what it uses.
 	headroom = 1.3
 )
@@ -45,7 +50,7 @@
 // spare is what this controller leaves of its part.
 type spare struct {
 	requests, writes float64
-	short            bool
+	short, late      bool
 }
 
 // balance works out what this controller leaves to the others
@@ -57,7 +62,7 @@
 	perSecond := headroom / balanceEvery.Seconds()
 	c.spare.Store(&spare{
 		requests: max(0, requests-perSecond*float64(w.Requests)-1), writes: max(0, writes-perSecond*float64(w.Writes)-1),
-		short: w.Longest > shortAfter,
+		short: w.Longest > shortAfter, late: c.committer.Waited(state.Safety) > lateAfter,
 	})
 	c.setRates()
 }
@@ -66,27 +71,40 @@
 // waits for while another one is short of them.
 const backgroundPart = 0.15
 
+// submissionPart is which part of its writes a controller uses to accept jobs while
+// another one is late with what was accepted.
+const submissionPart = 0.15
+
 // setRates sets this controller's budget: its part, and while it is short what
-// the others leave, divided among those who are.
+// the others leave, divided among those who are. While one is late it alone gets
+// that, and the others accept few jobs.
 func (c *controller) setRates() {
 	requests, writes := c.rates()
-	rates := state.Rates{Requests: requests, Writes: writes, Background: writes}
-	mine := c.spare.Load()
+	rates := state.Rates{Requests: requests, Writes: writes, Submission: writes, Background: writes}
 	peers := c.members.Peers()
-	for _, p := range peers {
-		if p.Short {
-			rates.Background = writes * backgroundPart
-		}
-		if mine == nil || !mine.short {
-			continue
-		}
-		sharers := 1.0
-		for _, other := range peers {
-			if other != p && other.Short {
-				sharers++
+	mine := c.spare.Load()
+	if mine == nil {
+		mine = &spare{}
+	}
+	peerLate := slices.ContainsFunc(peers, func(p *peerpb.Status) bool { return p.Late })
+	peerShort := slices.ContainsFunc(peers, func(p *peerpb.Status) bool { return p.Short })
+	if mine.short && (mine.late || !peerLate) {
+		for _, p := range peers {
+			sharers := 1.0
+			for _, other := range peers {
+				if other != p && other.Short && other.Late == mine.late {
+					sharers++
+				}
 			}
+			rates.Requests, rates.Writes = rates.Requests+p.SpareRequests/sharers, rates.Writes+p.SpareWrites/sharers
 		}
-		rates.Requests, rates.Writes = rates.Requests+p.SpareRequests/sharers, rates.Writes+p.SpareWrites/sharers
+		rates.Submission, rates.Background = rates.Writes, writes
+	}
+	if peerShort {
+		rates.Background = writes * backgroundPart
+	}
+	if peerLate {
+		rates.Submission = writes * submissionPart
 	}
 	c.budget.SetRates(rates, c.settings.TxnOps)
 }
--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -201,7 +201,7 @@
 		s.Status(status)
 	}
 	if mine := c.spare.Load(); mine != nil {
-		status.SpareRequests, status.SpareWrites, status.Short = mine.requests, mine.writes, mine.short
+		status.SpareRequests, status.SpareWrites, status.Short, status.Late = mine.requests, mine.writes, mine.short, mine.late
 	}
 	if status.Cut {
 		c.cutAt.Store(time.Now().UnixNano())
--- a/cmd/heronwick/overload_test.go
+++ b/cmd/heronwick/overload_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -110,3 +111,43 @@
 		})
 	}
 }
+
+// More jobs are submitted, to all controllers, than the state service's writes can
+// carry through: those that accept jobs leave writes to the one that owns them. What
+// was accepted ends soon, the rest is refused at once; without that ends waited for
+// minutes, longer and longer.
+func TestEndsKeepUpWithSubmissions(t *testing.T) {
+	withCluster(t, 6, func(tc *testCluster) {
+		tc.fleet.RunFor = func(string) time.Duration { return 10 * time.Millisecond }
+		tc.state.RPS, tc.state.WriteRPS = 150, 60
+	}, func(tc *testCluster) {
+		const perSecond, seconds = 60, 60
+		var mu sync.Mutex
+		accepted := map[int]bool{}
+		for id := range perSecond * seconds {
+			go func() {
+				status, _, _ := tc.call(id%3, "POST", "/submissions", submission(id, func(j map[string]any) { j["feathers"] = 1 }))
+				mu.Lock()
+				defer mu.Unlock()
+				if status == 201 {
+					accepted[id] = true
+				}
+			}()
+			time.Sleep(time.Second / perSecond)
+		}
+		time.Sleep(30 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		done := 0
+		for id := range accepted {
+			_, answer, _ := tc.call(0, "GET", fmt.Sprintf("/submissions/wk-%06d", id), nil)
+			if answer["stance"] == "done" {
+				done++
+			}
+		}
+		t.Logf("%d accepted, %d of them done", len(accepted), done)
+		if len(accepted) < 10*seconds || done < len(accepted)*95/100 {
+			t.Errorf("%d accepted, %d of them done 30 s later", len(accepted), done)
+		}
+	})
+}
--- a/internal/scheduler/done.go
+++ b/internal/scheduler/done.go
@@ -166,16 +166,19 @@
 		return
 	}
 	js.finishing = true
+	since := time.Now()
 	s.goDo(func(ctx context.Context) {
-		for s.finish(ctx, js) {
+		for s.finish(ctx, js, since) {
 		}
 	})
 }
 
-// finish returns false when nothing is left to do.
-func (s *Share) finish(ctx context.Context, js *jobState) bool {
+// finish returns false when nothing is left to do. However often the epoch changes,
+// the end keeps its place among those that wait to be written.
+func (s *Share) finish(ctx context.Context, js *jobState, since time.Time) bool {
 	s.mu.Lock()
 	id, fence := js.rec.Job.ID, s.fenceLocked()
+	fence.Since = since
 	mine := s.jobs[id] == js && ctx.Err() == nil
 	s.mu.Unlock()
 	if !mine {
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -34,13 +34,13 @@
 	mu       sync.Mutex
 	requests bucket
 	writes   bucket
-	// background is what of the writes Background may use.
-	background bucket
-	waiting    [priorities][]*waiter
-	timer      *time.Timer
-	pausedTo   time.Time
-	usage      [priorities]Usage
-	window     Usage // since Window was last called
+	// parts are what of the writes a priority may use by itself.
+	parts    [priorities]bucket
+	waiting  [priorities][]*waiter
+	timer    *time.Timer
+	pausedTo time.Time
+	usage    [priorities]Usage
+	window   Usage // since Window was last called
 }
 
 // Window returns what was used since it was last called, of all priorities, and
@@ -113,14 +113,28 @@
 	b.requests = bucket{rate: requests, level: max(requests, 1), burst: max(requests, 1), last: now}
 	burst := max(writes, float64(largest))
 	b.writes = bucket{rate: writes, level: burst, burst: burst, last: now}
-	b.background = b.writes
+	for p := range b.parts {
+		b.parts[p] = b.writes
+	}
 	return b
 }
 
 // Rates are requests and writes a second.
 type Rates struct {
 	Requests, Writes float64
-	Background       float64 // writes, of which Background may use so many
+	// Of the writes, how many those priorities may use. The others may use all.
+	Submission, Background float64
+}
+
+// writesOf is how many writes a priority may use.
+func (r *Rates) writesOf(p Priority) float64 {
+	switch p {
+	case Submission:
+		return r.Submission
+	case Background:
+		return r.Background
+	}
+	return r.Writes
 }
 
 // SetRates changes the budget, for example when this controller becomes the
@@ -130,7 +144,9 @@
 	defer b.mu.Unlock()
 	b.requests.setRate(r.Requests, 1)
 	b.writes.setRate(r.Writes, float64(largest))
-	b.background.setRate(r.Background, float64(largest))
+	for p := range b.parts {
+		b.parts[p].setRate(r.writesOf(Priority(p)), float64(largest))
+	}
 }
 
 // Pause holds every request back for a while: the service said 429, so
@@ -181,7 +197,9 @@
 	now := time.Now()
 	b.requests.refill(now)
 	b.writes.refill(now)
-	b.background.refill(now)
+	for p := range b.parts {
+		b.parts[p].refill(now)
+	}
 	saving := false // somebody waits for writes
 	for p := range b.waiting {
 		var still []*waiter
@@ -206,9 +224,7 @@
 			}
 			b.requests.level--
 			b.writes.level -= w.granted
-			if Priority(p) == Background {
-				b.background.level -= w.granted
-			}
+			b.parts[p].level -= w.granted
 			waited := now.Sub(w.since)
 			b.usage[p].add(int(w.granted), waited)
 			if Priority(p) == Background {
@@ -223,10 +239,7 @@
 
 // availableTo is how many writes a priority may use now.
 func (b *Budget) availableTo(p Priority) float64 {
-	if p == Background {
-		return min(b.writes.level, b.background.level)
-	}
-	return b.writes.level
+	return min(b.writes.level, b.parts[p].level)
 }
 
 // shortfall tells how long a waiter has to wait for a request, and for its
@@ -234,10 +247,7 @@
 func (b *Budget) shortfall(now time.Time, p Priority, w *waiter) (requests, writes time.Duration) {
 	requests = max(b.pausedTo.Sub(now), b.requests.wait(1))
 	if w.least > 0 {
-		writes = b.writes.wait(w.least)
-		if p == Background {
-			writes = max(writes, b.background.wait(w.least))
-		}
+		writes = max(b.writes.wait(w.least), b.parts[p].wait(w.least))
 	}
 	return requests, writes
 }
--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -25,17 +25,22 @@
 	// Fresh tells, right before sending, whether the write can still succeed.
 	// Without it one that cannot would use up budget that others wait for.
 	Fresh func() bool
+	// Since is from when on the write waits, zero for now: of one priority the
+	// oldest goes first. One tried anew, under another epoch, keeps its place.
+	Since time.Time
 }
 
 // Fence ties writes to the epoch under which they were decided.
 type Fence struct {
 	Condition wire.Condition
 	Current   func() bool // whether the condition can still hold, without asking the service
+	Since     time.Time   // when the writes were first decided, see Write
 }
 
 // Bind makes a write fail once the fence is outdated: unsent, where that is known.
 func (f Fence) Bind(w Write) Write {
 	w.If = append([]wire.Condition{f.Condition}, w.If...)
+	w.Since = f.Since
 	fresh := w.Fresh
 	w.Fresh = func() bool { return f.Current() && (fresh == nil || fresh()) }
 	return w
@@ -76,6 +81,15 @@
 	waiting  bool // one is waiting for budget
 }
 
+// insert puts a write behind those that have waited as long or longer.
+func (l *lane) insert(w *pending) {
+	i := len(l.queue)
+	for i > 0 && l.queue[i-1].Since.After(w.Since) {
+		i--
+	}
+	l.queue = slices.Insert(l.queue, i, w)
+}
+
 // maxTxnBytes leaves room for the envelope below the service's 64 KiB.
 const maxTxnBytes = 56 << 10
 
@@ -95,13 +109,16 @@
 // error is a *Conflict with the keys of this write that failed. Each write's
 // conditions must make a late copy of it fail.
 func (c *Committer) Commit(ctx context.Context, w Write) (uint64, error) {
+	if w.Since.IsZero() {
+		w.Since = time.Now()
+	}
 	p := &pending{Write: w, ctx: ctx, done: make(chan outcome, 1)}
 	l := &c.lanes[0]
 	if len(w.Then) > 0 {
 		l = &c.lanes[1]
 	}
 	c.mu.Lock()
-	l.queue = append(l.queue, p)
+	l.insert(p)
 	c.startLocked(l)
 	c.mu.Unlock()
 	select {
@@ -112,6 +129,22 @@
 	}
 }
 
+// Waited returns how long the write has waited that waits for the longest, of this
+// priority and more important ones.
+func (c *Committer) Waited(p Priority) (longest time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for i := range c.lanes {
+		for _, w := range c.lanes[i].queue {
+			if w.Priority <= p {
+				longest = max(longest, now.Sub(w.Since))
+			}
+		}
+	}
+	return longest
+}
+
 func (c *Committer) startLocked(l *lane) {
 	if l.inFlight < maxInFlight && len(l.queue) > 0 && !l.waiting {
 		l.inFlight++
@@ -306,7 +339,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l.queue = append(batch, l.queue...)
+	for _, w := range batch {
+		l.insert(w)
+	}
 }
 
 // settleConflict ends the writes whose conditions failed and returns the
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -284,7 +285,7 @@
 func TestBackgroundKeepsToItsPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := state.NewBudget(100, 10, 2)
-		b.SetRates(state.Rates{Requests: 100, Writes: 10, Background: 1}, 2)
+		b.SetRates(state.Rates{Requests: 100, Writes: 10, Submission: 10, Background: 1}, 2)
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
 		written := 0
@@ -303,6 +304,116 @@
 	})
 }
 
+// Submissions keep to the part that another controller leaves them, which is late
+// with what it has accepted, and more important writes do not.
+func TestSubmissionsKeepToTheirPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := state.NewBudget(100, 10, 2)
+		b.SetRates(state.Rates{Requests: 100, Writes: 10, Submission: 5, Background: 10}, 2)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		submitted, ended := 0, 0
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for b.Acquire(ctx, state.Submission, 1) == nil {
+				submitted++
+			}
+		})
+		wg.Go(func() {
+			for range 60 {
+				time.Sleep(250 * time.Millisecond)
+				if b.Acquire(ctx, state.Safety, 1) == nil {
+					ended++
+				}
+			}
+		})
+		wg.Wait()
+		if submitted < 100 || submitted > 110 || ended != 60 {
+			t.Errorf("in 20 s %d submissions at five a second, and %d of 60 ends", submitted, ended)
+		}
+	})
+}
+
+// A write that was dropped with its epoch and is tried anew under the next goes before
+// those that have come since, and counts as having waited all the time.
+func TestWriteTriedAnewKeepsItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewState()
+		c := state.NewCommitter(state.NewClient(s.Node("a"), state.NewBudget(100, 1, 1)), 1)
+		var outdated atomic.Bool
+		since := time.Now()
+		commit := func(key string, fence state.Fence) error {
+			w := put(key, 0, 1)
+			w.Persist = true
+			_, err := c.Commit(context.Background(), fence.Bind(w))
+			return err
+		}
+		fence := func(current func() bool) state.Fence {
+			return state.Fence{Condition: wire.Condition{Key: "epoch"}, Current: current}
+		}
+		always := func() bool { return true }
+		var wg sync.WaitGroup
+		for i := range 5 { // one after the other, a second each
+			wg.Go(func() { _ = commit(fmt.Sprintf("before%d", i), fence(always)) })
+			time.Sleep(time.Millisecond)
+		}
+		wg.Go(func() {
+			if err := commit("end", fence(func() bool { return !outdated.Load() })); err == nil {
+				t.Error("made under an outdated epoch")
+			}
+			again := fence(always)
+			again.Since = since.Add(5 * time.Millisecond)
+			if err := commit("end", again); err != nil {
+				t.Error(err)
+			}
+		})
+		for i := range 5 {
+			time.Sleep(time.Millisecond)
+			wg.Go(func() { _ = commit(fmt.Sprintf("after%d", i), fence(always)) })
+		}
+		time.Sleep(2 * time.Second)
+		outdated.Store(true)
+		time.Sleep(2 * time.Second)
+		if waited := c.Waited(state.Background); waited < 3*time.Second {
+			t.Errorf("the longest has waited for %v", waited)
+		}
+		wg.Wait()
+		if s.Version("end") > s.Version("after0") {
+			t.Error("tried anew, it went behind those that came later")
+		}
+	})
+}
+
+// How long writes have waited that are more important than submissions is known,
+// however few of them ask for the budget.
+func TestCommitterTellsHowLongWritesWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewState()
+		c := state.NewCommitter(state.NewClient(s.Node("a"), state.NewBudget(100, 1, 1)), 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		for i := range 10 {
+			w := put(fmt.Sprintf("k%d", i), 0, i)
+			w.Priority = state.Safety
+			if i == 0 {
+				w.Priority = state.Submission
+			}
+			go func() { _, _ = c.Commit(ctx, w) }()
+		}
+		time.Sleep(5 * time.Second)
+		if waited := c.Waited(state.Safety); waited != 5*time.Second {
+			t.Errorf("ends have waited for %v", waited)
+		}
+		if waited := c.Waited(state.Placement); waited != 0 {
+			t.Errorf("placements have waited for %v", waited)
+		}
+		time.Sleep(10 * time.Second)
+		if waited := c.Waited(state.Safety); waited != 0 {
+			t.Errorf("all are made, and have waited for %v", waited)
+		}
+		cancel()
+	})
+}
+
 // Who waits for writes holds up others that want some, but not those that
 // only ask: answers to users need no writes.
 func TestAskingPassesWhoWaitsForWrites(t *testing.T) {
