--- a/internal/job/catalog_test.go
+++ b/internal/job/catalog_test.go
@@ -137,7 +137,12 @@
 // newCatalogOn makes a catalog on a state service that others may use too.
 func newCatalogOn(service *standin.State, requestsPerSecond, writesPerSecond float64, txnOps int) (*state.Client, *job.Catalog) {
 	client := state.NewClient(service.Node("a"), state.NewBudget(requestsPerSecond, writesPerSecond, txnOps))
-	return client, job.NewCatalog(job.Options{Client: client, Committer: state.NewCommitter(client, txnOps), MaxValue: 16 << 10,
+	return client, newCatalogWith(client, txnOps, 16<<10)
+}
+
+// newCatalogWith makes a catalog whose values have so many bytes at most.
+func newCatalogWith(client *state.Client, txnOps, maxValue int) *job.Catalog {
+	return job.NewCatalog(job.Options{Client: client, Committer: state.NewCommitter(client, txnOps), MaxValue: maxValue,
 		AcceptsChains: func() bool { return true }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 }
 
--- a/internal/job/chain_test.go
+++ b/internal/job/chain_test.go
@@ -191,3 +191,38 @@
 		}
 	})
 }
+
+// Where values are small a job can still need more than a hundred others. A list
+// that does not fit is refused at submission, with nothing stored.
+func TestLongestListOfNames(t *testing.T) {
+	const names, lowTxnOps, lowValueBytes = 200, 5, 2 << 10
+	withCatalogs(t, func(c *catalogs) {
+		catalog := newCatalogWith(state.NewClient(c.service.Node("a"), state.NewBudget(1000, 1000, lowTxnOps)), lowTxnOps, lowValueBytes)
+		c.running.Go(func() { _ = catalog.Run(c.ctx) })
+		if err := catalog.Wait(c.ctx); err != nil {
+			t.Fatal(err)
+		}
+		last := testJob(names)
+		for i := range names {
+			if _, _, err := catalog.Submit(c.ctx, testJob(i)); err != nil {
+				t.Fatal(err)
+			}
+			last.Needs = append(last.Needs, testJob(i).ID)
+		}
+		_, _, err := catalog.Submit(c.ctx, last)
+		var field *wire.FieldError
+		if !errors.As(err, &field) {
+			t.Errorf("a list of %d names: %v", names, err)
+		}
+		if _, found, err := catalog.Status(c.ctx, last.ID); found || err != nil {
+			t.Errorf("what was refused is known: %v, %v", found, err)
+		}
+		last.Needs = last.Needs[:120]
+		if _, created, err := catalog.Submit(c.ctx, last); !created || err != nil {
+			t.Errorf("a list of 120 names: %v", err)
+		}
+		if _, size := c.service.Largest(); size > lowValueBytes {
+			t.Errorf("a value of %d bytes", size)
+		}
+	})
+}
