Teams that do not fit the epoch are told at the start; writes of records in a file of their own

With values of 2 KiB some fifty teams fill the epoch; beyond that no leader could be elected once the state service's lower limits hold, and nothing said so.

--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -101,7 +101,12 @@
 	for node, p := range out.peers {
 		beaters[node] = p
 	}
+	var teams []string
+	for _, t := range settings.Teams {
+		teams = append(teams, t.Name)
+	}
 	c.members = cluster.New(cluster.Options{
+		Teams: teams, MaxValue: settings.ValueBytes,
 		Node: settings.Node, Client: c.client, Route: c.route, Peers: beaters,
 		LeaseFor: settings.LeaseFor, CancelIn: settings.CancelIn, Cancellations: c.catalog, Slowness: settings.Slowness(),
 		Share: c.runShare, Status: c.status, Changed: c.changed, Weights: c.weights,
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -58,8 +58,12 @@
 type Options struct {
 	Node   string
 	Client *state.Client
-	Route  *state.Route
-	Peers  map[string]Beater
+	// Teams are all that are configured, and MaxValue is how many bytes a value of
+	// the state service may have, zero if that is not known.
+	Teams    []string
+	MaxValue int
+	Route    *state.Route
+	Peers    map[string]Beater
 	// LeaseFor is the workers' lease; the permission to answer their reports
 	// without a fresh confirmation of the epoch is a quarter of it.
 	LeaseFor time.Duration
@@ -134,8 +138,14 @@
 		opts.Log.Warn("cancel_s leaves too little time for a lease to lapse: cancellations are confirmed only once every controller knows them",
 			"lease", opts.LeaseFor, "cancel_in", opts.CancelIn, "needed", opts.LeaseFor+lapseSlack(opts.LeaseFor)+leastPermission)
 	}
+	nodes := []string{opts.Node}
 	for node, client := range opts.Peers {
 		c.peers[node] = &peer{node: node, client: client}
+		nodes = append(nodes, node)
+	}
+	if size := largestEpoch(nodes, opts.Teams); opts.MaxValue > 0 && size > opts.MaxValue {
+		opts.Log.Warn("the epoch does not fit a value of the state service: no leader can be elected. Fewer teams, shorter names or larger values are needed",
+			"bytes", size, "limit", opts.MaxValue, "teams", len(opts.Teams))
 	}
 	return c
 }
--- a/internal/cluster/epoch.go
+++ b/internal/cluster/epoch.go
@@ -1,7 +1,10 @@
 package cluster
 
 import (
+	"encoding/json"
 	"hash/fnv"
+	"math"
+	"strings"
 )
 
 // Epoch says who commands workers, and under which token.
@@ -16,6 +19,26 @@
 	Teams map[string]string `json:"teams"`
 }
 
+// largestEpoch is how many bytes the epoch takes at most with these controllers and
+// teams. It is one value, so the state service's limits bound how many there may be.
+func largestEpoch(nodes, teams []string) int {
+	longest := ""
+	members := map[string]Member{}
+	for _, node := range nodes {
+		members[node] = Member{Incarnation: math.MaxUint64, Since: math.MaxUint64}
+		longest = strings.Repeat("x", max(len(longest), len(node)))
+	}
+	owners := map[string]string{}
+	for _, team := range teams {
+		owners[team] = longest
+	}
+	value, err := json.Marshal(Epoch{Token: math.MaxUint64, Leader: longest, Incarnation: math.MaxUint64, Members: members, Teams: owners})
+	if err != nil {
+		panic(err) // an Epoch holds nothing that cannot be encoded
+	}
+	return len(value)
+}
+
 // Member is a controller with a share. One that comes back, as the same
 // incarnation or another, has another Since and owns nothing of what it had.
 type Member struct {
--- /dev/null
+++ b/internal/cluster/epoch_test.go
@@ -0,0 +1,34 @@
+package cluster
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Whether the teams fit the epoch is told at the start: where they do not, no leader
+// can be elected once the state service has its lower limits.
+func TestTeamsThatDoNotFitAreToldAtTheStart(t *testing.T) {
+	for _, test := range []struct {
+		teams, maxValue int
+		told            bool
+	}{
+		{40, 2 << 10, false},
+		{80, 2 << 10, true},
+		{80, 16 << 10, false},
+	} {
+		var log bytes.Buffer
+		opts := Options{Node: "perch-0", Peers: map[string]Beater{"perch-1": nil, "perch-2": nil}, MaxValue: test.maxValue,
+			LeaseFor: 10 * time.Second, CancelIn: time.Minute, Log: slog.New(slog.NewTextHandler(&log, nil))}
+		for i := range test.teams {
+			opts.Teams = append(opts.Teams, fmt.Sprintf("a-usual-team-%d", i))
+		}
+		New(opts)
+		if told := strings.Contains(log.String(), "epoch does not fit"); told != test.told {
+			t.Errorf("%d teams in values of %d bytes: %q", test.teams, test.maxValue, log.String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/pagewrite.go
@@ -0,0 +1,358 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"heronwick/internal/fleet"
+	"heronwick/internal/job"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+// pageWrite is one write of a journal or a page.
+type pageWrite struct {
+	write state.Write
+	// consolidates: it only gathers what is recorded already.
+	consolidates bool
+	journal      bool
+	page         *page                         // nil: it removes one
+	size         int                           // bytes that the page then holds
+	jobs         map[string]bool               // whose being active it is conditional on
+	attempts     map[*machine][]*fleet.Attempt // that it records for the first time
+	moved        []*fleet.Attempt              // that only the journal held
+	recorded     []*machine                    // with records left over on other pages
+}
+
+func (s *Share) newPageWriteLocked(priority state.Priority) *pageWrite {
+	return &pageWrite{attempts: map[*machine][]*fleet.Attempt{}, jobs: map[string]bool{},
+		write: s.fenceLocked().Bind(state.Write{Priority: priority, Persist: true})}
+}
+
+// admitsLocked tells whether the write can record an attempt, and makes it
+// conditional on the attempt's job being active, so that nothing is placed for
+// one cancelled a moment ago. A write takes half of the conditions that a
+// transaction can have: the rest is for others' writes beside it. What finds
+// no place goes with the next write.
+func (s *Share) admitsLocked(pw *pageWrite, a *fleet.Attempt) bool {
+	if a.Durable || pw.jobs[a.Job] {
+		return true
+	}
+	js := s.jobOf(a.Job)
+	if js == nil {
+		return true
+	}
+	if len(pw.jobs) >= max(1, 2*s.opts.Settings.TxnOps) {
+		return false
+	}
+	pw.jobs[a.Job] = true
+	pw.write.If = append(pw.write.If, js.rec.Condition())
+	return true
+}
+
+// records notes that the write records an attempt for the first time.
+func (pw *pageWrite) records(m *machine, a *fleet.Attempt) {
+	pw.attempts[m] = append(pw.attempts[m], a)
+}
+
+// put makes the write one of a page.
+func (pw *pageWrite) put(p *page, value json.RawMessage) {
+	p.committing, p.untidy, p.written = true, false, time.Now()
+	pw.page, pw.size = p, len(value)
+	pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
+	pw.write.Then = append(pw.write.Then, wire.Change{Put: p.key, Value: value})
+}
+
+// paged tells whether a page in the store has the machine's record.
+func (m *machine) paged() bool { return m.page != nil && m.page.version > 0 }
+
+// putPageLocked encodes a page and commits it.
+func (s *Share) putPageLocked(pw *pageWrite, p *page, content fleet.Page) {
+	value, err := json.Marshal(content)
+	if err != nil {
+		s.log.Error("encoding machines' records", "key", p.key, "err", err)
+		return
+	}
+	pw.put(p, value)
+	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
+}
+
+// markLocked returns what no other write bears.
+func (s *Share) markLocked() string {
+	s.serial++ // any number that never comes again under this token
+	return fmt.Sprintf("%s-%d-%d", s.opts.Node, s.div.Token, s.serial)
+}
+
+// writePageLocked writes a page, fenced by the epoch and by its own version. What
+// does not fit it goes to other pages, in writes of their own; it is itself
+// written once those hold what it held.
+func (s *Share) writePageLocked(p *page, priority state.Priority) {
+	for name := range p.machines {
+		s.dropStaleGuestsLocked(s.machines[name])
+	}
+	if p.empty() {
+		s.deletePageLocked(p, priority)
+		return
+	}
+	s.splitPageLocked(p, priority)
+	if p.oversized {
+		return
+	}
+	pw := s.newPageWriteLocked(priority)
+	pw.consolidates = priority == state.Background
+	p.gathers = pw.consolidates
+	if pw.consolidates {
+		s.consolidating++
+	}
+	content := s.contentLocked(p, pw)
+	for name := range p.machines {
+		s.recordsMachineLocked(pw, s.machines[name])
+	}
+	s.putPageLocked(pw, p, content)
+}
+
+// deletePageLocked removes a page that holds nothing any more.
+func (s *Share) deletePageLocked(p *page, priority state.Priority) {
+	delete(s.records.pages, p.key)
+	if p.version == 0 {
+		return
+	}
+	pw := s.newPageWriteLocked(priority)
+	pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
+	pw.write.Then = append(pw.write.Then, wire.Change{Delete: p.key})
+	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
+}
+
+// splitPageLocked moves machines that do not fit a page to others, which are
+// written at once. Until then the page keeps its records of them, and if with
+// those it does not fit a value, it is not written.
+func (s *Share) splitPageLocked(p *page, priority state.Priority) {
+	limit := s.valueLimit()
+	size := 0
+	for name, r := range p.leftover {
+		if !p.machines[name] {
+			size += r.Size(name)
+		}
+	}
+	var moving []string
+	for i, name := range slices.Sorted(maps.Keys(p.machines)) {
+		more := s.recordSizeLocked(s.machines[name])
+		if size += more; size > limit && (i > 0 || len(p.leftover) > 0) {
+			moving = append(moving, name)
+			size -= more
+		}
+	}
+	for len(moving) > 0 {
+		moving = s.moveToNewPageLocked(p, moving, priority)
+	}
+	kept := 0
+	for name, r := range p.leftover {
+		kept += r.Size(name)
+	}
+	for name := range p.machines {
+		kept += s.recordSizeLocked(s.machines[name])
+	}
+	p.oversized = len(p.leftover) > 0 && kept > limit
+}
+
+// recordSizeLocked is how much the machine's record takes of a page at most.
+func (s *Share) recordSizeLocked(m *machine) int {
+	r := s.recordLocked(m, func(*fleet.Attempt) bool { return false })
+	return r.Size(m.Name)
+}
+
+// moveToNewPageLocked moves as many of the machines as fit from a page to a new
+// one and writes that. It returns the others.
+func (s *Share) moveToNewPageLocked(from *page, names []string, priority state.Priority) (others []string) {
+	to := s.records.add()
+	size := 0
+	for i, name := range names {
+		m := s.machines[name]
+		if size += s.recordSizeLocked(m); i > 0 && size > s.valueLimit() {
+			others = names[i:]
+			break
+		}
+		delete(from.machines, name)
+		to.machines[name] = true
+		m.page = to
+		if from.version == 0 {
+			continue
+		}
+		if from.leftover == nil {
+			from.leftover = map[string]fleet.Record{}
+		}
+		if _, ok := from.leftover[name]; !ok {
+			from.leftover[name] = s.recordLocked(m, func(a *fleet.Attempt) bool { return !a.Durable })
+		}
+		if !slices.Contains(m.elsewhere, from) {
+			s.records.scatter(m, from)
+		}
+	}
+	s.writePageLocked(to, priority)
+	return others
+}
+
+// recordsMachineLocked notes what a write of the machine's page records of it.
+func (s *Share) recordsMachineLocked(pw *pageWrite, m *machine) {
+	if len(m.elsewhere) > 0 {
+		pw.recorded = append(pw.recorded, m)
+	}
+	m.due = false
+	if !pw.consolidates {
+		m.dirty = false
+	}
+	for _, a := range m.Attempts.All() {
+		switch {
+		case a.Exited():
+		case a.Durable:
+			if a.Journal != "" {
+				pw.moved = append(pw.moved, a)
+			}
+		case pw.consolidates:
+		case s.admitsLocked(pw, a):
+			pw.records(m, a)
+		default:
+			m.dirty = true
+		}
+	}
+}
+
+// contentLocked is what a page is to hold.
+func (s *Share) contentLocked(p *page, pw *pageWrite) fleet.Page {
+	content := fleet.Page{Machines: make(map[string]fleet.Record, len(p.machines)), Write: s.markLocked()}
+	maps.Copy(content.Machines, p.leftover)
+	for name := range p.machines {
+		content.Machines[name] = s.recordLocked(s.machines[name], func(a *fleet.Attempt) bool {
+			return !a.Durable && (pw.consolidates || !s.admitsLocked(pw, a))
+		})
+	}
+	return content
+}
+
+// fenceLocked ties writes to the division that the share goes by.
+func (s *Share) fenceLocked() state.Fence {
+	fence := s.div.condition
+	return state.Fence{Condition: fence, Current: func() bool {
+		_, condition := s.opts.Authority.Division()
+		return condition == fence
+	}}
+}
+
+// currentLocked tells whether the division that the share goes by is current.
+func (s *Share) currentLocked() bool { return s.fenceLocked().Current() }
+
+// reread returns the version that a key has after a write of it has failed
+// with err; ok is false if that is not known, or did not change. Only this
+// share writes the key, so what is there is an earlier write of its own, or of
+// an earlier epoch.
+func (s *Share) reread(ctx context.Context, p state.Priority, key string, err error) (version uint64, ok bool) {
+	var conflict *state.Conflict
+	if ctx.Err() != nil || errors.As(err, &conflict) && !conflict.Has(key) {
+		return 0, false
+	}
+	item, err := s.opts.Records.Get(ctx, p, key)
+	return item.Version, err == nil || errors.Is(err, state.ErrNotFound)
+}
+
+func (s *Share) commit(ctx context.Context, pw *pageWrite) {
+	version, err := s.opts.Committer.Commit(ctx, pw.write)
+	known := err == nil
+	if err != nil && pw.page != nil {
+		version, known = s.reread(ctx, state.Placement, pw.page.key, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if pw.consolidates {
+		s.consolidating--
+	}
+	if pw.page != nil {
+		pw.page.committing = false
+		if known {
+			pw.page.version = version
+		}
+	}
+	if err != nil {
+		s.notRecordedLocked(pw, err)
+		if ctx.Err() == nil {
+			time.AfterFunc(commitAgainAfter, s.poke)
+		}
+		return
+	}
+	s.recordedLocked(pw)
+	s.poke() // for what has gathered meanwhile
+}
+
+// commitAgainAfter is how long what could not be recorded waits.
+const commitAgainAfter = 100 * time.Millisecond
+
+// recordedLocked draws the consequences of a write of records that was made.
+func (s *Share) recordedLocked(pw *pageWrite) {
+	if pw.page != nil {
+		pw.page.size = pw.size
+	}
+	for _, m := range pw.recorded {
+		if m.page == pw.page {
+			s.records.gathered(m)
+		}
+	}
+	for m, attempts := range pw.attempts {
+		for _, a := range attempts {
+			a.Durable, a.Paged = true, a.Paged || !pw.journal
+			a.Journal = ""
+			if !a.Paged {
+				a.Journal = pw.page.key
+				pw.page.journaled[m] = true
+			}
+		}
+		if s.machines[m.Name] == m {
+			s.sendLocked(m)
+		}
+	}
+	for _, a := range pw.moved {
+		a.Journal, a.Paged = "", true
+	}
+}
+
+// notRecordedLocked draws the consequences of a write of records that failed.
+func (s *Share) notRecordedLocked(pw *pageWrite, err error) {
+	s.log.Debug("recording placements failed", "err", err)
+	if pw.page != nil {
+		pw.page.untidy = true
+	}
+	for m := range pw.attempts {
+		m.dirty = true
+	}
+	s.noteRejectedLocked(err)
+	var conflict *state.Conflict
+	if !errors.As(err, &conflict) {
+		return
+	}
+	for _, failed := range conflict.Failed {
+		if id, ok := job.IsActive(failed); ok {
+			s.dropUnsentLocked(pw, id)
+		}
+	}
+}
+
+// dropUnsentLocked drops the placements of a job that is over, none of which
+// was sent.
+func (s *Share) dropUnsentLocked(pw *pageWrite, id string) {
+	for m := range pw.attempts {
+		for _, a := range m.Attempts.All() {
+			if a.Job == id && a.Unsent() {
+				m.Attempts.Delete(a.Key)
+				s.uncountLocked(a)
+			}
+		}
+		s.closeIfEmptyLocked(m)
+	}
+	if js := s.jobOf(id); js != nil {
+		js.notBefore = time.Now().Add(time.Second)
+	}
+	s.resolveLocked(id)
+}
