What others leave is shared among all who are short again, also while one is late

Those who accept with a part of their writes no longer count as short for it, so what they leave is not shared with them.

--- a/cmd/heronwick/budget.go
+++ b/cmd/heronwick/budget.go
@@ -76,34 +76,28 @@
 const submissionPart = 0.15
 
 // setRates sets this controller's budget: its part, and while it is short what
-// the others leave, divided among those who are. While one is late it alone gets
-// that, and the others accept few jobs.
+// the others leave, divided among those who are. While another one is late it
+// accepts few jobs, and so leaves more.
 func (c *controller) setRates() {
 	requests, writes := c.rates()
-	rates := state.Rates{Requests: requests, Writes: writes, Submission: writes, Background: writes}
+	rates := state.Rates{Requests: requests, Writes: writes, Background: writes}
 	peers := c.members.Peers()
-	mine := c.spare.Load()
-	if mine == nil {
-		mine = &spare{}
-	}
-	peerLate := slices.ContainsFunc(peers, func(p *peerpb.Status) bool { return p.Late })
-	peerShort := slices.ContainsFunc(peers, func(p *peerpb.Status) bool { return p.Short })
-	if mine.short && (mine.late || !peerLate) {
+	if mine := c.spare.Load(); mine != nil && mine.short {
 		for _, p := range peers {
 			sharers := 1.0
 			for _, other := range peers {
-				if other != p && other.Short && other.Late == mine.late {
+				if other != p && other.Short {
 					sharers++
 				}
 			}
 			rates.Requests, rates.Writes = rates.Requests+p.SpareRequests/sharers, rates.Writes+p.SpareWrites/sharers
 		}
-		rates.Submission, rates.Background = rates.Writes, writes
 	}
-	if peerShort {
+	rates.Submission = rates.Writes
+	if slices.ContainsFunc(peers, func(p *peerpb.Status) bool { return p.Short }) {
 		rates.Background = writes * backgroundPart
 	}
-	if peerLate {
+	if slices.ContainsFunc(peers, func(p *peerpb.Status) bool { return p.Late }) {
 		rates.Submission = writes * submissionPart
 	}
 	c.budget.SetRates(rates, c.settings.TxnOps)
--- a/internal/state/budget.go
+++ b/internal/state/budget.go
@@ -51,7 +51,10 @@
 	now := time.Now()
 	w := b.window
 	b.window = Usage{}
-	for p := range Background {
+	for p := range priorities {
+		if b.limited(p) {
+			continue
+		}
 		for _, waiter := range b.waiting[p] {
 			w.Longest = max(w.Longest, now.Sub(waiter.since))
 		}
@@ -59,6 +62,12 @@
 	return w
 }
 
+// limited tells whether a priority waits without being short of anything: it may
+// not use all, or nobody waits for it.
+func (b *Budget) limited(p Priority) bool {
+	return p == Background || b.parts[p].rate < b.writes.rate
+}
+
 // Usage is what was asked of the budget.
 type Usage struct {
 	Requests, Writes int
@@ -227,7 +236,7 @@
 			b.parts[p].level -= w.granted
 			waited := now.Sub(w.since)
 			b.usage[p].add(int(w.granted), waited)
-			if Priority(p) == Background {
+			if b.limited(Priority(p)) {
 				waited = 0
 			}
 			b.window.add(int(w.granted), waited)
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -331,6 +331,9 @@
 		if submitted < 100 || submitted > 110 || ended != 60 {
 			t.Errorf("in 20 s %d submissions at five a second, and %d of 60 ends", submitted, ended)
 		}
+		if longest := b.Window().Longest; longest > 0 {
+			t.Errorf("waiting for their part counts as short of writes: %v", longest)
+		}
 	})
 }
 
