--- a/cmd/heronwick/large_test.go
+++ b/cmd/heronwick/large_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -154,9 +155,10 @@
 
 // largeUsage is the most that was seen of what grows with a fleet.
 type largeUsage struct {
-	goroutines int // of one controller
-	values     int // in the state service
-	bytes      int // of the largest of them
+	goroutines int    // of one controller
+	values     int    // in the state service
+	bytes      int    // of the largest of them
+	heap       uint64 // of the whole test: three controllers, and the stand-ins
 }
 
 func (u *largeUsage) sample(tc *testCluster) {
@@ -165,18 +167,24 @@
 	}
 	_, largest := tc.state.Largest()
 	u.values, u.bytes = max(u.values, tc.state.Count()), max(u.bytes, largest)
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	u.heap = max(u.heap, stats.HeapAlloc)
 }
 
 // check compares it with what a fleet of the size may need. Requests are served by
 // goroutines of the stand-ins, so those are not among a controller's here.
 func (u *largeUsage) check(t *testing.T, machines int) {
-	t.Logf("at most %d goroutines of a controller, %d values, the largest of %d bytes", u.goroutines, u.values, u.bytes)
+	t.Logf("at most %d goroutines of a controller, %d values, the largest of %d bytes, a heap of %d MB", u.goroutines, u.values, u.bytes, u.heap>>20)
 	if u.goroutines > machines/2 {
 		t.Errorf("%d goroutines of one controller for %d machines", u.goroutines, machines)
 	}
 	if u.values > machines {
 		t.Errorf("%d values for %d machines", u.values, machines)
 	}
+	if u.heap > 1<<30 {
+		t.Errorf("a heap of %d bytes", u.heap)
+	}
 	if u.bytes > 16<<10 {
 		t.Errorf("a value of %d bytes", u.bytes)
 	}
