A page that could not be removed from the store is removed later

Removing a page that holds nothing any more fails if the epoch changes meanwhile, and the share had forgotten the page by then. It is put back, and its version read again.

TestRemovalOfAPageIsTriedAgain, seen failing.

--- a/internal/scheduler/limits_test.go
+++ b/internal/scheduler/limits_test.go
@@ -10,6 +10,7 @@
 
 	"heronwick/internal/fleet"
 	"heronwick/internal/job"
+	"heronwick/internal/state"
 	"heronwick/wire"
 )
 
@@ -205,3 +206,29 @@
 		synctest.Wait()
 	})
 }
+
+// A page that holds nothing any more and could not be removed, since the epoch changed
+// meanwhile, is removed later: it stayed in the store for ever.
+func TestRemovalOfAPageIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newTestShare(t)
+		left := &page{key: "machines/former/1/1", version: 3, machines: map[string]bool{}, untidy: true}
+		s.records.pages[left.key] = left
+		p.refuse = &state.Conflict{}
+		s.mu.Lock()
+		s.tidyLocked(time.Now())
+		s.mu.Unlock()
+		synctest.Wait()
+		p.refuse = nil
+		s.mu.Lock()
+		s.tidyLocked(time.Now())
+		s.mu.Unlock()
+		synctest.Wait()
+		if len(p.writes) != 1 || p.writes[0].Then[0].Delete != left.key {
+			t.Errorf("the page was not removed: %v", p.writes)
+		}
+		if s.records.pages[left.key] != nil {
+			t.Error("the page is still among those in the store")
+		}
+	})
+}
--- a/internal/scheduler/pagewrite.go
+++ b/internal/scheduler/pagewrite.go
@@ -21,7 +21,8 @@
 	// consolidates: it only gathers what is recorded already.
 	consolidates bool
 	journal      bool
-	page         *page                         // nil: it removes one
+	page         *page
+	removes      bool                          // the page, which holds nothing any more
 	size         int                           // bytes that the page then holds
 	jobs         map[string]bool               // whose being active it is conditional on
 	attempts     map[*machine][]*fleet.Attempt // that it records for the first time
@@ -123,6 +124,7 @@
 		return
 	}
 	pw := s.newPageWriteLocked(priority)
+	pw.page, pw.removes, p.committing = p, true, true
 	pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
 	pw.write.Then = append(pw.write.Then, wire.Change{Delete: p.key})
 	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
@@ -262,7 +264,7 @@
 func (s *Share) commit(ctx context.Context, pw *pageWrite) {
 	version, err := s.opts.Committer.Commit(ctx, pw.write)
 	known := err == nil
-	if err != nil && pw.page != nil {
+	if err != nil {
 		version, known = s.reread(ctx, state.Placement, pw.page.key, err)
 	}
 	s.mu.Lock()
@@ -270,11 +272,9 @@
 	if pw.consolidates {
 		s.consolidating--
 	}
-	if pw.page != nil {
-		pw.page.committing = false
-		if known {
-			pw.page.version = version
-		}
+	pw.page.committing = false
+	if known {
+		pw.page.version = version
 	}
 	if err != nil {
 		s.notRecordedLocked(pw, err)
@@ -292,9 +292,7 @@
 
 // recordedLocked draws the consequences of a write of records that was made.
 func (s *Share) recordedLocked(pw *pageWrite) {
-	if pw.page != nil {
-		pw.page.size = pw.size
-	}
+	pw.page.size = pw.size
 	for _, m := range pw.recorded {
 		if m.page == pw.page {
 			s.records.gathered(m)
@@ -321,8 +319,10 @@
 // notRecordedLocked draws the consequences of a write of records that failed.
 func (s *Share) notRecordedLocked(pw *pageWrite, err error) {
 	s.log.Debug("recording placements failed", "err", err)
-	if pw.page != nil {
-		pw.page.untidy = true
+	pw.page.untidy = true
+	if pw.removes {
+		// Else it would stay in the store for ever.
+		s.records.pages[pw.page.key] = pw.page
 	}
 	for m := range pw.attempts {
 		m.dirty = true
--- a/internal/scheduler/share_test.go
+++ b/internal/scheduler/share_test.go
@@ -40,6 +40,7 @@
 	since     map[string]uint64 // machines that the peer owns, and its membership
 	items     []wire.Item       // records
 	raised    atomic.Int64      // how often another token was asked for
+	refuse    error             // what writes fail with
 }
 
 func (p *scripted) Division() (cluster.Epoch, wire.Condition) {
@@ -100,6 +101,9 @@
 func (p *scripted) Commit(_ context.Context, w state.Write) (uint64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.refuse != nil {
+		return 0, p.refuse
+	}
 	p.writes = append(p.writes, w)
 	return 1, nil
 }
