--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -13,6 +13,7 @@
 	"heronwick/internal/cluster"
 	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/config"
+	"heronwick/internal/duty"
 	"heronwick/internal/job"
 	"heronwick/internal/overload"
 	"heronwick/internal/scheduler"
@@ -32,10 +33,17 @@
 	Settle(ctx context.Context, req *peerpb.SettleRequest) (*peerpb.SettleReply, error)
 }
 
+// machineCloud is the cloud that rents machines.
+type machineCloud interface {
+	cloud.Source
+	scheduler.Cloud
+	duty.Provider
+}
+
 // outside is everything beyond this process.
 type outside struct {
 	state   state.Doer
-	cloud   scheduler.Cloud
+	cloud   machineCloud
 	workers scheduler.Workers
 	peers   map[string]peer
 }
@@ -62,6 +70,7 @@
 	requests  scheduler.Requests
 	cutAt     atomic.Int64 // when the share last could not reach most workers
 	chains    *chainWatch
+	duties    duties
 }
 
 // peerShares are the other controllers' shares.
@@ -105,12 +114,13 @@
 	for _, t := range settings.Teams {
 		teams = append(teams, t.Name)
 	}
+	c.duties = newDuties(c)
 	c.members = cluster.New(cluster.Options{
 		Teams: teams, MaxValue: settings.ValueBytes,
 		Node: settings.Node, Client: c.client, Route: c.route, Peers: beaters,
 		LeaseFor: settings.LeaseFor, CancelIn: settings.CancelIn, Cancellations: c.catalog, Slowness: settings.Slowness(),
 		Share: c.runShare, Status: c.status, Changed: c.changed, Weights: c.weights,
-		Progress: c.progress, OnProgress: c.takeProgress, Log: log,
+		Progress: c.progress, OnProgress: c.takeProgress, Ledger: c.duties.ledger, Cleanup: c.duties.cleanupConditions, Log: log,
 	})
 	c.catalog.SetReplicator(c.members)
 	c.chains = newChainWatch(c.catalog, c.owns, log)
@@ -118,6 +128,7 @@
 		Settings: settings, Jobs: c.catalog, Types: c.offers.Types, Checkin: c.checkin, Ready: c.ready,
 		Latency: func() time.Duration { return c.latency() }, Gauges: c.gauges(), Log: log,
 		Chains: func() []wire.Chain { return c.catalog.Chains(time.Now()) },
+		Duties: c.dutyReport, HandOver: c.handOver,
 	})
 	return c
 }
@@ -126,6 +137,7 @@
 func (c *controller) run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.members.Run(ctx) })
+	g.Go(func() error { return c.duties.keeper.Run(ctx) })
 	g.Go(func() error { return c.catalog.Run(ctx) })
 	g.Go(func() error { return c.offers.Run(ctx) })
 	g.Go(func() error { return every(ctx, logUsageEvery, c.logUsage) })
@@ -174,6 +186,7 @@
 // changed follows the epoch.
 func (c *controller) changed() {
 	c.setRates()
+	c.duties.keeper.Poke()
 	if s := c.share.Load(); s != nil {
 		s.Changed()
 	}
@@ -188,7 +201,7 @@
 		return err
 	}
 	s := scheduler.New(scheduler.Options{
-		Node: c.settings.Node, Settings: c.settings, Authority: membership, Workers: c.out.workers, Cloud: c.out.cloud,
+		Node: c.settings.Node, Settings: c.settings, Authority: membership, Workers: c.out.workers, Cloud: c.out.cloud, Actions: c.duties.actions,
 		Peers: peerShares(c.out.peers), Requests: &c.requests, Jobs: c.catalog, Records: c.client, Committer: c.committer, Types: c.offers.Types(),
 		Resign: c.members.Resign, Elsewhere: c.members.WorkersElsewhere, Latency: c.latency, Log: c.log,
 	})
@@ -259,7 +272,7 @@
 			return value(&status)
 		}
 	}
-	return []server.Gauge{
+	return append(c.duties.gauges(), []server.Gauge{
 		{Name: "heronwick_share_machines", Help: "Machines of this controller's share.",
 			Value: of(func(s *peerpb.Status) float64 { return float64(s.Machines) })},
 		{Name: "heronwick_share_idle_machines", Help: "Usable machines of the share without tasks.",
@@ -285,7 +298,7 @@
 				}
 				return 0
 			}},
-	}
+	}...)
 }
 
 // progressEvery is how often the progress of jobs is taken, for display.
--- /dev/null
+++ b/cmd/heronwick/dutiescommand.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heronwick/internal/duty"
+	"heronwick/internal/dutyreport"
+	"heronwick/wire"
+)
+
+// dutiesCommand looks at the single duties of running controllers.
+type dutiesCommand struct {
+	List     listCommand     `cmd:"" help:"List duties, their holders and open intents, as one controller knows them."`
+	Report   reportCommand   `cmd:"" help:"Turn the recorded history of actions into an archive (Parquet) and a page with plots."`
+	Handover handoverCommand `cmd:"" help:"Have a controller give up a duty that it holds."`
+}
+
+// operatorTimeout is how long an operator's command waits for a controller.
+const operatorTimeout = 5 * time.Second
+
+// ask sends a request to a controller at HOST:PORT and reads its answer.
+func ask(method, address, path string, answer any) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + strings.TrimPrefix(address, "http://") + path)
+	if err := fasthttp.DoTimeout(req, resp, operatorTimeout); err != nil {
+		return fmt.Errorf("asking %s: %w", address, err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("%s answered %d: %.300s", address, resp.StatusCode(), resp.Body())
+	}
+	if err := json.Unmarshal(resp.Body(), answer); err != nil {
+		return fmt.Errorf("reading the answer of %s: %w", address, err)
+	}
+	return nil
+}
+
+// listCommand lists duties.
+type listCommand struct {
+	From string `help:"Address of a controller." required:"" placeholder:"HOST:PORT"`
+}
+
+// Run implements kong's interface of a command.
+func (l *listCommand) Run() error {
+	var duties wire.Duties
+	if err := ask("GET", l.From, wire.PathDuties, &duties); err != nil {
+		return err
+	}
+	fmt.Printf("%s: single duties are active: %v, lease %gs\n", duties.Node, duties.Active, duties.LeaseS)
+	for _, d := range duties.Duties {
+		holder := d.Holder
+		switch {
+		case d.Damaged:
+			holder = "(its record cannot be read)"
+		case holder == "":
+			holder = "(nobody)"
+		}
+		fmt.Printf("%-24s token %-10d %s\n", d.ID, d.Token, holder)
+	}
+	for _, c := range duties.Condemned {
+		fmt.Printf("condemned under token %d, %s: %s\n", c.Token, c.Why, strings.Join(c.Machines, " "))
+	}
+	for _, r := range duties.Rentals {
+		fmt.Printf("renting under token %d: %s\n", r.Token, strings.Join(r.Requests, " "))
+	}
+	return nil
+}
+
+// handoverCommand has a controller give up a duty.
+type handoverCommand struct {
+	At   string `help:"Address of the controller that holds it." required:"" placeholder:"HOST:PORT"`
+	Duty string `arg:"" help:"The duty, NAME/SCOPE, for example rent/fleet."`
+}
+
+// Run implements kong's interface of a command.
+func (h *handoverCommand) Run() error {
+	if _, err := duty.ParseID(h.Duty); err != nil {
+		return settingsError{err}
+	}
+	return ask("POST", h.At, wire.PathHandOver+"?duty="+url.QueryEscape(h.Duty), &struct{}{})
+}
+
+// reportCommand turns the history of actions into an archive and a page.
+type reportCommand struct {
+	From    []string `help:"Addresses of controllers whose history is read." placeholder:"HOST:PORT"`
+	Read    string   `help:"Archive to read instead." type:"path" placeholder:"FILE"`
+	Archive string   `help:"Archive (Parquet) to write." type:"path" placeholder:"FILE"`
+	HTML    string   `help:"Page to write." type:"path" placeholder:"FILE"`
+}
+
+// Validate implements kong's check of arguments.
+func (r *reportCommand) Validate() error {
+	switch {
+	case (len(r.From) == 0) == (r.Read == ""):
+		return errors.New("either --from or --read must be given")
+	case r.Archive == "" && r.HTML == "":
+		return errors.New("--archive, --html or both must be given")
+	}
+	return nil
+}
+
+// Run implements kong's interface of a command.
+func (r *reportCommand) Run() error {
+	events, err := r.events()
+	if err != nil {
+		return err
+	}
+	if r.Archive != "" {
+		if err := dutyreport.WriteArchive(r.Archive, events); err != nil {
+			return err
+		}
+	}
+	if r.HTML == "" {
+		return nil
+	}
+	file, err := os.Create(r.HTML)
+	if err != nil {
+		return fmt.Errorf("writing the page: %w", err)
+	}
+	return errors.Join(dutyreport.WritePage(file, events), file.Close())
+}
+
+func (r *reportCommand) events() ([]wire.DutyEvent, error) {
+	if r.Read != "" {
+		return dutyreport.ReadArchive(r.Read)
+	}
+	var events []wire.DutyEvent
+	for _, address := range r.From {
+		var duties wire.Duties
+		if err := ask("GET", address, wire.PathDuties, &duties); err != nil {
+			return nil, err
+		}
+		events = append(events, duties.Events...)
+	}
+	return events, nil
+}
--- a/cmd/heronwick/main.go
+++ b/cmd/heronwick/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,6 +19,7 @@
 	"heronwick/internal/cloud"
 	"heronwick/internal/cluster"
 	"heronwick/internal/config"
+	"heronwick/internal/duty"
 	"heronwick/internal/fleet"
 	"heronwick/internal/state"
 )
@@ -31,11 +33,52 @@
 )
 
 type arguments struct {
-	Config   string           `help:"Settings file (TOML) handed over by the platform." required:"" type:"path" placeholder:"PATH"`
+	Run      runCommand       `cmd:"" default:"withargs" help:"Run a controller until it is killed (the default)."`
+	Duties   dutiesCommand    `cmd:"" help:"Look at the single duties of running controllers."`
 	LogLevel string           `help:"How much to log to standard error: error, info or debug." env:"LOG_LEVEL" default:"info" enum:"error,info,debug"`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
+// runCommand runs a controller.
+type runCommand struct {
+	Config    string        `help:"Settings file (TOML) handed over by the platform." required:"" type:"path" placeholder:"PATH"`
+	DutyLease time.Duration `help:"Lease of the single duties (renting, returning, reclaiming, clean-up); 0: they are off. At least 4s; up to three times as long where controllers have little of a core." env:"HERONWICK_DUTY_LEASE" default:"0"`
+}
+
+// settings loads the settings and checks the operator's own against them.
+func (r *runCommand) settings() (*config.Settings, error) {
+	settings, err := config.Load(r.Config)
+	if err != nil {
+		return nil, err
+	}
+	// Like all that controllers wait for, it is longer where they are slow.
+	lease := time.Duration(float64(r.DutyLease) * settings.Slowness())
+	if err := duty.CheckLease(lease, len(settings.Peers)+1, settings.StateRPS); err != nil {
+		return nil, fmt.Errorf("--duty-lease: %w", err)
+	}
+	settings.DutyLease = lease
+	return settings, nil
+}
+
+// Run implements kong's interface of a command.
+func (r *runCommand) Run(level logLevel) error {
+	settings, err := r.settings()
+	if err != nil {
+		return settingsError{err}
+	}
+	log := newLog(os.Stderr, string(level), settings.Node)
+	return serve(context.Background(), settings, log)
+}
+
+// logLevel is how much is logged.
+type logLevel string
+
+// settingsError is what ends the program with exitSettings.
+type settingsError struct{ error }
+
+// Unwrap gives the error beneath.
+func (e settingsError) Unwrap() error { return e.error }
+
 func main() {
 	var args arguments
 	parser := kong.Must(&args,
@@ -43,18 +86,17 @@
 		kong.Description("A controller of the heronwick cluster scheduler. It runs until it is killed."),
 		kong.Vars{"version": "heronwick " + version},
 	)
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
+	command, err := parser.Parse(os.Args[1:])
+	if err != nil {
 		fmt.Fprintf(os.Stderr, "heronwick: %v (see --help)\n", err)
 		os.Exit(exitSettings)
 	}
-	settings, err := config.Load(args.Config)
-	if err != nil {
+	if err := command.Run(logLevel(args.LogLevel)); err != nil {
 		fmt.Fprintf(os.Stderr, "heronwick: %v\n", err)
-		os.Exit(exitSettings)
-	}
-	log := newLog(os.Stderr, args.LogLevel, settings.Node)
-	if err := serve(context.Background(), settings, log); err != nil {
-		log.Error("ended", "err", err)
+		var wrong settingsError
+		if errors.As(err, &wrong) {
+			os.Exit(exitSettings)
+		}
 		os.Exit(exitFailure)
 	}
 }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -84,7 +84,19 @@
 	// Progress is told to the peers, for display, and taken from the leader.
 	Progress   func() []*peerpb.Progress
 	OnProgress func([]*peerpb.Progress)
-	Log        *slog.Logger
+	// Ledger follows the keys below the watched prefix that are not this package's
+	// own; nil: nobody does. It is called under a lock, in the order of the store.
+	Ledger Ledger
+	// Cleanup returns the conditions under which records may be removed, or an error
+	// if this controller has no right to; nil: there are none besides the epoch.
+	Cleanup func() ([]wire.Condition, error)
+	Log     *slog.Logger
+}
+
+// Ledger takes what the watch brings.
+type Ledger interface {
+	Replace(items []wire.Item, revision uint64)
+	Apply(events []wire.Event, revision uint64)
 }
 
 // Cluster is this controller's view of the deployment.
@@ -178,6 +190,14 @@
 	return c.epoch, c.leadsLocked(), c.memberLocked()
 }
 
+// View returns the epoch, the condition that fences what is decided under it, and
+// whether this controller leads it and is a member, all as of one moment.
+func (c *Cluster) View() (epoch Epoch, condition wire.Condition, leading, member bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.epoch, wire.Condition{Key: epochKey, Version: c.version}, c.leadsLocked(), c.memberLocked()
+}
+
 // Token returns the token under which this controller commands.
 func (c *Cluster) Token() uint64 {
 	c.mu.Lock()
--- a/internal/cluster/features.go
+++ b/internal/cluster/features.go
@@ -23,8 +23,11 @@
 	LevelNone FeatureLevel = iota
 	// LevelChains: jobs may need others.
 	LevelChains
+	// LevelDuties: machines are condemned before they are returned, and rentals are
+	// recorded before they are asked for.
+	LevelDuties
 
-	supportedLevel = LevelChains
+	supportedLevel = LevelDuties
 )
 
 // featuresKey holds the recorded level. The version before levels passes it over.
--- a/internal/cluster/owners.go
+++ b/internal/cluster/owners.go
@@ -182,18 +182,30 @@
 	return nil
 }
 
+// cleanupGuard returns what the removal of records is conditional on besides the epoch.
+func (c *Cluster) cleanupGuard() ([]wire.Condition, error) {
+	if c.opts.Cleanup == nil {
+		return nil, nil
+	}
+	return c.opts.Cleanup()
+}
+
 // tidy removes transfers that decide nothing any more: newer ones name all
 // their machines, or the owner's membership is over and none older names them. A
 // late copy of a transfer would bring it back as the newest one, so one is
 // removed only under a later epoch than its own: the copy then fails.
 func (c *Cluster) tidy(ctx context.Context) {
 	const most = 8 // changes; it need not be quick
+	guard, err := c.cleanupGuard()
+	if err != nil {
+		return // whoever has the right to does it
+	}
 	c.mu.Lock()
 	if !c.leadsLocked() || c.revision < c.version {
 		c.mu.Unlock()
 		return
 	}
-	txn := wire.Txn{If: []wire.Condition{{Key: epochKey, Version: c.version}}}
+	txn := wire.Txn{If: append(guard, wire.Condition{Key: epochKey, Version: c.version})}
 	oldest := map[string]uint64{} // by machine, the oldest transfer that names it
 	for _, t := range c.transfers {
 		for machine := range t.Machines {
@@ -231,7 +243,7 @@
 	if len(txn.Then) == 0 {
 		return
 	}
-	_, err := c.opts.Client.Txn(ctx, state.Background, txn)
+	_, err = c.opts.Client.Txn(ctx, state.Background, txn)
 	var conflict *state.Conflict
 	if err != nil {
 		if !errors.As(err, &conflict) {
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -48,6 +48,9 @@
 			c.addTransferLocked(key, t)
 		}
 	}
+	if c.opts.Ledger != nil {
+		c.opts.Ledger.Replace(items, revision)
+	}
 	if caughtUp {
 		c.caughtUp = sent
 		if c.memberLocked() {
@@ -132,6 +135,9 @@
 		c.mu.Lock()
 		if events.Revision > c.revision {
 			c.revision = events.Revision
+			if c.opts.Ledger != nil {
+				c.opts.Ledger.Apply(events.Events, events.Revision)
+			}
 			for _, e := range events.Events {
 				if e.Put != "" {
 					c.takeLocked(e.Put, e.Value, e.Version)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,10 @@
 	CoreShare      float64 // of a core's time that the process has
 	MemoryBytes    int64
 	MaxConnections int
+
+	// DutyLease is the lease of single duties; 0: they are off. An operator's flag,
+	// not part of the file.
+	DutyLease time.Duration
 }
 
 // Peer is another controller.
--- a/internal/scheduler/done.go
+++ b/internal/scheduler/done.go
@@ -118,17 +118,24 @@
 // putDonePageLocked writes a page, or removes one that holds nothing any more.
 func (s *Share) putDonePageLocked(dw *donePageWrite) {
 	page := dw.page
-	change := wire.Change{Delete: page.key}
-	if len(page.jobs) > 0 {
+	write := state.Write{Priority: flushPriority, Persist: true, If: []wire.Condition{{Key: page.key, Version: page.version}}}
+	if len(page.jobs) == 0 {
+		guard, err := s.cleanupGuard()
+		if err != nil {
+			s.done.pages[page.key] = page // removed later
+			return
+		}
+		write.Then = []wire.Change{{Delete: page.key}}
+		write = guard.Bind(write)
+	} else {
 		value, err := json.Marshal(job.DonePage{Jobs: page.jobs, Write: s.markLocked()})
 		if err != nil {
 			s.log.Error("encoding done tasks", "key", page.key, "err", err)
 		}
-		change = wire.Change{Put: page.key, Value: value}
+		write.Then = []wire.Change{{Put: page.key, Value: value}}
 	}
 	page.committing = true
-	dw.write = s.fenceLocked().Bind(state.Write{Priority: flushPriority, Persist: true,
-		If: []wire.Condition{{Key: page.key, Version: page.version}}, Then: []wire.Change{change}})
+	dw.write = s.fenceLocked().Bind(write)
 	s.goDo(func(ctx context.Context) { s.writeDonePage(ctx, dw) })
 }
 
@@ -145,6 +152,9 @@
 		dw.page.version = version
 	}
 	if err != nil {
+		if len(dw.page.jobs) == 0 && dw.page.version > 0 && s.done.pages[dw.page.key] == nil {
+			s.done.pages[dw.page.key] = dw.page // else it would stay in the store for ever
+		}
 		s.log.Debug("writing done tasks failed", "key", dw.page.key, "err", err)
 		s.noteRejectedLocked(err)
 	}
--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -297,10 +297,12 @@
 	switch {
 	case m.returning:
 		return ""
+	case m.condemned:
+		return whyCondemned
 	case s.silentForLong(m, now) && s.countsAsLost(m, survey) && s.dead(m, s.heardLocked(survey), now):
 		return "lost"
 	case s.overdueLocked(m, now):
-		return "a cancelled task may still be on it"
+		return whyOverdue
 	case survey.fewUnreachable && s.unreachableForGood(m, now):
 		return "nothing reaches it"
 	case m.suspect && m.Live() == 0:
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"slices"
 	"time"
 
-	"heronwick/internal/fleet"
 	"heronwick/internal/placement"
 	"heronwick/internal/state"
 	"heronwick/wire"
@@ -54,46 +52,6 @@
 	}
 }
 
-// returnLocked gives machines back. When the cloud says so, they and all that
-// was on them are gone.
-func (s *Share) returnLocked(machines []*machine, why string) {
-	var names []string
-	for _, m := range machines {
-		if m.returning || len(names) == wire.MaxReturn {
-			continue
-		}
-		m.returning = true
-		names = append(names, m.Name)
-		s.log.Info("returning machine", "machine", m.Name, "why", why, "tasks", m.Live(), "suspect", m.suspect)
-	}
-	if len(names) == 0 {
-		return
-	}
-	s.goDo(func(ctx context.Context) {
-		for {
-			err := s.opts.Cloud.Return(ctx, names)
-			if err == nil {
-				break
-			}
-			s.log.Info("returning machines failed, trying again", "machines", names, "err", err)
-			if !pause(ctx, 300*time.Millisecond+rand.N(400*time.Millisecond)) {
-				return
-			}
-		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		now := time.Now()
-		for _, name := range names {
-			s.returned[name] = now
-			delete(s.booting, name)
-			if m := s.machines[name]; m != nil {
-				s.goneLocked(m)
-			}
-		}
-		s.poke()
-	})
-}
-
 // goneLocked drops a machine that was returned.
 func (s *Share) goneLocked(m *machine) {
 	s.handleLocked(m, m.Gone())
@@ -187,7 +145,7 @@
 	defer s.mu.Unlock()
 	var failed, stuck []string
 	for _, lm := range machines {
-		if s.isGoneLocked(lm.ID) {
+		if s.isGoneLocked(lm.ID) || s.opts.Actions.Condemned(lm.ID) {
 			continue
 		}
 		if node, owned := s.opts.Authority.Home(lm.ID); owned && node != s.opts.Node {
@@ -217,6 +175,7 @@
 	}
 	s.returnNamesLocked(failed, "failed")
 	s.returnNamesLocked(stuck, "never came up")
+	s.returnNamesLocked(s.abandonedLocked(), whyCondemned)
 }
 
 // bootLimit is when a machine that has not come up is given back: some take
@@ -229,19 +188,6 @@
 	return 3*boot + 2*s.opts.Settings.ListLag
 }
 
-// returnNamesLocked gives back machines that may have no worker.
-func (s *Share) returnNamesLocked(names []string, why string) {
-	var known []*machine
-	for _, name := range names {
-		m := s.machines[name]
-		if m == nil {
-			m = s.addMachineLocked(fleet.NewMachine(name), time.Now())
-		}
-		known = append(known, m)
-	}
-	s.returnLocked(known, why)
-}
-
 // returnIdleLocked gives back a machine that has been idle for long, if more
 // are idle than are wanted in reserve.
 func (s *Share) returnIdleLocked(now time.Time) {
--- a/internal/scheduler/pagewrite.go
+++ b/internal/scheduler/pagewrite.go
@@ -119,14 +119,21 @@
 
 // deletePageLocked removes a page that holds nothing any more.
 func (s *Share) deletePageLocked(p *page, priority state.Priority) {
-	delete(s.records.pages, p.key)
 	if p.version == 0 {
+		delete(s.records.pages, p.key)
 		return
 	}
+	guard, err := s.cleanupGuard()
+	if err != nil {
+		p.untidy = true // removed later
+		return
+	}
+	delete(s.records.pages, p.key)
 	pw := s.newPageWriteLocked(priority)
 	pw.page, pw.removes, p.committing = p, true, true
 	pw.write.If = append(pw.write.If, wire.Condition{Key: p.key, Version: p.version})
 	pw.write.Then = append(pw.write.Then, wire.Change{Delete: p.key})
+	pw.write = guard.Bind(pw.write)
 	s.goDo(func(ctx context.Context) { s.commit(ctx, pw) })
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -223,7 +223,7 @@
 
 // acceptsLocked tells whether new tasks may go to the machine, if there is room.
 func (s *Share) acceptsLocked(m *machine, now time.Time) bool {
-	return s.synced(m) && m.Type != nil && !m.returning && !m.suspect && m.failures == 0 && m.unreachableSince.IsZero() &&
+	return s.synced(m) && m.Type != nil && !m.returning && !m.condemned && !m.suspect && m.failures == 0 && m.unreachableSince.IsZero() &&
 		m.Notice.IsZero() && !now.Before(m.cooling) && now.Sub(m.LastReport) < s.silentAfter() && !s.stoppedReporting(m, now)
 }
 
--- a/internal/scheduler/rent.go
+++ b/internal/scheduler/rent.go
@@ -11,6 +11,7 @@
 
 	"heronwick/internal/cloud"
 	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/duty"
 	"heronwick/internal/placement"
 	"heronwick/wire"
 )
@@ -230,44 +231,88 @@
 	return best
 }
 
-// rent rents what is wanted, one kind after the other.
+// rentDuty is the duty of whoever rents machines for all shares.
+func rentDuty() duty.ID { return duty.ID{Name: duty.Rent, Scope: duty.Fleet} }
+
+// rent rents what is wanted. What former holders of the duty, or earlier rounds, have
+// recorded and not seen answered comes first: its machines may be there.
 func (s *Share) rent(ctx context.Context) {
+	guard, err := s.opts.Actions.Guard(rentDuty())
+	if err != nil {
+		return
+	}
+	for _, open := range s.opts.Actions.OpenRentals() {
+		if !s.rentRecorded(ctx, guard, open) {
+			return
+		}
+	}
 	s.mu.Lock()
-	requests := s.wantLocked(time.Now())
+	requests, fence := s.wantLocked(time.Now()), s.fenceLocked()
 	s.mu.Unlock()
-	for _, req := range requests {
+	if len(requests) == 0 {
+		return
+	}
+	recorded, err := s.opts.Actions.RecordRentals(ctx, guard, fence, requests)
+	if err != nil {
+		s.log.Info("nothing is rented for now", "err", err)
+		return
+	}
+	s.rentRecorded(ctx, guard, recorded)
+}
+
+// rentRecorded sends recorded requests, one after the other, and closes their intent
+// once all are answered. It returns false while one is not.
+func (s *Share) rentRecorded(ctx context.Context, guard duty.Guard, open duty.OpenRental) bool {
+	answered := true
+	for _, req := range open.Requests {
 		if ctx.Err() != nil {
-			return
-		}
-		place := placement.Place{Type: req.Type, Zone: req.Zone, Spot: req.Spot}
-		var names []string
-		var err error
-		for range 3 {
-			// Repeating an unanswered request rents nothing twice.
-			names, err = s.opts.Cloud.Rent(ctx, req)
-			if err == nil || errors.Is(err, cloud.ErrNoCapacity) || !pause(ctx, 300*time.Millisecond) {
-				break
-			}
-		}
-		s.mu.Lock()
-		now := time.Now()
-		if err != nil || len(names) < req.Count {
-			r := s.refused[place]
-			r.wait = min(max(2*r.wait, 5*time.Second), 40*time.Second)
-			r.until = now.Add(r.wait)
-			s.refused[place] = r
-			s.log.Info("rental not filled", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "asked", req.Count, "got", len(names), "err", err)
-		} else {
-			delete(s.refused, place)
+			return false
 		}
-		for _, name := range names {
-			if s.machines[name] == nil && s.returned[name].IsZero() {
-				s.booting[name] = &booting{place: place, since: now, seen: now}
-			}
+		answered = s.rentOne(ctx, guard, req) && answered
+	}
+	if answered {
+		s.opts.Actions.CloseRental(ctx, guard, open)
+	}
+	return answered
+}
+
+// rentOne sends one request, a few times if it must, and takes what it brings. It
+// returns false if there was no answer.
+func (s *Share) rentOne(ctx context.Context, guard duty.Guard, req wire.RentRequest) bool {
+	var names []string
+	var err error
+	for range 3 {
+		// Repeating an unanswered request rents nothing twice.
+		names, err = s.opts.Actions.Rent(ctx, guard, req)
+		if err == nil || errors.Is(err, cloud.ErrNoCapacity) || !pause(ctx, 300*time.Millisecond) {
+			break
 		}
-		if len(names) > 0 {
-			s.log.Info("rented", "machines", names, "type", req.Type, "zone", req.Zone, "spot", req.Spot)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takeRentalLocked(req, names, err)
+	return err == nil || errors.Is(err, cloud.ErrNoCapacity)
+}
+
+// takeRentalLocked takes what a request has brought.
+func (s *Share) takeRentalLocked(req wire.RentRequest, names []string, err error) {
+	place := placement.Place{Type: req.Type, Zone: req.Zone, Spot: req.Spot}
+	now := time.Now()
+	if err != nil || len(names) < req.Count {
+		r := s.refused[place]
+		r.wait = min(max(2*r.wait, 5*time.Second), 40*time.Second)
+		r.until = now.Add(r.wait)
+		s.refused[place] = r
+		s.log.Info("rental not filled", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "asked", req.Count, "got", len(names), "err", err)
+	} else {
+		delete(s.refused, place)
+	}
+	for _, name := range names {
+		if s.machines[name] == nil && !s.isGoneLocked(name) && !s.opts.Actions.Condemned(name) {
+			s.booting[name] = &booting{place: place, since: now, seen: now}
 		}
-		s.mu.Unlock()
+	}
+	if len(names) > 0 {
+		s.log.Info("rented", "machines", names, "type", req.Type, "zone", req.Zone, "spot", req.Spot)
 	}
 }
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -18,6 +18,7 @@
 	"heronwick/internal/cluster"
 	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/config"
+	"heronwick/internal/duty"
 	"heronwick/internal/fleet"
 	"heronwick/internal/job"
 	"heronwick/internal/placement"
@@ -54,11 +55,8 @@
 	Status(ctx context.Context, address string) (*wire.Report, error)
 }
 
-// Cloud rents machines.
+// Cloud tells which machines there are. What changes that goes through duty.Actions.
 type Cloud interface {
-	Types(ctx context.Context) ([]wire.MachineType, error)
-	Rent(ctx context.Context, req wire.RentRequest) ([]string, error)
-	Return(ctx context.Context, machines []string) error
 	List(ctx context.Context) ([]wire.Machine, error)
 }
 
@@ -99,6 +97,7 @@
 	Authority Authority
 	Workers   Workers
 	Cloud     Cloud
+	Actions   *duty.Actions
 	Peers     Peers
 	Requests  *Requests // for room, that have come
 	Jobs      Jobs
@@ -132,7 +131,9 @@
 	lastOwnReport    time.Time // when its last report came by itself
 	lastOwnReportSeq uint64    // which was that
 	returning        bool
-	suspect          bool // fails what it starts: no new placements
+	condemned        bool      // an owner before has recorded that it is to be returned
+	returnAgain      time.Time // not before then, since the last try was refused
+	suspect          bool      // fails what it starts: no new placements
 	failedJobs       map[string]bool
 	idleSince        time.Time
 	cooling          time.Time // no placements before then
@@ -272,6 +273,7 @@
 	m.Type = s.types[m.TypeName]
 	m.LastReport, m.lastOwnReport = now, now
 	m.base, m.fence = s.div.Token, s.div.Token
+	m.condemned = s.opts.Actions.Condemned(m.Name)
 	s.machines[m.Name] = m
 	delete(s.booting, m.Name)
 	delete(s.answeredEarly, m.Name)
@@ -306,7 +308,7 @@
 
 // upkeep is when the rarer parts of a tick were last done. Only the loop uses it.
 type upkeep struct {
-	logged, tidied, summarized time.Time
+	logged, tidied, summarized, closed time.Time
 }
 
 // tick looks after machines, records and what others are told.
@@ -323,6 +325,10 @@
 	}
 	s.flushLocked(now)
 	s.tellGoneLocked()
+	if now.Sub(s.upkeep.closed) > closeReturnsEvery {
+		s.upkeep.closed = now
+		s.closeReturnsLocked()
+	}
 	if now.Sub(s.upkeep.tidied) > tidyEvery {
 		s.upkeep.tidied = now
 		s.tidyLocked(now)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"heronwick/internal/config"
+	"heronwick/internal/duty"
 	"heronwick/internal/placement"
 	"heronwick/wire"
 )
@@ -40,8 +41,12 @@
 	Latency func() time.Duration
 	// Chains tells operators of the chains of jobs that are live.
 	Chains func() []wire.Chain
-	Gauges []Gauge
-	Log    *slog.Logger
+	// Duties tells operators who holds which single duty and what is open.
+	Duties func() wire.Duties
+	// HandOver gives up a duty that this controller holds.
+	HandOver func(ctx context.Context, id string) error
+	Gauges   []Gauge
+	Log      *slog.Logger
 }
 
 // Deadlines of requests: users wait 2 s for a poll and 5 s for the rest.
@@ -151,6 +156,16 @@
 			}{s.opts.Chains()})
 		}
 		return "chains"
+	case path == wire.PathDuties:
+		if s.allow(ctx, method, "GET") {
+			s.answer(ctx, 200, s.opts.Duties())
+		}
+		return "duties"
+	case path == wire.PathHandOver:
+		if s.allow(ctx, method, "POST") {
+			s.handOver(ctx)
+		}
+		return "handover"
 	case path == wire.PathReady:
 		if s.allow(ctx, method, "GET") {
 			s.ready(ctx)
@@ -358,3 +373,17 @@
 		s.unavailable(ctx, errors.New("no right to answer workers"))
 	}
 }
+
+// handOver gives up a duty for an operator.
+func (s *Server) handOver(ctx *fasthttp.RequestCtx) {
+	within, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	switch err := s.opts.HandOver(within, string(ctx.QueryArgs().Peek("duty"))); {
+	case err == nil:
+		s.answer(ctx, 200, struct{}{})
+	case errors.Is(err, duty.ErrUnknownDuty):
+		s.refuse(ctx, 404, err)
+	default:
+		s.refuse(ctx, 409, err) // another holds it, or nobody does
+	}
+}
