--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -5,6 +5,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -175,6 +176,27 @@
 	return s.items[key].Value
 }
 
+// Items returns the keys below a prefix.
+func (s *State) Items(below string) []wire.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []wire.Item
+	for key, item := range s.items {
+		if strings.HasPrefix(key, below) {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+// Put writes a key, whatever it holds, and returns its version.
+func (s *State) Put(key string, value any) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, reply := s.txnLocked(wire.Txn{Then: []wire.Change{{Put: key, Value: encode(value)}}})
+	return reply.Revision
+}
+
 // Version returns a key's version, 0 if it does not exist.
 func (s *State) Version(key string) uint64 {
 	s.mu.Lock()
@@ -375,8 +397,9 @@
 		s.Requests++
 		var found []wire.Event
 		if !s.outage && !s.refused[node] {
-			for _, e := range s.events {
-				if e.Version > after && strings.HasPrefix(e.Put+e.Delete, q.Get("under")) {
+			from, _ := slices.BinarySearchFunc(s.events, after+1, func(e wire.Event, version uint64) int { return cmp.Compare(e.Version, version) })
+			for _, e := range s.events[from:] {
+				if strings.HasPrefix(e.Put+e.Delete, q.Get("under")) {
 					found = append(found, e)
 				}
 			}
