--- a/internal/duty/actions.go
+++ b/internal/duty/actions.go
@@ -147,7 +147,8 @@
 	return len(machines)
 }
 
-// Condemnation is the right to return machines: an intent to do so is recorded.
+// Condemnation is the right to return machines: an intent to do so is recorded, or
+// duties are off. The zero Condemnation permits nothing.
 type Condemnation struct {
 	id       ID
 	token    uint64
@@ -180,12 +181,10 @@
 }
 
 // GiveBack returns condemned machines. It may be sent by anybody at any time, also
-// after the duty was lost.
+// after the duty was lost, and after another has returned them and closed the intent.
 func (a *Actions) GiveBack(ctx context.Context, c Condemnation) error {
-	if !c.unfenced {
-		if err := a.opts.Ledger.condemnedAll(c.machines); err != nil {
-			return err
-		}
+	if len(c.machines) == 0 {
+		return fmt.Errorf("%w: returning machines", ErrNoIntent)
 	}
 	began := time.Now()
 	if err := a.sendReturn(ctx, c); err != nil {
--- a/internal/handover/member.go
+++ b/internal/handover/member.go
@@ -226,18 +226,17 @@
 var (
 	rentDuty    = duty.ID{Name: duty.Rent, Scope: duty.Fleet}
 	reclaimDuty = duty.ID{Name: duty.Reclaim, Scope: duty.Fleet}
-	cleanupDuty = duty.ID{Name: duty.Cleanup, Scope: duty.Fleet}
 )
 
 // step finishes what former holders have begun, or acts anew.
 func (m *Member) step(ctx context.Context) {
+	m.close(ctx)
 	if !m.membership().Leads {
 		return
 	}
 	if abandoned := m.actions.Abandoned(); len(abandoned) > 0 {
 		m.giveBack(ctx, abandoned)
 	}
-	m.close(ctx)
 	for _, open := range m.actions.OpenRentals() {
 		m.rent(ctx, open)
 	}
@@ -300,7 +299,7 @@
 
 // close removes the intents whose machines are gone.
 func (m *Member) close(ctx context.Context) {
-	if guard, err := m.actions.Guard(cleanupDuty); err == nil {
+	if guard, err := m.keeper.Guard(duty.ID{Name: duty.Cleanup, Scope: duty.Share(m.opts.Node)}); err == nil {
 		m.actions.CloseReturns(ctx, guard, func(string) bool { return true })
 	}
 }
