--- a/internal/handover/handover_test.go
+++ b/cmd/handovers/handover_test.go
@@ -1,4 +1,4 @@
-package handover
+package main
 
 import (
 	"context"
@@ -10,13 +10,14 @@
 	"testing/synctest"
 	"time"
 
+	"heronwick/internal/handover"
 	"heronwick/internal/standin"
 )
 
 // gate stands for the processor of one controller: nothing passes while it is frozen.
 type gate struct {
 	mu     sync.Mutex
-	armed  Point
+	armed  handover.Point
 	arm    bool
 	closed chan struct{} // nil: open
 	stop   context.CancelFunc
@@ -33,7 +34,7 @@
 }
 
 // at freezes the controller if it is to be frozen at this point.
-func (g *gate) at(p Point) {
+func (g *gate) at(p handover.Point) {
 	g.mu.Lock()
 	if g.arm && g.armed == p {
 		g.arm, g.closed = false, make(chan struct{})
@@ -65,60 +66,60 @@
 	return status, reply, err
 }
 
-// processes are controllers in this process, under the fake clock.
-type processes struct {
+// gatedProcesses are controllers in this process, under the fake clock.
+type gatedProcesses struct {
 	ctx   context.Context
 	state *standin.State
-	judge *Judge
+	judge *handover.Judge
 	seed  uint64
 	lease time.Duration
 	gates map[string]*gate
 	group sync.WaitGroup
 }
 
-func (p *processes) Start(name string) {
+func (p *gatedProcesses) Start(name string) {
 	ctx, stop := context.WithCancel(p.ctx)
 	g := &gate{stop: stop}
 	p.gates[name] = g
 	p.seed++
-	m := NewMember(MemberOptions{Node: name, Lease: p.lease, State: gatedState{p.state.Node(name), g}, Provider: NewNetwork(p.judge, name, p.seed),
+	m := handover.NewMember(handover.MemberOptions{Node: name, Lease: p.lease, State: gatedState{p.state.Node(name), g}, Provider: handover.NewNetwork(p.judge, name, p.seed),
 		Machines: p.judge.Machines, At: g.at, Seed: p.seed, Pace: 100 * time.Millisecond, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	p.group.Go(func() { m.Run(ctx) })
 }
 
-func (p *processes) Arm(name string, at Point) {
+func (p *gatedProcesses) Arm(name string, at handover.Point) {
 	g := p.gates[name]
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.armed, g.arm = at, true
 }
 
-func (p *processes) Frozen(name string) bool {
+func (p *gatedProcesses) Frozen(name string) bool {
 	g := p.gates[name]
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.closed != nil
 }
 
-func (p *processes) Resume(name string) { p.gates[name].resume() }
+func (p *gatedProcesses) Resume(name string) { p.gates[name].resume() }
 
-func (p *processes) Kill(name string) {
+func (p *gatedProcesses) Kill(name string) {
 	p.gates[name].stop()
 	p.gates[name].resume()
 }
 
 // rehearse forces handovers under the fake clock.
-func rehearse(t *testing.T, seed uint64, handovers int, lease time.Duration) (result Result) {
+func rehearse(t *testing.T, seed uint64, handovers int, lease time.Duration) (result handover.Result) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		state := standin.NewState()
-		judge := NewJudge(state, 30, lease > 0)
-		p := &processes{ctx: ctx, state: state, judge: judge, seed: 1000 * seed, lease: lease, gates: map[string]*gate{}}
-		d := Director{State: state, Judge: judge, Controllers: p, Seed: seed, Fenced: lease > 0, Patience: 20 * time.Second, Pace: 100 * time.Millisecond, Settle: 60 * time.Second}
+		judge := handover.NewJudge(state, 30, lease > 0)
+		p := &gatedProcesses{ctx: ctx, state: state, judge: judge, seed: 1000 * seed, lease: lease, gates: map[string]*gate{}}
+		d := handover.Director{State: state, Judge: judge, Controllers: p, Seed: seed, Fenced: lease > 0, Patience: 20 * time.Second, Pace: 100 * time.Millisecond, Settle: 60 * time.Second}
 		result = d.Run(handovers)
 		cancel()
 		p.group.Wait()
-		time.Sleep(maxLate)
+		time.Sleep(handover.MaxLate)
 	})
 	return result
 }
@@ -128,7 +129,7 @@
 // replaced holder has sent harms a machine that somebody uses, and nothing that it
 // had begun is left undone.
 func TestForcedHandovers(t *testing.T) {
-	var all Verdict
+	var all handover.Verdict
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			r := rehearse(t, seed, 25, 4*time.Second)
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -154,9 +154,9 @@
 	k.mu.Unlock()
 	seen := k.opts.Ledger.sessionOf(k.opts.Node)
 	switch {
-	case s.lease == 0 || seen > s.version:
-		// None yet, or another life of this node has begun one. Of two lives only
-		// one is a member.
+	case s.lease == 0 || seen != s.version && k.opts.Ledger.hasSeen(s.version):
+		// None yet, or its key is gone, or another life of this node has begun one. Of
+		// two lives only one is a member.
 		return m.Since != 0 && k.beginSession(ctx, seen)
 	case renew:
 		return k.renewSession(ctx, s)
@@ -220,7 +220,7 @@
 	txn := wire.Txn{If: []wire.Condition{m.Epoch, {Key: sessionKey(k.opts.Node), Version: s.version}}}
 	record := encode(holderRecord{Node: k.opts.Node, Since: m.Since, Session: s.version})
 	for _, id := range ids {
-		h, _ := k.opts.Ledger.holderOf(id)
+		h := k.opts.Ledger.holderOf(id)
 		if k.mine(h, s, m) {
 			continue
 		}
@@ -281,7 +281,7 @@
 	k.mu.Unlock()
 	txn := wire.Txn{}
 	for _, id := range ids {
-		h, _ := k.opts.Ledger.holderOf(id)
+		h := k.opts.Ledger.holderOf(id)
 		if h.Node != k.opts.Node || h.Session != s.version {
 			continue
 		}
@@ -315,18 +315,18 @@
 	if !k.Active() {
 		return Guard{unfenced: true}, nil
 	}
-	h, _ := k.opts.Ledger.holderOf(id)
+	h := k.opts.Ledger.holderOf(id)
 	if err := k.check(id, h.token); err != nil {
 		return Guard{}, err
 	}
 	return Guard{keeper: k, id: id, token: h.token}, nil
 }
 
-// check tells whether this controller holds a duty under a token: the store has said
-// so, everything before the token has been seen, and the lease has surely not lapsed.
+// check tells whether this controller holds a duty under a token: the watch has shown
+// its record, and so everything before it, and the lease has surely not lapsed.
 func (k *Keeper) check(id ID, token uint64) error {
 	m := k.opts.Membership()
-	h, seen := k.opts.Ledger.holderOf(id)
+	h := k.opts.Ledger.holderOf(id)
 	k.mu.Lock()
 	s := k.session
 	k.mu.Unlock()
@@ -335,7 +335,7 @@
 		return fmt.Errorf("%w: %s", ErrDamaged, id)
 	case h.token != token && token != 0 && h.Node != k.opts.Node:
 		return fmt.Errorf("%w: %s is held by %q", ErrReplaced, id, h.Node)
-	case h.token != token || !k.mine(h, s, m) || seen < token || k.opts.Ledger.sessionOf(k.opts.Node) != s.version:
+	case h.token != token || !k.mine(h, s, m) || k.opts.Ledger.sessionOf(k.opts.Node) != s.version:
 		return fmt.Errorf("%w: %s", ErrNotHeld, id)
 	case !s.valid(time.Now()):
 		return fmt.Errorf("%w: %s", ErrLapsed, id)
@@ -351,7 +351,7 @@
 	ids := slices.AppendSeq(slices.Collect(maps.Keys(k.wanted)), maps.Keys(k.held))
 	slices.SortFunc(ids, func(a, b ID) int { return slices.Compare([]string{a.String()}, []string{b.String()}) })
 	for _, id := range slices.Compact(ids) {
-		h, _ := k.opts.Ledger.holderOf(id)
+		h := k.opts.Ledger.holderOf(id)
 		was := k.held[id]
 		holds := h.Node == k.opts.Node && h.Session == k.session.version && !h.damaged
 		switch {
--- a/internal/duty/ledger.go
+++ b/internal/duty/ledger.go
@@ -157,11 +157,11 @@
 	delete(l.entries, key)
 }
 
-// holderOf returns who holds a duty, and how far the store has been followed.
-func (l *Ledger) holderOf(id ID) (h holder, seen uint64) {
+// holderOf returns who holds a duty.
+func (l *Ledger) holderOf(id ID) holder {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.holders[id], l.revision
+	return l.holders[id]
 }
 
 // allHolders returns who holds which duty.
@@ -178,6 +178,13 @@
 	return l.sessions[node]
 }
 
+// hasSeen tells whether everything up to a revision has been seen.
+func (l *Ledger) hasSeen(revision uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision >= revision
+}
+
 // Condemned tells whether a machine is to be returned: nobody may place on it.
 func (l *Ledger) Condemned(machine string) bool {
 	l.mu.Lock()
--- a/internal/handover/network.go
+++ b/internal/handover/network.go
@@ -10,8 +10,8 @@
 	"heronwick/wire"
 )
 
-// maxLate is how late a request is carried out at most.
-const maxLate = 20 * time.Second
+// MaxLate is how late a request is carried out at most.
+const MaxLate = 20 * time.Second
 
 // Network is one controller's way to the machine service: requests are carried out
 // late, or twice, and answers get lost.
@@ -43,7 +43,7 @@
 func (n *Network) draw() (fate, time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	late := time.Duration(n.random.Int64N(int64(maxLate)))
+	late := time.Duration(n.random.Int64N(int64(MaxLate)))
 	if n.random.IntN(4) > 0 {
 		return fine, late
 	}
