--- a/cmd/handovers/processes.go
+++ b/cmd/handovers/processes.go
@@ -83,6 +83,9 @@
 	command := exec.CommandContext(p.ctx, p.program, "member", "--node="+name, "--address="+address, "--lease="+p.run.lease().String(),
 		"--pace="+p.run.Pace.String(), "--seed="+strconv.FormatUint(p.seed, 10))
 	command.Stderr = os.Stderr
+	// In a process group of its own: one that has stopped members and loses its terminal
+	// or shell is ended whole, this process included.
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	input, inputErr := command.StdinPipe()
 	output, outputErr := command.StdoutPipe()
 	if err := firstError(inputErr, outputErr); err != nil {
--- a/cmd/heronwick/controller_test.go
+++ b/cmd/heronwick/controller_test.go
@@ -77,6 +77,7 @@
 	t *testing.T
 	// settings changes a controller's settings before it starts.
 	settings func(*config.Settings)
+	duties   bool // single duties are on
 	ctx      context.Context
 	state    *standin.State
 	fleet    *standin.Fleet
@@ -216,6 +217,9 @@
 		StateRPS: 150, StateWriteRPS: 60, ValueBytes: 16 << 10, TxnOps: 16, CloudRPS: 5, ListLag: 3 * time.Second,
 		Cores: 1, MemoryBytes: 64 << 20, MaxConnections: 100,
 	}
+	if tc.duties {
+		settings.DutyLease = 6 * time.Second
+	}
 	if tc.settings != nil {
 		tc.settings(settings)
 	}
--- a/cmd/heronwick/random_test.go
+++ b/cmd/heronwick/random_test.go
@@ -22,6 +22,7 @@
 				for _, n := range tc.nodes {
 					n.old.Store(seed%2 == 1)
 				}
+				tc.duties = seed/2%2 == 1
 				tc.fleet.Types[0].Zones = []string{"z", "y"}
 				tc.fleet.RunFor = func(task string) time.Duration {
 					id, index, _ := wire.SplitTaskID(task)
@@ -284,6 +285,13 @@
 			r.fleet.HoldRentals(true)
 			return func() { r.fleet.HoldRentals(false) }
 		}},
+		{"returns held", func() func() {
+			r.fleet.HoldReturns(true)
+			return func() {
+				r.fleet.HoldReturns(false)
+				r.fleet.ReleaseReturns()
+			}
+		}},
 		{"cloud away", func() func() {
 			r.fleet.SetCloud(true)
 			return func() { r.fleet.SetCloud(false) }
--- /dev/null
+++ b/internal/scheduler/returns_test.go
@@ -0,0 +1,101 @@
+package scheduler
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"heronwick/internal/duty"
+	"heronwick/internal/fleet"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+// returns is a cloud that notes what is returned to it.
+type returns struct {
+	mu    sync.Mutex
+	names []string
+}
+
+// Rent implements duty.Provider.
+func (r *returns) Rent(context.Context, wire.RentRequest) ([]string, error) { return nil, nil }
+
+// Return implements duty.Provider.
+func (r *returns) Return(_ context.Context, machines []string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.names = append(r.names, machines...)
+	return nil
+}
+
+// dutiesNotHeld are actions with duties on that this controller does not hold, as in an
+// outage of the store.
+func dutiesNotHeld(provider duty.Provider) *duty.Actions {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	ledger, history := duty.NewLedger(log), duty.NewHistory()
+	membership := func() duty.Membership { return duty.Membership{} }
+	keeper := duty.NewKeeper(duty.KeeperOptions{Lease: time.Minute, Ready: func() bool { return true }, Membership: membership, Ledger: ledger, History: history, Log: log})
+	return duty.NewActions(duty.ActionsOptions{Provider: provider, Keeper: keeper, Ledger: ledger, Membership: membership, ValueBytes: 1 << 10, History: history, Log: log})
+}
+
+// What is not recorded is not returned, and the machine stays usable, to be asked about
+// again; but a cancelled task must be gone in time, also in an outage of the store.
+func TestReturnWithoutTheDuty(t *testing.T) {
+	for _, test := range []struct {
+		why  string
+		sent bool
+	}{{"idle", false}, {whyOverdue, true}} {
+		s, _, m := newTestShare(t)
+		cloud := &returns{}
+		s.opts.Actions = dutiesNotHeld(cloud)
+		s.mu.Lock()
+		s.returnLocked([]*machine{m}, test.why)
+		s.mu.Unlock()
+		_ = s.group.Wait()
+		if sent := slices.Contains(cloud.names, m.Name); sent != test.sent {
+			t.Errorf("%s: sent %v", test.why, sent)
+		}
+		if !test.sent && (m.returning || s.machines[m.Name] != m || !time.Now().Before(m.returnAgain)) {
+			t.Errorf("%s: the machine is not kept: %+v", test.why, m)
+		}
+	}
+}
+
+// Nobody places on a machine that an owner before has condemned; its new owner returns
+// it, whatever runs there.
+func TestCondemnedMachineIsNotUsed(t *testing.T) {
+	s, _, m := newTestShare(t)
+	now := time.Now()
+	if !s.usableLocked(m, now) {
+		t.Fatal("the machine is not usable to begin with")
+	}
+	m.condemned = true
+	if s.usableLocked(m, now) || s.giveableLocked(m, now) {
+		t.Error("a condemned machine is used, or given")
+	}
+	if why := s.whyReturnLocked(m, &survey{now: now}); why != whyCondemned {
+		t.Errorf("it is not returned: %q", why)
+	}
+}
+
+// A machine that joins is known as condemned, by whomever that was recorded.
+func TestMachineJoinsCondemned(t *testing.T) {
+	s, _, _ := newTestShare(t)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	ledger := duty.NewLedger(log)
+	ledger.Apply([]wire.Event{{Put: state.MemberKey("cluster/duty/condemned/", "peer", 1, "1"), Value: []byte(`{"machines":["m7"]}`), Version: 3}}, 3)
+	history := duty.NewHistory()
+	s.opts.Actions = duty.NewActions(duty.ActionsOptions{Ledger: ledger, History: history, Log: log,
+		Keeper: duty.NewKeeper(duty.KeeperOptions{Ledger: ledger, History: history, Log: log})})
+	m := s.addMachineLocked(fleet.NewMachine("m7"), time.Now())
+	if !s.applyLocked(m, &wire.Report{Machine: "m7", Address: "m7", Type: "m", Zone: "z", Session: 1, Seq: 1, Token: 5}) {
+		t.Fatal("its report was not taken")
+	}
+	if !m.condemned || s.usableLocked(m, time.Now()) {
+		t.Errorf("it may be used: %+v", m)
+	}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -43,6 +44,9 @@
 	stalled  bool
 	holding  bool
 	rentals  []wire.RentRequest // held back
+	asked    map[string]int     // how often each rental was asked for, by request name
+	keeping  bool               // returns are held back
+	returns  [][]string         // held back
 	blind    map[string]bool    // nodes that reach no worker, nor they them
 	split    split
 	Returned []string
@@ -93,7 +97,7 @@
 // Start begins the fleet's life; it ends with ctx.
 func (f *Fleet) Start(ctx context.Context) {
 	f.ctx = ctx
-	f.workers, f.answered = map[string]*Worker{}, map[string][]string{}
+	f.workers, f.answered, f.asked = map[string]*Worker{}, map[string][]string{}, map[string]int{}
 	if f.Checker == nil {
 		f.Checker = NewChecker()
 	}
@@ -138,6 +142,38 @@
 	}
 }
 
+// HoldReturns holds returns back, without an answer, until ReleaseReturns; or lets later
+// ones pass again.
+func (f *Fleet) HoldReturns(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keeping = on
+}
+
+// HeldReturns lists the machines whose returns are held back.
+func (f *Fleet) HeldReturns() (machines []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Concat(f.returns...)
+}
+
+// ReleaseReturns carries out, late, the returns that were held back.
+func (f *Fleet) ReleaseReturns() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, machines := range f.returns {
+		f.returnLocked(machines)
+	}
+	f.returns = nil
+}
+
+// Asked tells how often each rental was asked for, by its request's name.
+func (f *Fleet) Asked() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.asked)
+}
+
 // Cut cuts a machine's network or heals it. What its tasks do goes on.
 func (f *Fleet) Cut(machine string, on bool) {
 	f.mu.Lock()
@@ -282,6 +318,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.asked[req.Request]++
 	if f.holding {
 		f.rentals = append(f.rentals, req)
 		return nil, cloud.ErrTrouble
@@ -321,12 +358,20 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.keeping {
+		f.returns = append(f.returns, machines)
+		return cloud.ErrTrouble
+	}
+	f.returnLocked(machines)
+	return nil
+}
+
+func (f *Fleet) returnLocked(machines []string) {
 	for _, name := range machines {
 		if f.removeLocked(name) {
 			f.Returned = append(f.Returned, name)
 		}
 	}
-	return nil
 }
 
 // removeLocked ends a machine for good; it returns false if there is none.
