--- /dev/null
+++ b/internal/dutyreport/dutyreport_test.go
@@ -0,0 +1,93 @@
+package dutyreport
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"heronwick/wire"
+)
+
+func someEvents() []wire.DutyEvent {
+	began := time.Date(2026, 12, 2, 3, 0, 0, 0, time.UTC)
+	var events []wire.DutyEvent
+	for i, kind := range []string{"acquired", "condemned", "returned", "closed", "lost", "acquired", "refused"} {
+		events = append(events, wire.DutyEvent{At: began.Add(time.Duration(i) * time.Second), Kind: kind, Duty: "reclaim/fleet",
+			Node: []string{"perch-0", "perch-1"}[i/4], Token: uint64(10 + i), Count: i, TookS: float64(i) / 10})
+	}
+	return events
+}
+
+// What is written to an archive is read from it again.
+func TestArchiveIsReadAsItWasWritten(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "duties.parquet")
+	events := someEvents()
+	if err := WriteArchive(path, events); err != nil {
+		t.Fatal(err)
+	}
+	read, err := ReadArchive(path)
+	if err != nil || len(read) != len(events) {
+		t.Fatalf("%d events: %v", len(read), err)
+	}
+	for i := range events {
+		if !read[i].At.Equal(events[i].At) {
+			t.Errorf("at %v, was %v", read[i].At, events[i].At)
+		}
+		read[i].At = events[i].At
+		if read[i] != events[i] {
+			t.Errorf("read %+v, wrote %+v", read[i], events[i])
+		}
+	}
+}
+
+// An archive that cannot be written or read is said to be so; a damaged one too.
+func TestArchiveErrors(t *testing.T) {
+	dir := t.TempDir()
+	if err := WriteArchive(filepath.Join(dir, "nowhere", "x"), nil); !errors.Is(err, ErrWrite) {
+		t.Errorf("writing: %v", err)
+	}
+	path := filepath.Join(dir, "whole")
+	if err := WriteArchive(path, someEvents()); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, content := range map[string][]byte{"empty": {}, "half": whole[:len(whole)/2], "text": []byte("not an archive"), "other end": append(whole[:len(whole)-8:len(whole)-8], "ABCDPAR1"...)} {
+		path := filepath.Join(dir, "damaged")
+		if err := os.WriteFile(path, content, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadArchive(path); !errors.Is(err, ErrRead) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := ReadArchive(filepath.Join(dir, "missing")); !errors.Is(err, ErrRead) {
+		t.Errorf("missing: %v", err)
+	}
+}
+
+// The page holds the plots themselves and a row for each duty and kind of event.
+func TestPage(t *testing.T) {
+	var page bytes.Buffer
+	if err := WritePage(&page, someEvents()); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"7 events of 2 controllers", "<td>acquired</td><td>2</td>", "500ms"} {
+		if !strings.Contains(page.String(), want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+	if plots := strings.Count(page.String(), "<svg"); plots != 3 {
+		t.Errorf("%d plots", plots)
+	}
+	page.Reset()
+	if err := WritePage(&page, nil); err != nil || !strings.Contains(page.String(), "0 events") {
+		t.Errorf("a page of no events: %v", err)
+	}
+}
--- a/internal/dutyreport/page.go
+++ b/internal/dutyreport/page.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"gonum.org/v1/plot"
@@ -68,19 +69,30 @@
 	plotHeight = 8 * vg.Centimeter
 )
 
-// handoverPlot shows how long each duty took to be acquired, over time.
-func handoverPlot(events []wire.DutyEvent, began time.Time) (template.HTML, error) {
+// newPlot makes a plot over the time of events, with room for a legend at its right.
+func newPlot(title, unit string, span time.Duration) *plot.Plot {
+	const legendPart = 0.25
 	p := plot.New()
-	p.Title.Text = "From being due to being held"
-	p.X.Label.Text, p.Y.Label.Text = "seconds since the first event", "seconds"
-	byDuty := map[string]plotter.XYs{}
+	p.Title.Text = title
+	p.X.Label.Text, p.Y.Label.Text = "seconds since the first event", unit
+	p.X.Min, p.X.Max = 0, max(1, span.Seconds())*(1+legendPart)
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top = true
+	return p
+}
+
+// handoverPlot shows how long each duty took to be acquired, over time.
+func handoverPlot(events []wire.DutyEvent, began time.Time, span time.Duration) (template.HTML, error) {
+	p := newPlot("From being due to being held", "seconds", span)
+	byName := map[string]plotter.XYs{}
 	for _, e := range events {
 		if e.Kind == string(duty.EventAcquired) {
-			byDuty[e.Duty] = append(byDuty[e.Duty], plotter.XY{X: e.At.Sub(began).Seconds(), Y: e.TookS})
+			name, _, _ := strings.Cut(e.Duty, "/")
+			byName[name] = append(byName[name], plotter.XY{X: e.At.Sub(began).Seconds(), Y: e.TookS})
 		}
 	}
-	for i, name := range slices.Sorted(maps.Keys(byDuty)) {
-		scatter, err := plotter.NewScatter(byDuty[name])
+	for i, name := range slices.Sorted(maps.Keys(byName)) {
+		scatter, err := plotter.NewScatter(byName[name])
 		if err != nil {
 			return "", fmt.Errorf("plotting handovers: %w", err)
 		}
@@ -88,15 +100,12 @@
 		p.Add(scatter)
 		p.Legend.Add(name, scatter)
 	}
-	p.Legend.Top = true
 	return svg(p)
 }
 
 // countPlot shows how many events of some kinds there were up to each moment.
-func countPlot(title string, events []wire.DutyEvent, began time.Time, kinds ...duty.EventKind) (template.HTML, error) {
-	p := plot.New()
-	p.Title.Text = title
-	p.X.Label.Text, p.Y.Label.Text = "seconds since the first event", "events"
+func countPlot(title string, events []wire.DutyEvent, began time.Time, span time.Duration, kinds ...duty.EventKind) (template.HTML, error) {
+	p := newPlot(title, "events", span)
 	for i, kind := range kinds {
 		points := plotter.XYs{{}}
 		for _, e := range events {
@@ -104,6 +113,7 @@
 				points = append(points, plotter.XY{X: e.At.Sub(began).Seconds(), Y: float64(len(points))})
 			}
 		}
+		points = append(points, plotter.XY{X: span.Seconds(), Y: float64(len(points) - 1)})
 		line, err := plotter.NewLine(points)
 		if err != nil {
 			return "", fmt.Errorf("plotting events: %w", err)
@@ -112,7 +122,6 @@
 		p.Add(line)
 		p.Legend.Add(string(kind), line)
 	}
-	p.Legend.Top, p.Legend.Left = true, true
 	return svg(p)
 }
 
@@ -149,25 +158,26 @@
 		Plots         []template.HTML
 		Rows          []summaryRow
 	}{Events: len(events), Rows: summarize(events)}
-	var began time.Time
+	var began, ended time.Time
 	if len(events) > 0 {
-		began = events[0].At
-		content.From, content.To = began.UTC().Format(time.RFC3339), events[len(events)-1].At.UTC().Format(time.RFC3339)
+		began, ended = events[0].At, events[len(events)-1].At
+		content.From, content.To = began.UTC().Format(time.RFC3339), ended.UTC().Format(time.RFC3339)
 	}
+	span := ended.Sub(began)
 	nodes := map[string]bool{}
 	for _, e := range events {
 		nodes[e.Node] = true
 	}
 	content.Nodes = len(nodes)
-	handovers, err := handoverPlot(events, began)
+	handovers, err := handoverPlot(events, began, span)
 	if err != nil {
 		return err
 	}
-	refusals, err := countPlot("Refusals, and returns without a record", events, began, duty.EventRefused, duty.EventUnrecorded)
+	refusals, err := countPlot("Refusals, and returns without a record", events, began, span, duty.EventRefused, duty.EventUnrecorded)
 	if err != nil {
 		return err
 	}
-	intents, err := countPlot("Intents", events, began, duty.EventCondemned, duty.EventReturned, duty.EventRenting, duty.EventRented, duty.EventClosed)
+	intents, err := countPlot("Intents", events, began, span, duty.EventCondemned, duty.EventReturned, duty.EventRenting, duty.EventRented, duty.EventClosed)
 	if err != nil {
 		return err
 	}
