Duties: refusals are told of now and then, guards are asked for when something is to be done

Need: in an outage the leader asked for the right to rent twice a second, also with nothing to rent; each refusal took a line and a place in the bounded history, which would have lost the handovers in a quarter of an hour. And how long a duty took to be acquired was counted from when it was first due, not from when it was lost.

Change: the guard is asked for once there is something to rent or to close; the same refusal is logged and kept once in 5 s, and counted always. Times count from the last change.

--- a/internal/duty/actions.go
+++ b/internal/duty/actions.go
@@ -58,12 +58,13 @@
 	mu       sync.Mutex
 	written  uint64
 	returned map[string]bool // condemned machines that are gone
+	refusals map[ID]time.Time
 	closing  bool
 }
 
 // NewActions makes Actions.
 func NewActions(opts ActionsOptions) *Actions {
-	return &Actions{opts: opts, returned: map[string]bool{}}
+	return &Actions{opts: opts, returned: map[string]bool{}, refusals: map[ID]time.Time{}}
 }
 
 // Guard returns the right to act for a duty; a refusal is recorded.
@@ -88,10 +89,25 @@
 	return a.opts.Ledger.Abandoned(a.opts.Membership().current)
 }
 
+// refusalsEvery is how often the refusals of one duty are told of: in an outage the same
+// is tried again and again.
+const refusalsEvery = 5 * time.Second
+
 // refused records that something was not done since a duty is not held.
 func (a *Actions) refused(id ID, token uint64, err error) {
+	event := Event{At: time.Now(), Kind: EventRefused, Duty: id.String(), Node: a.opts.Node, Token: token}
+	a.mu.Lock()
+	again := event.At.Sub(a.refusals[id]) < refusalsEvery
+	if !again {
+		a.refusals[id] = event.At
+	}
+	a.mu.Unlock()
+	if again {
+		a.opts.History.count(event.Kind)
+		return
+	}
 	a.opts.Log.Info("duty refused", "duty", id, "token", token, "err", err)
-	a.opts.History.add(Event{At: time.Now(), Kind: EventRefused, Duty: id.String(), Node: a.opts.Node, Token: token})
+	a.opts.History.add(event)
 }
 
 // nextKey is a key that no other write ever has.
@@ -228,13 +244,17 @@
 const maxClosed = 4
 
 // CloseReturns removes the intents whose machines are all gone. settled tells whether
-// nobody takes a machine for one that is there; until then its intent stays. guard
-// is for the clean-up of state.
-func (a *Actions) CloseReturns(ctx context.Context, guard Guard, settled func(machine string) bool) {
+// nobody takes a machine for one that is there; until then its intent stays. id is the
+// duty of cleaning up.
+func (a *Actions) CloseReturns(ctx context.Context, id ID, settled func(machine string) bool) {
 	if !a.beginClosing() {
 		return
 	}
 	defer a.endClosing()
+	guard, err := a.Guard(id)
+	if err != nil {
+		return
+	}
 	a.dropClosedElsewhere()
 	closed := 0
 	for _, open := range a.opts.Ledger.condemnations() {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -163,6 +163,7 @@
 var (
 	reclaim = ID{Reclaim, Fleet}
 	rent    = ID{Rent, Fleet}
+	cleanup = ID{Cleanup, Fleet}
 )
 
 func (h *holderUnderTest) wantHeld(t *testing.T, want error) {
@@ -495,7 +496,7 @@
 			t.Fatal(err)
 		}
 		third.actions.CloseRental(b.ctx, guard, open)
-		third.actions.CloseReturns(b.ctx, guard, func(string) bool { return true })
+		third.actions.CloseReturns(b.ctx, cleanup, func(string) bool { return true })
 		if condemnations, rentals := third.ledger.OpenIntents(); condemnations+rentals > 0 {
 			t.Errorf("%d returns and %d rentals are open", condemnations, rentals)
 		}
@@ -516,24 +517,23 @@
 func TestIntentStaysWhileItIsNeeded(t *testing.T) {
 	withBench(t, func(b *bench) {
 		h := b.start("a", 1)
-		guard, _ := h.Guard(ID{Cleanup, Fleet})
 		condemnation, err := h.actions.Condemn(b.ctx, reclaim, b.fence(), []string{"m1", "m2"}, "idle")
 		if err != nil {
 			t.Fatal(err)
 		}
 		open := func() int { n, _ := h.ledger.OpenIntents(); return n }
-		h.actions.CloseReturns(b.ctx, guard, func(string) bool { return true })
+		h.actions.CloseReturns(b.ctx, cleanup, func(string) bool { return true })
 		if open() != 1 {
 			t.Error("closed before the machines are gone")
 		}
 		if err := h.actions.GiveBack(b.ctx, condemnation); err != nil {
 			t.Fatal(err)
 		}
-		h.actions.CloseReturns(b.ctx, guard, func(m string) bool { return m == "m1" })
+		h.actions.CloseReturns(b.ctx, cleanup, func(m string) bool { return m == "m1" })
 		if open() != 1 || !h.ledger.Condemned("m2") {
 			t.Error("closed while one may be taken for a machine that is there")
 		}
-		h.actions.CloseReturns(b.ctx, guard, func(string) bool { return true })
+		h.actions.CloseReturns(b.ctx, cleanup, func(string) bool { return true })
 		if open() != 0 || b.state.Get(condemnedPrefix+"a/1/1") != nil {
 			t.Error("not closed")
 		}
--- a/internal/duty/history.go
+++ b/internal/duty/history.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// count counts an event that is like one kept a moment ago.
+func (h *History) count(kind EventKind) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.counts[kind]++
+}
+
 // Events returns the last events, the oldest first.
 func (h *History) Events() []Event {
 	h.mu.Lock()
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -343,6 +343,16 @@
 	return nil
 }
 
+// dueLocked returns how long a duty has been due, and counts anew from now.
+func (k *Keeper) dueLocked(id ID, now time.Time) time.Duration {
+	since, due := k.wanted[id]
+	if !due {
+		return 0
+	}
+	k.wanted[id] = now
+	return now.Sub(since)
+}
+
 // noteHeld logs and records which duties this controller has come to hold, or holds
 // no longer.
 func (k *Keeper) noteHeld(now time.Time) {
@@ -357,14 +367,12 @@
 		switch {
 		case holds && was != h.token:
 			k.held[id] = h.token
-			took := now.Sub(k.wanted[id])
-			if k.wanted[id].IsZero() {
-				took = 0
-			}
+			took := k.dueLocked(id, now)
 			k.opts.Log.Info("duty acquired", "duty", id, "token", h.token, "after", took)
 			k.opts.History.add(Event{At: now, Kind: EventAcquired, Duty: id.String(), Node: k.opts.Node, Token: h.token, Took: took})
 		case !holds && was != 0:
 			delete(k.held, id)
+			_ = k.dueLocked(id, now)
 			k.opts.Log.Info("duty given up or lost", "duty", id, "token", was, "holder", h.Node)
 			k.opts.History.add(Event{At: now, Kind: EventLost, Duty: id.String(), Node: k.opts.Node, Token: was})
 		}
--- a/internal/handover/member.go
+++ b/internal/handover/member.go
@@ -299,9 +299,7 @@
 
 // close removes the intents whose machines are gone.
 func (m *Member) close(ctx context.Context) {
-	if guard, err := m.keeper.Guard(duty.ID{Name: duty.Cleanup, Scope: duty.Share(m.opts.Node)}); err == nil {
-		m.actions.CloseReturns(ctx, guard, func(string) bool { return true })
-	}
+	m.actions.CloseReturns(ctx, duty.ID{Name: duty.Cleanup, Scope: duty.Share(m.opts.Node)}, func(string) bool { return true })
 }
 
 func (m *Member) rentAnew(ctx context.Context) {
--- a/internal/scheduler/rent.go
+++ b/internal/scheduler/rent.go
@@ -237,21 +237,35 @@
 // rent rents what is wanted. What former holders of the duty, or earlier rounds, have
 // recorded and not seen answered comes first: its machines may be there.
 func (s *Share) rent(ctx context.Context) {
+	open := s.opts.Actions.OpenRentals()
+	var requests []wire.RentRequest
+	if len(open) == 0 {
+		s.mu.Lock()
+		requests = s.wantLocked(time.Now())
+		s.mu.Unlock()
+	}
+	if len(open)+len(requests) == 0 {
+		return
+	}
 	guard, err := s.opts.Actions.Guard(rentDuty())
 	if err != nil {
 		return
 	}
-	for _, open := range s.opts.Actions.OpenRentals() {
-		if !s.rentRecorded(ctx, guard, open) {
+	for _, rental := range open {
+		if !s.rentRecorded(ctx, guard, rental) {
 			return
 		}
 	}
+	if len(requests) > 0 {
+		s.rentAnew(ctx, guard, requests)
+	}
+}
+
+// rentAnew records requests and sends them.
+func (s *Share) rentAnew(ctx context.Context, guard duty.Guard, requests []wire.RentRequest) {
 	s.mu.Lock()
-	requests, fence := s.wantLocked(time.Now()), s.fenceLocked()
+	fence := s.fenceLocked()
 	s.mu.Unlock()
-	if len(requests) == 0 {
-		return
-	}
 	recorded, err := s.opts.Actions.RecordRentals(ctx, guard, fence, requests)
 	if err != nil {
 		s.log.Info("nothing is rented for now", "err", err)
--- a/internal/scheduler/returns.go
+++ b/internal/scheduler/returns.go
@@ -141,11 +141,14 @@
 	return names
 }
 
-// cleanupGuard returns the right to remove the share's records.
-func (s *Share) cleanupGuard() (duty.Guard, error) {
-	return s.opts.Actions.Guard(duty.ID{Name: duty.Cleanup, Scope: duty.Share(s.opts.Node)})
+// cleanupDuty is the duty of removing the share's records.
+func (s *Share) cleanupDuty() duty.ID {
+	return duty.ID{Name: duty.Cleanup, Scope: duty.Share(s.opts.Node)}
 }
 
+// cleanupGuard returns the right to remove the share's records.
+func (s *Share) cleanupGuard() (duty.Guard, error) { return s.opts.Actions.Guard(s.cleanupDuty()) }
+
 // closeReturnsLocked removes the intents whose machines are gone, once no other
 // controller takes those for machines that are there.
 func (s *Share) closeReturnsLocked() {
@@ -157,10 +160,6 @@
 		untold[name] = true
 	}
 	s.goDo(func(ctx context.Context) {
-		guard, err := s.cleanupGuard()
-		if err != nil {
-			return
-		}
-		s.opts.Actions.CloseReturns(ctx, guard, func(machine string) bool { return !untold[machine] })
+		s.opts.Actions.CloseReturns(ctx, s.cleanupDuty(), func(machine string) bool { return !untold[machine] })
 	})
 }
