A leaving controller passes its duties; damaged records are cleared by command; the supply of machines

Need: a rolling restart that asks controllers to end (SIGTERM) should pass duties without a lease; an operator had no way to remove a damaged record; what Share knows of machines that come and go stood among forty other fields.

Change: with duties on, SIGTERM gives up duties and leading before the process ends. The rehearsal is half as large: a door stands between a controller and the world, in one process or over loopback, so controllers need not know of the points at which they are frozen.

--- a/cmd/handovers/handover_test.go
+++ b/cmd/handovers/handover_test.go
@@ -14,98 +14,17 @@
 	"heronwick/internal/standin"
 )
 
-// gate stands for the processor of one controller: nothing passes while it is frozen.
-type gate struct {
-	mu     sync.Mutex
-	armed  handover.Point
-	arm    bool
-	closed chan struct{} // nil: open
-	stop   context.CancelFunc
+// inProcess is a controller in this process, under the fake clock: all that it does goes
+// through its door.
+type inProcess struct {
+	*handover.Door
+	stop context.CancelFunc
 }
 
-// pass waits while the controller is frozen.
-func (g *gate) pass() {
-	g.mu.Lock()
-	closed := g.closed
-	g.mu.Unlock()
-	if closed != nil {
-		<-closed
-	}
-}
-
-// at freezes the controller if it is to be frozen at this point.
-func (g *gate) at(p handover.Point) {
-	g.mu.Lock()
-	if g.arm && g.armed == p {
-		g.arm, g.closed = false, make(chan struct{})
-	}
-	g.mu.Unlock()
-	g.pass()
-}
-
-func (g *gate) resume() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.arm = false; g.closed != nil {
-		close(g.closed)
-		g.closed = nil
-	}
-}
-
-// gatedState is a controller's way to the store, through its gate.
-type gatedState struct {
-	*standin.Path
-	gate *gate
-}
-
-// Do implements state.Doer.
-func (s gatedState) Do(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
-	s.gate.pass()
-	status, reply, err := s.Path.Do(ctx, method, target, body)
-	s.gate.pass()
-	return status, reply, err
-}
-
-// gatedProcesses are controllers in this process, under the fake clock.
-type gatedProcesses struct {
-	ctx   context.Context
-	state *standin.State
-	judge *handover.Judge
-	seed  uint64
-	lease time.Duration
-	gates map[string]*gate
-	group sync.WaitGroup
-}
-
-func (p *gatedProcesses) Start(name string) {
-	ctx, stop := context.WithCancel(p.ctx)
-	g := &gate{stop: stop}
-	p.gates[name] = g
-	p.seed++
-	m := handover.NewMember(handover.MemberOptions{Node: name, Lease: p.lease, State: gatedState{p.state.Node(name), g}, Provider: handover.NewNetwork(p.judge, name, p.seed),
-		Machines: p.judge.Machines, At: g.at, Seed: p.seed, Pace: 100 * time.Millisecond, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
-	p.group.Go(func() { m.Run(ctx) })
-}
-
-func (p *gatedProcesses) Arm(name string, at handover.Point) {
-	g := p.gates[name]
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.armed, g.arm = at, true
-}
-
-func (p *gatedProcesses) Frozen(name string) bool {
-	g := p.gates[name]
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.closed != nil
-}
-
-func (p *gatedProcesses) Resume(name string) { p.gates[name].resume() }
-
-func (p *gatedProcesses) Kill(name string) {
-	p.gates[name].stop()
-	p.gates[name].resume()
+// Kill implements handover.Controller.
+func (c inProcess) Kill() {
+	c.stop()
+	c.Resume()
 }
 
 // rehearse forces handovers under the fake clock.
@@ -114,11 +33,22 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		state := standin.NewState()
 		judge := handover.NewJudge(state, 30, lease > 0)
-		p := &gatedProcesses{ctx: ctx, state: state, judge: judge, seed: 1000 * seed, lease: lease, gates: map[string]*gate{}}
-		d := handover.Director{State: state, Judge: judge, Controllers: p, Seed: seed, Fenced: lease > 0, Patience: 20 * time.Second, Pace: 100 * time.Millisecond, Settle: 60 * time.Second}
+		var group sync.WaitGroup
+		number := 1000 * seed
+		start := func(name string) handover.Controller {
+			ctx, stop := context.WithCancel(ctx)
+			number++
+			door := handover.NewDoor(judge, name, number, func() {})
+			m := handover.NewMember(handover.MemberOptions{Node: name, Lease: lease, State: door, Provider: door,
+				Seed: number, Pace: 100 * time.Millisecond, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+			group.Go(func() { m.Run(ctx) })
+			return inProcess{door, stop}
+		}
+		d := handover.Director{State: state, Judge: judge, Start: start, Seed: seed, Fenced: lease > 0, Patience: 20 * time.Second,
+			Pace: 100 * time.Millisecond, Settle: 60 * time.Second}
 		result = d.Run(handovers)
 		cancel()
-		p.group.Wait()
+		group.Wait()
 		time.Sleep(handover.MaxLate)
 	})
 	return result
--- a/cmd/handovers/main.go
+++ b/cmd/handovers/main.go
@@ -6,14 +6,12 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
-	"os"
-	"slices"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"golang.org/x/sync/errgroup"
 
+	"heronwick/internal/dutyreport"
 	"heronwick/internal/handover"
 	"heronwick/internal/standin"
 )
@@ -44,94 +42,49 @@
 	began := time.Now()
 	results := make([]handover.Result, r.Groups)
 	var g errgroup.Group
-	for i := range r.Groups {
+	for i := range results {
 		g.Go(func() (err error) {
-			results[i], err = r.group(i)
+			results[i], err = r.group(r.Seed*1000 + uint64(i))
 			return err
 		})
 	}
 	if err := g.Wait(); err != nil {
 		return err
 	}
-	r.print(results, time.Since(began))
-	total := sum(results)
-	if !r.Unfenced && (total.Verdict.Stale > 0 || total.Undone > 0 || total.Missed > 0) {
+	var total handover.Result
+	for _, result := range results {
+		total.Add(result)
+	}
+	r.print(total, time.Since(began))
+	if !r.Unfenced && total.Verdict.Stale+total.Undone+total.Missed > 0 {
 		return fmt.Errorf("%d stale actions, %d undone, %d missed", total.Verdict.Stale, total.Undone, total.Missed)
 	}
 	return nil
 }
 
-// lease is that of the controllers.
-func (r *runCommand) lease() time.Duration {
-	if r.Unfenced {
-		return 0
-	}
-	return r.Lease
-}
-
 // group runs one group's part of the handovers.
-func (r *runCommand) group(i int) (handover.Result, error) {
+func (r *runCommand) group(seed uint64) (handover.Result, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	state := standin.NewState()
-	judge := handover.NewJudge(state, 30, !r.Unfenced)
-	seed := r.Seed*1000 + uint64(i)
-	processes, err := newProcesses(ctx, state, judge, r, seed)
-	if err != nil {
-		return handover.Result{}, err
-	}
-	defer processes.end()
-	d := handover.Director{State: state, Judge: judge, Controllers: processes, Seed: seed, Fenced: !r.Unfenced,
+	p := &processes{ctx: ctx, judge: handover.NewJudge(state, 30, !r.Unfenced), run: r, seed: seed * 1000}
+	defer p.end()
+	d := handover.Director{State: state, Judge: p.judge, Start: p.start, Seed: seed, Fenced: !r.Unfenced,
 		Patience: 10 * r.Lease, Pace: r.Pace, Settle: 30 * time.Second}
-	result := d.Run(r.Handovers / r.Groups)
-	return result, processes.failed()
+	return d.Run(r.Handovers / r.Groups), p.err
 }
 
-// sum adds results up.
-func sum(results []handover.Result) (total handover.Result) {
-	total.Took, total.Frozen = map[bool][]time.Duration{}, map[handover.Point]int{}
-	for _, r := range results {
-		total.Handovers, total.Undone, total.Missed = total.Handovers+r.Handovers, total.Undone+r.Undone, total.Missed+r.Missed
-		total.Verdict.Returned, total.Verdict.Rented = total.Verdict.Returned+r.Verdict.Returned, total.Verdict.Rented+r.Verdict.Rented
-		total.Verdict.Late, total.Verdict.AfterRefusal = total.Verdict.Late+r.Verdict.Late, total.Verdict.AfterRefusal+r.Verdict.AfterRefusal
-		total.Verdict.Stale += r.Verdict.Stale
-		total.Verdict.Findings = append(total.Verdict.Findings, r.Verdict.Findings...)
-		for removed, took := range r.Took {
-			total.Took[removed] = append(total.Took[removed], took...)
-		}
-		for point, count := range r.Frozen {
-			total.Frozen[point] += count
-		}
-	}
-	return total
-}
-
-func (r *runCommand) print(results []handover.Result, took time.Duration) {
-	total := sum(results)
+func (r *runCommand) print(total handover.Result, took time.Duration) {
+	v := total.Verdict
 	fmt.Printf("%d handovers in %v, lease %v, duties on: %v\n", total.Handovers, took.Round(time.Second), r.Lease, !r.Unfenced)
-	fmt.Printf("accepted: %d machines rented, %d returned; late: %d, after a refusal: %d, stale: %d\n",
-		total.Verdict.Rented, total.Verdict.Returned, total.Verdict.Late, total.Verdict.AfterRefusal, total.Verdict.Stale)
+	fmt.Printf("accepted: %d machines rented, %d returned; late: %d, after a refusal: %d, stale: %d\n", v.Rented, v.Returned, v.Late, v.AfterRefusal, v.Stale)
 	fmt.Printf("left undone: %d, handovers missed: %d\n", total.Undone, total.Missed)
 	for point := range handover.Points {
 		fmt.Printf("frozen %s: %d\n", point, total.Frozen[point])
 	}
-	for _, removed := range []bool{false, true} {
-		times := total.Took[removed]
-		if len(times) == 0 {
-			continue
-		}
-		slices.Sort(times)
-		at := func(part float64) time.Duration {
-			return times[min(len(times)-1, int(part*float64(len(times))))].Round(time.Millisecond)
-		}
-		fmt.Printf("handover, former holder's membership over: %v: median %v, 99%% %v, worst %v of %d\n", removed, at(0.5), at(0.99), at(1), len(times))
-	}
-	for _, finding := range total.Verdict.Findings[:min(5, len(total.Verdict.Findings))] {
+	fmt.Printf("handovers after a lapse: %v\n", dutyreport.QuantilesOf(total.Lapsed))
+	fmt.Printf("handovers after the end of a membership: %v\n", dutyreport.QuantilesOf(total.Removed))
+	for _, finding := range v.Findings[:min(5, len(v.Findings))] {
 		fmt.Println("stale:", finding)
 	}
 }
-
-// newLog logs errors alone.
-func newLog() *slog.Logger {
-	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError}))
-}
--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -129,7 +129,7 @@
 		Settings: settings, Jobs: c.catalog, Types: c.offers.Types, Checkin: c.checkin, Ready: c.ready,
 		Latency: func() time.Duration { return c.latency() }, Gauges: c.gauges(), Log: log,
 		Chains: func() []wire.Chain { return c.catalog.Chains(time.Now()) },
-		Duties: c.dutyReport, HandOver: c.handOver,
+		Duties: c.dutyReport, HandOver: c.handOver, ClearDuty: c.clearDuty,
 	})
 	return c
 }
--- a/cmd/heronwick/duties.go
+++ b/cmd/heronwick/duties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"heronwick/internal/cluster"
 	"heronwick/internal/duty"
@@ -75,6 +76,27 @@
 	return nil
 }
 
+// clearDuty removes a duty's record that cannot be read, for an operator.
+func (c *controller) clearDuty(ctx context.Context, text string) error {
+	id, err := duty.ParseID(text)
+	if err != nil {
+		return err
+	}
+	return c.duties.keeper.Clear(ctx, id)
+}
+
+// leaveTimeout bounds what a controller does before it ends.
+const leaveTimeout = 2 * time.Second
+
+// leave gives up this controller's duties, and leading, before it ends.
+func (c *controller) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	c.log.Info("leaving: duties are given up")
+	c.duties.keeper.Leave(ctx)
+	c.members.Resign(ctx)
+}
+
 // gauges are what the metrics tell of the duties.
 func (d duties) gauges() []server.Gauge {
 	gauges := []server.Gauge{
--- a/cmd/heronwick/duties_test.go
+++ b/cmd/heronwick/duties_test.go
@@ -197,6 +197,23 @@
 	})
 }
 
+// A controller that is asked to end gives its duties up: the next leader holds them as
+// soon as it leads, although nobody has counted the one that ended as gone yet.
+func TestLeavingPassesDuties(t *testing.T) {
+	withCluster(t, 2, dutiesOn, func(tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		leader := tc.leader()
+		other := (leader + 1) % 3
+		before := tc.holder(other, "rent/fleet")
+		tc.nodes[leader].current.Load().leave(tc.ctx)
+		tc.crash(leader)
+		time.Sleep(time.Second)
+		if after := tc.holder(other, "rent/fleet"); after.Holder == "" || after.Holder == before.Holder || after.Token <= before.Token {
+			t.Errorf("before %+v, after %+v", before, after)
+		}
+	})
+}
+
 // someSettings are those of one controller of three.
 const someSettings = `
 node = "perch-0"
@@ -262,6 +279,7 @@
 func TestNoUnguardedAction(t *testing.T) {
 	exempt := map[string]string{
 		"Resign":   "the leader's own key, of its own version",
+		"Clear":    "a record that cannot be read, at an operator's word, of the version that was seen",
 		"endWrite": "the end of a job: its record moves, on the condition of its version",
 	}
 	root := filepath.Join("..", "..")
--- a/cmd/heronwick/dutiescommand.go
+++ b/cmd/heronwick/dutiescommand.go
@@ -21,6 +21,7 @@
 	List     listCommand     `cmd:"" help:"List duties, their holders and open intents, as one controller knows them."`
 	Report   reportCommand   `cmd:"" help:"Turn the recorded history of actions into an archive (Parquet) and a page with plots."`
 	Handover handoverCommand `cmd:"" help:"Have a controller give up a duty that it holds."`
+	Clear    clearCommand    `cmd:"" help:"Remove the record of a duty that cannot be read."`
 }
 
 // operatorTimeout is how long an operator's command waits for a controller.
@@ -83,11 +84,23 @@
 }
 
 // Run implements kong's interface of a command.
-func (h *handoverCommand) Run() error {
-	if _, err := duty.ParseID(h.Duty); err != nil {
+func (h *handoverCommand) Run() error { return changeDuty(h.At, wire.PathHandOver, h.Duty) }
+
+// clearCommand removes a duty's record that cannot be read.
+type clearCommand struct {
+	At   string `help:"Address of a controller." required:"" placeholder:"HOST:PORT"`
+	Duty string `arg:"" help:"The duty, NAME/SCOPE, for example rent/fleet."`
+}
+
+// Run implements kong's interface of a command.
+func (c *clearCommand) Run() error { return changeDuty(c.At, wire.PathClear, c.Duty) }
+
+// changeDuty asks a controller to do something about a duty.
+func changeDuty(address, path, id string) error {
+	if _, err := duty.ParseID(id); err != nil {
 		return settingsError{err}
 	}
-	return ask("POST", h.At, wire.PathHandOver+"?duty="+url.QueryEscape(h.Duty), &struct{}{})
+	return ask("POST", address, path+"?duty="+url.QueryEscape(id), &struct{}{})
 }
 
 // reportCommand turns the history of actions into an archive and a page.
--- a/cmd/heronwick/main.go
+++ b/cmd/heronwick/main.go
@@ -9,8 +9,10 @@
 	"log/slog"
 	"net"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -68,9 +70,21 @@
 		return settingsError{err}
 	}
 	log := newLog(os.Stderr, string(level), settings.Node)
-	return serve(context.Background(), settings, log)
+	leaving := context.Background()
+	if settings.DutyLease > 0 {
+		var stop context.CancelFunc
+		leaving, stop = signal.NotifyContext(leaving, syscall.SIGTERM)
+		defer stop()
+	}
+	if err := serve(context.Background(), leaving, settings, log); !errors.Is(err, errLeft) {
+		return err
+	}
+	return nil
 }
 
+// errLeft ends a controller that was asked to end.
+var errLeft = errors.New("asked to end")
+
 // logLevel is how much is logged.
 type logLevel string
 
@@ -111,8 +125,8 @@
 // trimEvery is how often connections are closed that are too many to keep.
 const trimEvery = 500 * time.Millisecond
 
-// serve connects a controller to the real world and runs it.
-func serve(ctx context.Context, settings *config.Settings, log *slog.Logger) error {
+// serve connects a controller to the real world and runs it, until it is asked to leave.
+func serve(ctx, leaving context.Context, settings *config.Settings, log *slog.Logger) error {
 	runtime.GOMAXPROCS(settings.Cores)
 	// The collector works harder near the limit instead of the platform
 	// killing the process there; a quarter is left for what Go does not count.
@@ -153,5 +167,14 @@
 	g.Go(func() error { return c.run(ctx) })
 	g.Go(func() error { return wait.Every(ctx, trimEvery, workers.Trim) })
 	g.Go(func() error { return c.overload.Run(ctx) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-leaving.Done():
+			c.leave(ctx)
+			return errLeft
+		}
+	})
 	return g.Wait()
 }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -75,7 +75,8 @@
 	// ErrReplaced: another holder has taken the duty.
 	ErrReplaced = errors.New("replaced as holder of the duty")
 	// ErrDamaged: a record in the store cannot be read.
-	ErrDamaged = errors.New("damaged record")
+	ErrDamaged    = errors.New("damaged record")
+	ErrNotDamaged = errors.New("the record of the duty can be read")
 	// ErrNoIntent: the action was not recorded before it was to be sent.
 	ErrNoIntent = errors.New("the action is not recorded")
 )
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -446,10 +446,22 @@
 		if !h.ledger.Condemned("m9") {
 			t.Error("a machine of a damaged intent may be placed on")
 		}
+		if err := h.Clear(b.ctx, rent); !errors.Is(err, ErrNotDamaged) {
+			t.Errorf("clearing a whole record: %v", err)
+		}
 		report := h.Report()
 		if i := slices.IndexFunc(report.Duties, func(d wire.Duty) bool { return d.Damaged }); i < 0 {
 			t.Errorf("the report does not say so: %+v", report.Duties)
 		}
+		damaged := h.tokenOf(reclaim)
+		if err := h.Clear(b.ctx, reclaim); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(testLease)
+		h.wantHeld(t, nil)
+		if token := h.tokenOf(reclaim); token <= damaged {
+			t.Errorf("the token was %d and is %d", damaged, token)
+		}
 	})
 }
 
--- a/internal/dutyreport/page.go
+++ b/internal/dutyreport/page.go
@@ -28,8 +28,13 @@
 	Median, P99, Longest time.Duration
 }
 
-// quantilesOf returns the quantiles of times in seconds.
-func quantilesOf(seconds []float64) Quantiles {
+// String implements fmt.Stringer.
+func (q Quantiles) String() string {
+	return fmt.Sprintf("median %v, 99%% %v, longest %v of %d", q.Median, q.P99, q.Longest, q.Count)
+}
+
+// QuantilesOf returns the quantiles of times in seconds.
+func QuantilesOf(seconds []float64) Quantiles {
 	if len(seconds) == 0 {
 		return Quantiles{}
 	}
@@ -57,7 +62,7 @@
 	}
 	var rows []summaryRow
 	for g, seconds := range took {
-		rows = append(rows, summaryRow{Duty: g.duty, Kind: g.kind, Quantiles: quantilesOf(seconds)})
+		rows = append(rows, summaryRow{Duty: g.duty, Kind: g.kind, Quantiles: QuantilesOf(seconds)})
 	}
 	slices.SortFunc(rows, func(a, b summaryRow) int { return cmp.Or(cmp.Compare(a.Duty, b.Duty), cmp.Compare(a.Kind, b.Kind)) })
 	return rows
--- a/internal/handover/judge.go
+++ b/internal/handover/judge.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -15,15 +16,11 @@
 	"heronwick/wire"
 )
 
-// Keys that the rehearsal adds to those of the duties.
-const (
-	prefix     = "cluster/"
-	epochKey   = prefix + "epoch"
-	workPrefix = prefix + "work/" // by machine: something is placed on it
-)
-
 // The judge reads the store by itself, apart from the code that it judges.
 const (
+	prefix          = "cluster/"
+	epochKey        = prefix + "epoch"
+	workPrefix      = prefix + "work/" // by machine: something is placed on it
 	holderOfReturns = "cluster/duty/holder/reclaim/fleet"
 	holderOfRentals = "cluster/duty/holder/rent/fleet"
 	condemnedKeys   = "cluster/duty/condemned/"
@@ -33,7 +30,7 @@
 // Verdict counts what a Judge accepted.
 type Verdict struct {
 	Returned, Rented int // machines
-	// Late counts the requests that were accepted from a holder already replaced.
+	// Late counts the actions that were accepted from a holder already replaced.
 	Late int
 	// AfterRefusal counts those among them that rented under a request that was refused
 	// for capacity before: the cloud allows one more try, and no record can cover it,
@@ -52,7 +49,6 @@
 	fenced   bool // whether duties are on: else the epoch alone tells who may act
 
 	mu       sync.Mutex
-	next     int
 	machines map[string]bool
 	answered map[string][]string
 	refused  map[string]bool // requests, for capacity
@@ -68,50 +64,41 @@
 func (j *Judge) Verdict() Verdict {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	v := j.verdict
-	v.Findings = slices.Clone(v.Findings)
-	return v
+	return j.verdict
 }
 
-// Machines lists the machines that there are.
-func (j *Judge) Machines() []string {
+// list lists the machines that there are.
+func (j *Judge) list() (machines []wire.Machine) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	var names []string
-	for name := range j.machines {
-		names = append(names, name)
+	for _, name := range slices.Sorted(maps.Keys(j.machines)) {
+		machines = append(machines, wire.Machine{ID: name})
 	}
-	slices.Sort(names)
-	return names
+	return machines
 }
 
-// Rent carries out a rental that a controller has sent.
-func (j *Judge) Rent(sender string, req wire.RentRequest) []string {
+// rent carries out a rental that a controller has sent.
+func (j *Judge) rent(sender string, req wire.RentRequest) []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if names, ok := j.answered[req.Request]; ok {
 		return names
 	}
 	var names []string
-	for range req.Count {
-		if len(j.machines) == j.capacity {
-			break
-		}
-		j.next++
-		name := fmt.Sprintf("host-%06d", j.next)
-		j.machines[name] = true
-		names = append(names, name)
+	for len(names) < req.Count && len(j.machines) < j.capacity {
+		j.verdict.Rented++
+		names = append(names, fmt.Sprintf("host-%06d", j.verdict.Rented))
+		j.machines[names[len(names)-1]] = true
 	}
 	if len(names) == 0 {
 		j.refused[req.Request] = true
 		return nil
 	}
 	j.answered[req.Request] = names
-	j.verdict.Rented += len(names)
 	if j.replaced(sender, holderOfRentals) {
 		j.verdict.Late++
 		switch {
-		case j.named(rentalKeys, req.Request):
+		case j.named(rentalKeys, req.Request) > 0:
 		case j.refused[req.Request]:
 			j.verdict.AfterRefusal++
 		default:
@@ -121,8 +108,8 @@
 	return names
 }
 
-// Return carries out a return that a controller has sent.
-func (j *Judge) Return(sender string, machines []string) {
+// giveBack carries out a return that a controller has sent.
+func (j *Judge) giveBack(sender string, machines []string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	replaced := j.replaced(sender, holderOfReturns)
@@ -132,14 +119,13 @@
 		}
 		delete(j.machines, name)
 		j.verdict.Returned++
-		condemned := j.condemnedAt(name)
 		if replaced {
 			j.verdict.Late++
 		}
-		switch work := j.state.Version(workPrefix + name); {
+		switch condemned := j.named(condemnedKeys, name); {
 		case replaced && condemned == 0:
 			j.staleLocked("%s, replaced, returned %s without a record", sender, name)
-		case work > condemned:
+		case j.state.Version(workPrefix+name) > condemned:
 			j.staleLocked("%s returned %s, on which work was placed since", sender, name)
 		}
 	}
@@ -152,33 +138,29 @@
 
 // replaced tells whether a sender is not the holder by the store.
 func (j *Judge) replaced(sender, key string) bool {
-	var holder struct {
-		Node   string `json:"node"`
-		Leader string `json:"leader"`
-	}
 	if !j.fenced {
 		key = epochKey
 	}
-	_ = json.Unmarshal(j.state.Get(key), &holder)
-	return holder.Node+holder.Leader != sender
+	return holderIn(j.state, key) != sender
 }
 
-// named tells whether a value below a prefix names something.
-func (j *Judge) named(below, name string) bool {
-	return slices.ContainsFunc(j.state.Items(below), func(item wire.Item) bool { return strings.Contains(string(item.Value), `"`+name+`"`) })
+// holderIn is whom a record in the store names: a duty's, or the epoch.
+func holderIn(state *standin.State, key string) string {
+	var record struct {
+		Node   string `json:"node"`
+		Leader string `json:"leader"`
+	}
+	_ = json.Unmarshal(state.Get(key), &record)
+	return record.Node + record.Leader
 }
 
-// condemnedAt returns the revision at which a machine was condemned, 0 if it was not.
-func (j *Judge) condemnedAt(machine string) (revision uint64) {
-	for _, item := range j.state.Items(condemnedKeys) {
-		if strings.Contains(string(item.Value), `"`+machine+`"`) && (revision == 0 || item.Version < revision) {
+// named returns the first revision at which a value below a prefix that is still there
+// names something, 0 if none does.
+func (j *Judge) named(below, name string) (revision uint64) {
+	for _, item := range j.state.Items(below) {
+		if strings.Contains(string(item.Value), `"`+name+`"`) && (revision == 0 || item.Version < revision) {
 			revision = item.Version
 		}
 	}
 	return revision
 }
-
-// Open counts the intents that are not closed.
-func (j *Judge) Open() int {
-	return len(j.state.Items(condemnedKeys)) + len(j.state.Items(rentalKeys))
-}
--- a/internal/scheduler/division.go
+++ b/internal/scheduler/division.go
@@ -56,7 +56,7 @@
 	var adopt []string // machines that are ours, of whose tasks only the records tell
 	for name, o := range mine {
 		switch {
-		case s.machines[name] != nil || s.moving[name] || !s.returned[name].IsZero():
+		case s.machines[name] != nil || s.moving[name] || s.supply.isGone(name):
 		case o.Machine == nil || !s.loaded || o.Version <= s.begun:
 			adopt = append(adopt, name) // it may have had tasks since that was written
 		default:
@@ -65,7 +65,7 @@
 	}
 	if epoch.Leader == s.opts.Node {
 		for _, name := range orphans {
-			if s.machines[name] == nil && !s.moving[name] && s.returned[name].IsZero() {
+			if s.machines[name] == nil && !s.moving[name] && !s.supply.isGone(name) {
 				adopt = append(adopt, name)
 			}
 		}
@@ -159,7 +159,7 @@
 // isGoneLocked tells whether a machine was surely given back to the cloud, by
 // this share or by another.
 func (s *Share) isGoneLocked(name string) bool {
-	if !s.returned[name].IsZero() {
+	if s.supply.isGone(name) {
 		return true
 	}
 	o, _ := s.opts.Authority.OwnerOf(name)
--- a/internal/scheduler/giving.go
+++ b/internal/scheduler/giving.go
@@ -133,11 +133,7 @@
 		return
 	}
 	s.grouped = now
-	for name, at := range s.returned {
-		if now.Sub(at) > 10*time.Minute {
-			delete(s.returned, name)
-		}
-	}
+	s.supply.forget(now)
 	for name, at := range s.unknownTasksSince {
 		if now.Sub(at) > 10*time.Minute {
 			delete(s.unknownTasksSince, name) // gone, or it would have been decided
--- a/internal/scheduler/limits_test.go
+++ b/internal/scheduler/limits_test.go
@@ -171,10 +171,10 @@
 func TestTransfersFitAValue(t *testing.T) {
 	s := newLowShare(t)
 	for i := range 500 {
-		s.gone = append(s.gone, fmt.Sprintf("host-%06d", i))
+		s.supply.untold = append(s.supply.untold, fmt.Sprintf("host-%06d", i))
 	}
 	names := map[string]json.RawMessage{}
-	for _, name := range s.goneInOneWriteLocked() {
+	for _, name := range s.supply.toTell(s.valueLimit()) {
 		names[name] = json.RawMessage("null")
 	}
 	value, err := json.Marshal(names)
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -26,19 +26,6 @@
 	listEvery = 5 * time.Second
 )
 
-// booting is a machine that was rented and whose worker has not reported.
-type booting struct {
-	place placement.Place
-	since time.Time // when it was rented
-	seen  time.Time // when this share first knew of it
-}
-
-// refusal remembers that the cloud had no such machine.
-type refusal struct {
-	until time.Time
-	wait  time.Duration
-}
-
 // drainLocked empties a machine that the cloud will take away, or whose lease
 // will lapse: replicas move at once, and what can save is stopped in time. The
 // rest runs on: it may finish before, and stopping it would lose it anyway.
@@ -63,33 +50,18 @@
 	delete(s.machines, m.Name)
 	if _, named := s.opts.Authority.OwnerOf(m.Name); named {
 		// Whoever takes over what is ours must not take it for a machine.
-		s.gone = append(s.gone, m.Name)
-	}
-}
-
-// goneSyntax is what a machine's name takes of a transfer beside itself.
-const goneSyntax = len(`"":null,`)
-
-// goneInOneWriteLocked returns as many of the machines that are gone as one write can
-// name.
-func (s *Share) goneInOneWriteLocked() []string {
-	size := 0
-	for i, name := range s.gone {
-		if size += len(name) + goneSyntax; i > 0 && size > s.valueLimit() {
-			return s.gone[:i]
-		}
+		s.supply.untold = append(s.supply.untold, m.Name)
 	}
-	return s.gone
 }
 
 // tellGoneLocked tells the other controllers which machines are gone, many in
 // one write.
 func (s *Share) tellGoneLocked() {
-	if s.telling || len(s.gone) == 0 || !s.loaded {
+	if s.supply.telling || len(s.supply.untold) == 0 || !s.loaded {
 		return
 	}
-	s.telling = true
-	names := s.goneInOneWriteLocked()
+	s.supply.telling = true
+	names := s.supply.toTell(s.valueLimit())
 	machines := map[string]json.RawMessage{}
 	for _, name := range names {
 		machines[name] = json.RawMessage("null")
@@ -101,9 +73,9 @@
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.telling = false
+		s.supply.telling = false
 		if err == nil {
-			s.gone = s.gone[len(names):]
+			s.supply.untold = s.supply.untold[len(names):]
 		}
 	})
 }
@@ -145,13 +117,13 @@
 func (s *Share) takeList(machines []wire.Machine, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var failed, stuck []string
+	var failed []string
 	for _, lm := range machines {
 		if s.isGoneLocked(lm.ID) || s.opts.Actions.Condemned(lm.ID) {
 			continue
 		}
 		if node, owned := s.opts.Authority.Home(lm.ID); owned && node != s.opts.Node {
-			delete(s.booting, lm.ID)
+			delete(s.supply.booting, lm.ID)
 			continue // its owner looks after it
 		}
 		age := time.Duration(lm.AgeS * float64(time.Second))
@@ -162,19 +134,10 @@
 		if s.machines[lm.ID] != nil {
 			continue
 		}
-		b := s.booting[lm.ID]
-		if b == nil {
-			b = &booting{place: placement.Place{Type: lm.Type, Zone: lm.Zone, Spot: lm.Spot}, since: now.Add(-age), seen: now}
-			s.booting[lm.ID] = b
-		}
-	}
-	for id, b := range s.booting {
-		// Up already, perhaps, and only its worker has not come to a new
-		// leader yet: a list lags, and by up to double its usual lag.
-		if now.Sub(b.since) > s.bootLimit(b.place.Type) && now.Sub(b.seen) > 2*s.opts.Settings.ListLag+s.deadAfter() {
-			stuck = append(stuck, id)
-		}
+		s.supply.expect(lm.ID, placement.Place{Type: lm.Type, Zone: lm.Zone, Spot: lm.Spot}, now.Add(-age), now)
 	}
+	// A list lags, and by up to double its usual lag.
+	stuck := s.supply.overdue(now, s.bootLimit, 2*s.opts.Settings.ListLag+s.deadAfter())
 	s.returnNamesLocked(failed, "failed")
 	s.returnNamesLocked(stuck, "never came up")
 	s.returnNamesLocked(s.abandonedLocked(), whyCondemned)
@@ -182,9 +145,9 @@
 
 // bootLimit is when a machine that has not come up is given back: some take
 // several times as long as usual, a few for ever.
-func (s *Share) bootLimit(typeName string) time.Duration {
+func (s *Share) bootLimit(place placement.Place) time.Duration {
 	boot := 30 * time.Second
-	if t := s.types[typeName]; t != nil {
+	if t := s.types[place.Type]; t != nil {
 		boot = time.Duration(t.BootS * float64(time.Second))
 	}
 	return 3*boot + 2*s.opts.Settings.ListLag
--- a/internal/scheduler/rent.go
+++ b/internal/scheduler/rent.go
@@ -103,7 +103,7 @@
 		perZone[m.Zone]++
 	}
 	var coming []*virtual
-	for _, b := range s.booting {
+	for _, b := range s.supply.booting {
 		perZone[b.place.Zone]++
 		t := s.types[b.place.Type]
 		// One that is late does not count: it may never come.
@@ -218,7 +218,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
 				o := &offer{place: placement.Place{Type: t.Name, Zone: zone, Spot: spot}, t: t}
-				if !size.Within(placement.Capacity(t)) || now.Before(s.refused[o.place].until) ||
+				if !size.Within(placement.Capacity(t)) || s.supply.refusedLately(o.place, now) ||
 					!placement.Allows(j, o.place, placement.Spread{ByZone: zones}) {
 					continue
 				}
@@ -313,18 +313,14 @@
 func (s *Share) takeRentalLocked(req wire.RentRequest, names []string, err error) {
 	place := placement.Place{Type: req.Type, Zone: req.Zone, Spot: req.Spot}
 	now := time.Now()
-	if err != nil || len(names) < req.Count {
-		r := s.refused[place]
-		r.wait = min(max(2*r.wait, 5*time.Second), 40*time.Second)
-		r.until = now.Add(r.wait)
-		s.refused[place] = r
+	filled := err == nil && len(names) >= req.Count
+	s.supply.answered(place, filled, now)
+	if !filled {
 		s.log.Info("rental not filled", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "asked", req.Count, "got", len(names), "err", err)
-	} else {
-		delete(s.refused, place)
 	}
 	for _, name := range names {
 		if s.machines[name] == nil && !s.isGoneLocked(name) && !s.opts.Actions.Condemned(name) {
-			s.booting[name] = &booting{place: place, since: now, seen: now}
+			s.supply.expect(name, place, now, now)
 		}
 	}
 	if len(names) > 0 {
--- a/internal/scheduler/returns.go
+++ b/internal/scheduler/returns.go
@@ -93,8 +93,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	for _, name := range names {
-		s.returned[name] = now
-		delete(s.booting, name)
+		s.supply.gone(name, now)
 		if m := s.machines[name]; m != nil {
 			s.goneLocked(m)
 		}
@@ -135,7 +134,7 @@
 	}
 	var names []string
 	for _, name := range s.opts.Actions.Abandoned() {
-		if s.machines[name] == nil && s.returned[name].IsZero() {
+		if s.machines[name] == nil && !s.supply.isGone(name) {
 			names = append(names, name)
 		}
 	}
@@ -157,7 +156,7 @@
 		return
 	}
 	untold := map[string]bool{}
-	for _, name := range s.gone {
+	for _, name := range s.supply.untold {
 		untold[name] = true
 	}
 	s.goDo(func(ctx context.Context) {
--- a/internal/scheduler/returns_test.go
+++ b/internal/scheduler/returns_test.go
@@ -100,12 +100,12 @@
 func TestCondemnedMachineInAListThatLags(t *testing.T) {
 	s := shareWithCondemned(t)
 	s.takeList([]wire.Machine{{ID: "m7", Type: "m", Zone: "z", State: wire.MachineBooting}, {ID: "m8", Type: "m", Zone: "z", State: wire.MachineBooting}}, time.Now())
-	if s.booting["m7"] != nil || s.booting["m8"] == nil {
-		t.Errorf("waited for: %v", s.booting)
+	if s.supply.booting["m7"] != nil || s.supply.booting["m8"] == nil {
+		t.Errorf("waited for: %v", s.supply.booting)
 	}
 	s.takeRentalLocked(wire.RentRequest{Type: "m", Zone: "z", Count: 2}, []string{"m7", "m9"}, nil)
-	if s.booting["m7"] != nil || s.booting["m9"] == nil {
-		t.Errorf("waited for after a repeated rental: %v", s.booting)
+	if s.supply.booting["m7"] != nil || s.supply.booting["m9"] == nil {
+		t.Errorf("waited for after a repeated rental: %v", s.supply.booting)
 	}
 }
 
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -190,8 +190,6 @@
 	consolidating     int             // pages that are written only to gather what several hold
 	valuesCut         int             // bytes by which values are smaller than the settings allow
 	done              *doneTable      // the keys that hold done tasks
-	gone              []string        // machines that are gone, which the others are still to be told
-	telling           bool            // they are being told
 	moving            map[string]bool // machines whose owner is being written
 	unsynced          []*machine      // whose workers are to be shown the token
 	syncing           int             // that are being shown it
@@ -202,9 +200,7 @@
 	pass              pass
 	used              map[string]placement.Resources // by team, all that may be on machines
 	numbers           attemptNumbers
-	returned          map[string]time.Time // machines that are surely gone
-	booting           map[string]*booting
-	refused           map[placement.Place]refusal
+	supply            supply
 	serial            uint64 // numbers what must never be named alike under one token
 	raising           bool
 	raised            time.Time
@@ -228,8 +224,8 @@
 		types: map[string]*wire.MachineType{}, teams: map[string]config.Team{},
 		wake:          make(chan struct{}, 1),
 		answeredEarly: map[string]time.Time{}, unknownTasksSince: map[string]time.Time{}, jobs: map[string]*jobState{}, machines: map[string]*machine{},
-		used: map[string]placement.Resources{}, returned: map[string]time.Time{},
-		booting: map[string]*booting{}, refused: map[placement.Place]refusal{}, resolve: map[string]bool{},
+		used:   map[string]placement.Resources{},
+		supply: newSupply(), resolve: map[string]bool{},
 		guests: map[string]*jobState{}, foreign: map[fleet.Key]*lent{}, denied: map[fleet.Key]time.Time{},
 		asking: map[string]*asking{}, moving: map[string]bool{},
 	}
@@ -276,7 +272,7 @@
 	m.base, m.fence = s.div.Token, s.div.Token
 	m.condemned = s.opts.Actions.Condemned(m.Name)
 	s.machines[m.Name] = m
-	delete(s.booting, m.Name)
+	delete(s.supply.booting, m.Name)
 	delete(s.answeredEarly, m.Name)
 	return m
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -43,10 +43,11 @@
 	Chains func() []wire.Chain
 	// Duties tells operators who holds which single duty and what is open.
 	Duties func() wire.Duties
-	// HandOver gives up a duty that this controller holds.
-	HandOver func(ctx context.Context, id string) error
-	Gauges   []Gauge
-	Log      *slog.Logger
+	// HandOver gives up a duty that this controller holds, and ClearDuty removes a duty's
+	// record that cannot be read.
+	HandOver, ClearDuty func(ctx context.Context, id string) error
+	Gauges              []Gauge
+	Log                 *slog.Logger
 }
 
 // Deadlines of requests: users wait 2 s for a poll and 5 s for the rest.
@@ -163,9 +164,14 @@
 		return "duties"
 	case path == wire.PathHandOver:
 		if s.allow(ctx, method, "POST") {
-			s.handOver(ctx)
+			s.changeDuty(ctx, s.opts.HandOver)
 		}
 		return "handover"
+	case path == wire.PathClear:
+		if s.allow(ctx, method, "POST") {
+			s.changeDuty(ctx, s.opts.ClearDuty)
+		}
+		return "clear"
 	case path == wire.PathReady:
 		if s.allow(ctx, method, "GET") {
 			s.ready(ctx)
@@ -374,16 +380,16 @@
 	}
 }
 
-// handOver gives up a duty for an operator.
-func (s *Server) handOver(ctx *fasthttp.RequestCtx) {
+// changeDuty does something about a duty for an operator.
+func (s *Server) changeDuty(ctx *fasthttp.RequestCtx, change func(ctx context.Context, id string) error) {
 	within, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
-	switch err := s.opts.HandOver(within, string(ctx.QueryArgs().Peek("duty"))); {
+	switch err := change(within, string(ctx.QueryArgs().Peek("duty"))); {
 	case err == nil:
 		s.answer(ctx, 200, struct{}{})
 	case errors.Is(err, duty.ErrUnknownDuty):
 		s.refuse(ctx, 404, err)
 	default:
-		s.refuse(ctx, 409, err) // another holds it, or nobody does
+		s.refuse(ctx, 409, err) // another holds it, nobody does, or there is nothing to clear
 	}
 }
--- a/wire/operator.go
+++ b/wire/operator.go
@@ -37,6 +37,7 @@
 const (
 	PathDuties   = "/duties"
 	PathHandOver = "/duties/handover"
+	PathClear    = "/duties/clear"
 )
 
 // Duties is what a controller knows of the single duties and their open intents.
