--- a/cmd/handovers/main.go
+++ b/cmd/handovers/main.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/alecthomas/kong"
-	"golang.org/x/sync/errgroup"
 
 	"heronwick/internal/dutyreport"
 	"heronwick/internal/handover"
@@ -40,20 +39,13 @@
 // Run implements kong's interface of a command.
 func (r *runCommand) Run() error {
 	began := time.Now()
-	results := make([]handover.Result, r.Groups)
-	var g errgroup.Group
-	for i := range results {
-		g.Go(func() (err error) {
-			results[i], err = r.group(r.Seed*1000 + uint64(i))
-			return err
-		})
-	}
-	if err := g.Wait(); err != nil {
-		return err
+	results := make(chan handover.Result, r.Groups)
+	for i := range r.Groups {
+		go func() { results <- r.group(r.Seed*1000 + uint64(i)) }()
 	}
 	var total handover.Result
-	for _, result := range results {
-		total.Add(result)
+	for range r.Groups {
+		total.Add(<-results)
 	}
 	r.print(total, time.Since(began))
 	if !r.Unfenced && total.Verdict.Stale+total.Undone+total.Missed > 0 {
@@ -62,8 +54,16 @@
 	return nil
 }
 
+// lease is that of the controllers.
+func (r *runCommand) lease() time.Duration {
+	if r.Unfenced {
+		return 0
+	}
+	return r.Lease
+}
+
 // group runs one group's part of the handovers.
-func (r *runCommand) group(seed uint64) (handover.Result, error) {
+func (r *runCommand) group(seed uint64) handover.Result {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	state := standin.NewState()
@@ -71,7 +71,7 @@
 	defer p.end()
 	d := handover.Director{State: state, Judge: p.judge, Start: p.start, Seed: seed, Fenced: !r.Unfenced,
 		Patience: 10 * r.Lease, Pace: r.Pace, Settle: 30 * time.Second}
-	return d.Run(r.Handovers / r.Groups), p.err
+	return d.Run(r.Handovers / r.Groups)
 }
 
 func (r *runCommand) print(total handover.Result, took time.Duration) {
--- a/cmd/handovers/processes.go
+++ b/cmd/handovers/processes.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
+	"log"
 	"net"
 	"os"
 	"os/exec"
@@ -26,7 +26,6 @@
 	run      *runCommand
 	seed     uint64
 	children []*child
-	err      error // the first
 }
 
 // child is one controller's process.
@@ -39,34 +38,31 @@
 // address of its own, by which it is known.
 func (p *processes) start(name string) handover.Controller {
 	p.seed++
-	c := &child{}
-	c.Door = handover.NewDoor(p.judge, name, p.seed, func() { c.signal(syscall.SIGSTOP) })
-	p.children = append(p.children, c)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	program, programErr := os.Executable()
-	if err = errors.Join(err, programErr); err == nil {
-		lease := p.run.Lease
-		if p.run.Unfenced {
-			lease = 0
-		}
-		c.command = exec.CommandContext(p.ctx, program, "member", "--node="+name, "--address="+listener.Addr().String(),
-			"--lease="+lease.String(), "--pace="+p.run.Pace.String(), "--seed="+strconv.FormatUint(p.seed, 10))
-		c.command.Stderr = os.Stderr
-		// In a process group of its own: one that has stopped members and loses its
-		// shell is ended whole, this process included.
-		c.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-		err = c.command.Start()
-	}
-	if err != nil {
-		p.err = errors.Join(p.err, fmt.Errorf("starting a controller: %w", err))
-		return c
+	if err := errors.Join(err, programErr); err != nil {
+		log.Fatalf("starting a controller: %v", err)
 	}
+	c := &child{command: exec.CommandContext(p.ctx, program, "member", "--node="+name, "--address="+listener.Addr().String(),
+		"--lease="+p.run.lease().String(), "--pace="+p.run.Pace.String(), "--seed="+strconv.FormatUint(p.seed, 10))}
+	c.Door = handover.NewDoor(p.judge, name, p.seed, func() { c.signal(syscall.SIGSTOP) })
+	c.command.Stderr = os.Stderr
+	// In a process group of its own: one that has stopped members and loses its shell is
+	// ended whole, this process included.
+	c.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	server := &fasthttp.Server{Handler: p.handler(c.Door)}
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(p.ctx, func() { _ = listener.Close() })
+	if err := c.command.Start(); err != nil {
+		log.Fatalf("starting a controller: %v", err)
+	}
+	p.children = append(p.children, c)
 	return c
 }
 
+// signal sends a signal to the controller, if it has not ended.
+func (c *child) signal(signal syscall.Signal) { _ = c.command.Process.Signal(signal) }
+
 // Resume implements handover.Controller.
 func (c *child) Resume() {
 	c.Door.Resume()
@@ -77,24 +73,13 @@
 func (c *child) Kill() {
 	c.signal(syscall.SIGKILL)
 	c.Door.Resume() // what it had sent is carried out
-	if c.command != nil && c.command.Process != nil {
-		_ = c.command.Wait()
-	}
+	_ = c.command.Wait()
 }
 
-// signal sends a signal to the controller, if it has not ended.
-func (c *child) signal(signal syscall.Signal) {
-	if c.command != nil && c.command.Process != nil {
-		_ = c.command.Process.Signal(signal)
-	}
-}
-
-// end ends all that still run.
+// end ends all controllers.
 func (p *processes) end() {
 	for _, c := range p.children {
-		if c.command != nil && c.command.ProcessState == nil {
-			c.Kill()
-		}
+		c.Kill()
 	}
 }
 
