The intent of an unrecorded return is closed

Need: a machine that was returned without waiting for its record, whose write was carried out after all, left an intent open until its writer's membership was over.

Result: TestIntentOfAnUnrecordedReturnIsClosed fails without the change.

--- a/internal/duty/actions.go
+++ b/internal/duty/actions.go
@@ -57,14 +57,14 @@
 
 	mu       sync.Mutex
 	written  uint64
-	returned map[string]bool // condemned machines that are gone
+	returned map[string]time.Time // machines that are gone, of intents that are not closed
 	refusals map[ID]time.Time
 	closing  bool
 }
 
 // NewActions makes Actions.
 func NewActions(opts ActionsOptions) *Actions {
-	return &Actions{opts: opts, returned: map[string]bool{}, refusals: map[ID]time.Time{}}
+	return &Actions{opts: opts, returned: map[string]time.Time{}, refusals: map[ID]time.Time{}}
 }
 
 // Guard returns the right to act for a duty; a refusal is recorded.
@@ -220,7 +220,11 @@
 func (a *Actions) GiveBackUnrecorded(ctx context.Context, id ID, machines []string) error {
 	a.opts.Log.Warn("machines are returned though that is not recorded: a cancelled task must be gone", "duty", id, "machines", machines)
 	a.opts.History.add(Event{At: time.Now(), Kind: EventUnrecorded, Duty: id.String(), Node: a.opts.Node, Count: len(machines)})
-	return a.opts.Provider.Return(ctx, machines)
+	if err := a.opts.Provider.Return(ctx, machines); err != nil {
+		return err
+	}
+	a.noteReturned(machines)
+	return nil
 }
 
 func (a *Actions) sendReturn(ctx context.Context, c Condemnation) error {
@@ -231,12 +235,13 @@
 }
 
 func (a *Actions) noteReturned(machines []string) {
+	if !a.Active() {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, machine := range machines {
-		if a.opts.Ledger.Condemned(machine) {
-			a.returned[machine] = true
-		}
+		a.returned[machine] = time.Now()
 	}
 }
 
@@ -269,11 +274,18 @@
 	}
 }
 
-// dropClosedElsewhere forgets returned machines whose intents another has removed.
+// intentLate is how much later than its machines' return an intent may come to be: one
+// whose write had no answer, of a machine that was returned without waiting for it.
+const intentLate = 10 * time.Minute
+
+// dropClosedElsewhere forgets returned machines whose intents another has removed, or
+// that never had one.
 func (a *Actions) dropClosedElsewhere() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	maps.DeleteFunc(a.returned, func(machine string, _ bool) bool { return !a.opts.Ledger.Condemned(machine) })
+	maps.DeleteFunc(a.returned, func(machine string, at time.Time) bool {
+		return !a.opts.Ledger.Condemned(machine) && time.Since(at) > intentLate
+	})
 }
 
 func (a *Actions) beginClosing() bool {
@@ -295,7 +307,7 @@
 func (a *Actions) isReturned(machine string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.returned[machine]
+	return !a.returned[machine].IsZero()
 }
 
 func (a *Actions) forgetReturned(machines []string) {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -759,3 +759,31 @@
 		}
 	})
 }
+
+// A machine is returned without its record, whose write is then carried out after all:
+// that intent too is closed.
+func TestIntentOfAnUnrecordedReturnIsClosed(t *testing.T) {
+	withBench(t, func(b *bench) {
+		h := b.start("a", 1)
+		b.state.HoldTxns(100)
+		ctx, late := context.WithTimeout(b.ctx, time.Second)
+		defer late()
+		if _, err := h.actions.Condemn(ctx, reclaim, b.fence(), []string{"m1"}, "overdue"); err == nil {
+			t.Error("no answer counts as one")
+		}
+		if err := h.actions.GiveBackUnrecorded(b.ctx, reclaim, []string{"m1"}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		b.state.HoldTxns(0)
+		b.state.ReleaseTxns()
+		time.Sleep(2 * time.Second)
+		if !h.actions.Condemned("m1") {
+			t.Fatal("the write was not carried out late: the test shows nothing")
+		}
+		h.actions.CloseReturns(b.ctx, cleanup, func(string) bool { return true })
+		if open, _ := h.ledger.OpenIntents(); open > 0 {
+			t.Errorf("%d intents are open", open)
+		}
+	})
+}
