Tests that three more guards are there; leaving is giving up leading

Need: three guards taken out of the scheduler went unnoticed.

Change: a test of a condemned machine without worker, record and owner; the check over the code wants the guard bound, not only named. Giving duties up on leaving made no difference, since the claim of the epoch ends the membership and so frees them: removed.

--- a/cmd/heronwick/duties.go
+++ b/cmd/heronwick/duties.go
@@ -88,12 +88,12 @@
 // leaveTimeout bounds what a controller does before it ends.
 const leaveTimeout = 2 * time.Second
 
-// leave gives up this controller's duties, and leading, before it ends.
+// leave gives up leading before this controller ends. Whoever claims the epoch ends its
+// membership, and so takes the duties of the fleet without waiting for a lease.
 func (c *controller) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	c.log.Info("leaving: duties are given up")
-	c.duties.keeper.Leave(ctx)
+	c.log.Info("leaving")
 	c.members.Resign(ctx)
 }
 
--- a/cmd/heronwick/duties_test.go
+++ b/cmd/heronwick/duties_test.go
@@ -106,6 +106,37 @@
 	}
 }
 
+// A machine that never comes up is condemned, and who did so ends before it is returned.
+// It has no worker, no record and no owner: the next leader returns it all the same.
+func TestMachineWithoutAWorkerIsReturnedByTheNextLeader(t *testing.T) {
+	withCluster(t, 1, func(tc *testCluster) {
+		dutiesOn(tc)
+		tc.fleet.Boot, tc.fleet.Capacity = time.Hour, 3
+	}, func(tc *testCluster) {
+		tc.expect(0, "POST", "/submissions", submission(1, services(8)), 201, "")
+		time.Sleep(2 * time.Second)
+		tc.fleet.HoldReturns(true)
+		for range 60 {
+			if len(tc.fleet.HeldReturns()) > 0 {
+				break
+			}
+			time.Sleep(time.Second)
+		}
+		held := tc.fleet.HeldReturns()
+		if len(held) == 0 {
+			t.Fatal("nothing was given up")
+		}
+		tc.crash(tc.leader())
+		tc.fleet.HoldReturns(false)
+		time.Sleep(15 * time.Second)
+		for _, machine := range held {
+			if slices.Contains(tc.fleet.Machines(), machine) {
+				t.Errorf("%s is never returned", machine)
+			}
+		}
+	})
+}
+
 // A rental is held up and its sender ends. With duties its successor repeats it under
 // its own name and rents nothing else for the same work.
 func TestRentalOfAFormerLeader(t *testing.T) {
@@ -197,8 +228,8 @@
 	})
 }
 
-// A controller that is asked to end gives its duties up: the next leader holds them as
-// soon as it leads, although nobody has counted the one that ended as gone yet.
+// A controller that is asked to end passes its duties within a second: the others do not
+// wait for any of its leases.
 func TestLeavingPassesDuties(t *testing.T) {
 	withCluster(t, 2, dutiesOn, func(tc *testCluster) {
 		time.Sleep(5 * time.Second)
@@ -317,14 +348,15 @@
 		case *ast.CallExpr:
 			selector, ok := n.Fun.(*ast.SelectorExpr)
 			if !ok {
+				// Conditions of a guard are added to those of a transaction.
+				guarded = guarded || isIdent(n.Fun, "append") && isIdent(n.Args[0], "guard")
 				break
 			}
+			guarded = guarded || selector.Sel.Name == "Bind" && isIdent(selector.X, "guard")
 			provider := slices.Contains([]string{"Rent", "Return", "RentFenced", "ReturnFenced"}, selector.Sel.Name)
 			if provider && filepath.Dir(path) != filepath.Join("internal", "duty") && !isActions(selector.X) {
 				t.Errorf("%s: %s calls %s past duty.Actions", path, f.Name.Name, selector.Sel.Name)
 			}
-		case *ast.Ident:
-			guarded = guarded || strings.EqualFold(n.Name, "guard")
 		case *ast.KeyValueExpr:
 			key, ok := n.Key.(*ast.Ident)
 			removes = removes || ok && key.Name == "Delete"
@@ -336,6 +368,11 @@
 	}
 }
 
+func isIdent(x ast.Expr, name string) bool {
+	ident, ok := x.(*ast.Ident)
+	return ok && ident.Name == name
+}
+
 // isActions tells whether an expression ends in the field or variable of duty.Actions.
 func isActions(x ast.Expr) bool {
 	selector, ok := x.(*ast.SelectorExpr)
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -60,7 +60,6 @@
 	wanted  map[ID]time.Time // since when this controller should hold them
 	held    map[ID]uint64    // tokens, as last seen, for the log and the history
 	paused  map[ID]time.Time // given up on request until then
-	left    bool             // nothing is acquired any more
 }
 
 // handoverPause is how long a controller that was told to hand a duty over leaves it
@@ -137,9 +136,6 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	ids := k.wantedIn(m)
-	if k.left {
-		ids = nil
-	}
 	maps.DeleteFunc(k.wanted, func(id ID, _ time.Time) bool { return !slices.Contains(ids, id) })
 	for _, id := range ids {
 		if now.Before(k.paused[id]) {
@@ -314,16 +310,6 @@
 	return nil
 }
 
-// Leave gives all duties up for good, before this controller ends: its successors need
-// not wait for its lease.
-func (k *Keeper) Leave(ctx context.Context) {
-	k.mu.Lock()
-	k.left = true
-	clear(k.wanted)
-	k.mu.Unlock()
-	k.resignUnwanted(ctx)
-}
-
 // Clear removes the record of a duty that cannot be read, at an operator's word. The
 // duty is then taken anew, under a higher token. Intents under the record's own token
 // are finished as those of any former holder.
