Condemning goes first among a controller's writes

Need: behind placements, recording the return of a machine with a cancelled task could take longer than the second after which it is returned unrecorded, in a mere overload.

Change: its priority is that of the epoch; rentals keep that of placements.

--- a/internal/duty/actions.go
+++ b/internal/duty/actions.go
@@ -120,7 +120,7 @@
 }
 
 // record writes an intent, on the condition of the duty and of the caller's fence.
-func (a *Actions) record(ctx context.Context, g Guard, fence state.Fence, key string, record any) error {
+func (a *Actions) record(ctx context.Context, g Guard, fence state.Fence, priority state.Priority, key string, record any) error {
 	if err := g.Check(); err != nil {
 		a.refused(g.id, g.token, err)
 		return err
@@ -130,7 +130,7 @@
 		return fmt.Errorf("an intent of %d bytes does not fit a value of the store", len(value))
 	}
 	version, err := a.opts.Committer.Commit(ctx, fence.Bind(g.Bind(state.Write{
-		Priority: state.Placement, Persist: true,
+		Priority: priority, Persist: true,
 		If:   []wire.Condition{{Key: key}},
 		Then: []wire.Change{{Put: key, Value: value}},
 	})))
@@ -189,7 +189,7 @@
 	}
 	began := time.Now()
 	record := condemnedRecord{Duty: id.String(), Token: g.token, Why: why, Machines: fresh}
-	if err := a.record(ctx, g, fence, a.nextKey(condemnedPrefix), record); err != nil {
+	if err := a.record(ctx, g, fence, state.Urgent, a.nextKey(condemnedPrefix), record); err != nil {
 		return Condemnation{}, fmt.Errorf("condemning machines: %w", err)
 	}
 	a.opts.History.add(Event{At: time.Now(), Kind: EventCondemned, Duty: id.String(), Node: a.opts.Node, Token: g.token, Count: len(fresh), Took: time.Since(began)})
@@ -358,7 +358,7 @@
 	}
 	began := time.Now()
 	key := a.nextKey(rentalPrefix)
-	if err := a.record(ctx, g, fence, key, rentalRecord{Token: g.token, Requests: requests}); err != nil {
+	if err := a.record(ctx, g, fence, state.Placement, key, rentalRecord{Token: g.token, Requests: requests}); err != nil {
 		return OpenRental{}, fmt.Errorf("recording rentals: %w", err)
 	}
 	a.opts.History.add(Event{At: time.Now(), Kind: EventRenting, Duty: g.id.String(), Node: a.opts.Node, Token: g.token, Count: len(requests), Took: time.Since(began)})
