--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -664,6 +664,9 @@
 		b.old = true
 		h := b.start("a", 1)
 		before := b.state.Count()
+		if err := h.HandOver(b.ctx, reclaim); !errors.Is(err, ErrNotHeld) {
+			t.Errorf("handing over what nobody holds: %v", err)
+		}
 		condemnation, err := h.actions.Condemn(b.ctx, reclaim, b.fence(), []string{"m1"}, "idle")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -224,7 +224,7 @@
 		if k.mine(h, s, m) {
 			continue
 		}
-		evidence, free := k.free(id, h, m)
+		evidence, free := k.free(h, m)
 		if !free {
 			continue
 		}
@@ -251,11 +251,10 @@
 
 // free tells whether a duty may be taken: it was given up, its holder's membership is
 // over, or its holder's lease has lapsed. evidence is what must still hold for that.
-func (k *Keeper) free(id ID, h holder, m Membership) (evidence []wire.Condition, free bool) {
+func (k *Keeper) free(h holder, m Membership) (evidence []wire.Condition, free bool) {
 	switch {
 	case h.damaged:
-		k.opts.Log.Error("a duty is not taken: its record cannot be read", "duty", id)
-		return nil, false
+		return nil, false // reported when it was seen
 	case h.Node == "":
 		return nil, true
 	case h.Node == k.opts.Node, !m.current(h.Node, h.Since):
@@ -298,6 +297,9 @@
 
 // HandOver gives a duty up, for another controller or for a new token.
 func (k *Keeper) HandOver(ctx context.Context, id ID) error {
+	if !k.Active() {
+		return fmt.Errorf("%w: single duties are off", ErrNotHeld)
+	}
 	if _, err := k.Guard(id); err != nil {
 		return err
 	}
