--- /dev/null
+++ b/internal/scheduler/scripted_test.go
@@ -0,0 +1,161 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"heronwick/internal/cluster"
+	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/config"
+	"heronwick/internal/duty"
+	"heronwick/internal/fleet"
+	"heronwick/internal/job"
+	"heronwick/internal/state"
+	"heronwick/wire"
+)
+
+// scripted stands for everything around a share.
+type scripted struct {
+	standings map[string]job.Standing // of jobs that are in a chain
+	epoch     cluster.Epoch
+	fenced    time.Time
+	active    map[string]*job.Record
+	mu        sync.Mutex
+	writes    []state.Write
+	fences    []state.Fence // of ended jobs
+	listed    []*job.Record // all active jobs
+	status    *wire.Report  // what workers answer to probes; nil: nothing
+	wants     []*peerpb.Want
+	loads     map[string]cluster.Load
+	since     map[string]uint64 // machines that the peer owns, and its membership
+	items     []wire.Item       // records
+	raised    atomic.Int64      // how often another token was asked for
+	refuse    error             // what writes fail with
+}
+
+func (p *scripted) Division() (cluster.Epoch, wire.Condition) {
+	return p.epoch, wire.Condition{Key: "epoch", Version: p.epoch.Token}
+}
+func (p *scripted) Token() uint64                   { return p.epoch.Token }
+func (p *scripted) Permit() (uint64, bool)          { return p.epoch.Token, true }
+func (p *scripted) Fenced(uint64) (time.Time, bool) { return p.fenced, !p.fenced.IsZero() }
+func (p *scripted) Raise(context.Context) error {
+	p.raised.Add(1)
+	return nil
+}
+func (p *scripted) Owners() (map[string]cluster.Owner, []string, bool) { return nil, nil, true }
+func (p *scripted) Home(string) (string, bool)                         { return "me", true }
+func (p *scripted) HostOf(epoch *cluster.Epoch, machine string) string {
+	if since := p.since[machine]; since > 0 && epoch.Members["peer"].Since == since {
+		return "peer"
+	}
+	return "me"
+}
+func (p *scripted) Get(context.Context, state.Priority, string) (wire.Item, error) {
+	return wire.Item{}, state.ErrNotFound
+}
+func (p *scripted) List(context.Context, state.Priority, string) ([]wire.Item, uint64, error) {
+	return p.items, 1, nil
+}
+func (p *scripted) Totals() (int, int, float64, float64) { return 0, 0, 0, 0 }
+func (p *scripted) Idle(string) int                      { return 0 }
+func (p *scripted) Loads() map[string]cluster.Load       { return p.loads }
+func (p *scripted) Wants() []*peerpb.Want                { return p.wants }
+func (p *scripted) NoteOwner(wire.Change, uint64)        {}
+func (p *scripted) Fresh() bool                          { return true }
+func (p *scripted) OwnerOf(string) (cluster.Owner, bool) { return cluster.Owner{}, false }
+func (p *scripted) TransferWrite(string, map[string]json.RawMessage) (wire.Condition, wire.Change, bool) {
+	return wire.Condition{}, wire.Change{}, false
+}
+func (p *scripted) Active(id string) *job.Record { return p.active[id] }
+func (p *scripted) Standing(r *job.Record) job.Standing {
+	if standing, ok := p.standings[r.Job.ID]; ok {
+		return standing
+	}
+	return job.Standing{Order: job.Order{Rank: r.Job.Priority.Rank()}, Ready: true}
+}
+func (p *scripted) AllActive() []*job.Record         { return p.listed }
+func (p *scripted) Over(string) bool                 { return false }
+func (p *scripted) Listen(job.Listener)              {}
+func (p *scripted) SetProgress(string, job.Progress) {}
+func (p *scripted) Resolve(context.Context, string) (job.Final, bool, bool, error) {
+	return job.Final{}, false, false, nil
+}
+func (p *scripted) ReadDone(context.Context) ([]job.DonePage, error) { return nil, nil }
+func (p *scripted) Finish(_ context.Context, _ *job.Record, fence state.Fence) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fences = append(p.fences, fence)
+	return nil
+}
+func (p *scripted) Commit(_ context.Context, w state.Write) (uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refuse != nil {
+		return 0, p.refuse
+	}
+	p.writes = append(p.writes, w)
+	return 1, nil
+}
+func (p *scripted) Command(_ context.Context, _ string, req *wire.CommandRequest) (*wire.Report, error) {
+	return nil, context.DeadlineExceeded
+}
+func (p *scripted) Status(context.Context, string) (*wire.Report, error) {
+	if p.status != nil {
+		return p.status, nil
+	}
+	return nil, context.DeadlineExceeded
+}
+
+// unguarded are actions of a deployment without duties and without a cloud.
+func unguarded() *duty.Actions {
+	return duty.Unguarded(nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+// newTestShare makes a loaded share of node "me" with one machine of 8 CPUs,
+// beside a member "peer" that owns the team "theirs".
+func newTestShare(t *testing.T) (*Share, *scripted, *machine) {
+	t.Helper()
+	p := &scripted{active: map[string]*job.Record{}, epoch: cluster.Epoch{
+		Token: 5, Leader: "me",
+		Members: map[string]cluster.Member{"me": {Incarnation: 1, Since: 3}, "peer": {Incarnation: 2, Since: 4}},
+		Teams:   map[string]string{"ours": "me", "theirs": "peer"},
+	}}
+	s := New(Options{
+		Node: "me", Authority: p, Workers: p, Jobs: p, Committer: p, Records: p, Requests: &Requests{}, Actions: unguarded(),
+		Settings: &config.Settings{ReportEvery: time.Second, LeaseFor: 10 * time.Second, CancelIn: 20 * time.Second, ValueBytes: 16 << 10, TxnOps: 16},
+		Types:    []wire.MachineType{{Name: "m", CPUs: 8, MemoryGB: 32, CacheGB: 10, Zones: []string{"z"}}},
+		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	s.ctx, s.group = context.Background(), &errgroup.Group{}
+	epoch, condition := p.Division()
+	s.takeDivisionLocked(epoch, condition)
+	s.loaded, s.adopted = true, epoch.Token
+	m := s.addMachineLocked(fleet.NewMachine("m1"), time.Now())
+	if !s.applyLocked(m, &wire.Report{Machine: "m1", Address: "m1", Type: "m", Zone: "z", Session: 1, Seq: 1, Token: 5}) {
+		t.Fatal("the first report was not taken")
+	}
+	return s, p, m
+}
+
+func (p *scripted) add(id, team string, priority wire.Priority, tasks int, cpus float64) *job.Record {
+	r := &job.Record{Job: wire.Job{ID: id, Team: team, Kind: wire.KindArray, Priority: priority, Tasks: tasks, CPUs: cpus, Image: "i"}, Version: 1}
+	p.active[id] = r
+	return r
+}
+
+func wanted(id string, attempts ...uint64) *peerpb.PlaceRequest {
+	w := &peerpb.Wanted{Job: id, Pending: uint32(len(attempts))}
+	for i, a := range attempts {
+		w.Attempts = append(w.Attempts, &peerpb.Attempt{Task: wire.TaskID(id, i), Attempt: a})
+	}
+	return &peerpb.PlaceRequest{Node: "peer", Token: 5, Wanted: []*peerpb.Wanted{w}}
+}
