What stood twice in single duties is one; a fraction put right

Change: how many names fit a value was counted in duty.Actions and in the scheduler's supply: state.FittingNames serves both. condemn asks for the intent in one place. Two tests waited for held returns in loops of their own. Removed: a field that nobody read, JSON tags of a type that is not encoded, Guard.Token, which nobody called.

--- a/cmd/heronwick/duties_test.go
+++ b/cmd/heronwick/duties_test.go
@@ -30,6 +30,14 @@
 	return duties
 }
 
+// awaitHeldReturns waits until returns are held back, and tells of which machines.
+func (tc *testCluster) awaitHeldReturns(patience time.Duration) (machines []string) {
+	for until := time.Now().Add(patience); len(machines) == 0 && time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		machines = tc.fleet.HeldReturns()
+	}
+	return machines
+}
+
 // holder is who holds a duty, as a controller knows it.
 func (tc *testCluster) holder(i int, id string) wire.Duty {
 	for _, d := range tc.dutyReport(i).Duties {
@@ -60,14 +68,8 @@
 				}
 				tc.fleet.HoldReturns(true)
 				tc.fleet.Cut(machine, true)
-				for range 100 {
-					if len(tc.fleet.HeldReturns()) > 0 {
-						break
-					}
-					time.Sleep(100 * time.Millisecond)
-				}
-				if !slices.Contains(tc.fleet.HeldReturns(), machine) {
-					t.Fatalf("held are the returns of %v, not that of %s", tc.fleet.HeldReturns(), machine)
+				if held := tc.awaitHeldReturns(10 * time.Second); !slices.Contains(held, machine) {
+					t.Fatalf("held are the returns of %v, not that of %s", held, machine)
 				}
 				var owner int
 				for i, n := range tc.nodes {
@@ -116,13 +118,7 @@
 		tc.expect(0, "POST", "/submissions", submission(1, services(8)), 201, "")
 		time.Sleep(2 * time.Second)
 		tc.fleet.HoldReturns(true)
-		for range 60 {
-			if len(tc.fleet.HeldReturns()) > 0 {
-				break
-			}
-			time.Sleep(time.Second)
-		}
-		held := tc.fleet.HeldReturns()
+		held := tc.awaitHeldReturns(time.Minute)
 		if len(held) == 0 {
 			t.Fatal("nothing was given up")
 		}
--- a/internal/duty/actions.go
+++ b/internal/duty/actions.go
@@ -154,13 +154,7 @@
 
 // MaxCondemned returns how many of the machines fit one intent.
 func (a *Actions) MaxCondemned(machines []string) int {
-	size := condemnedOverhead
-	for i, name := range machines {
-		if size += len(name) + nameSyntax; i > 0 && size > a.opts.ValueBytes {
-			return i
-		}
-	}
-	return len(machines)
+	return state.FittingNames(machines, condemnedOverhead, nameSyntax, a.opts.ValueBytes)
 }
 
 // Condemnation is the right to return machines: an intent to do so is recorded, or
--- a/internal/duty/guard.go
+++ b/internal/duty/guard.go
@@ -14,9 +14,6 @@
 	unfenced bool
 }
 
-// Token is the fencing token under which the duty was held; 0 while duties are off.
-func (g Guard) Token() uint64 { return g.token }
-
 // Check tells whether the duty is still held as when the Guard was made.
 func (g Guard) Check() error {
 	if g.unfenced {
--- a/internal/duty/history.go
+++ b/internal/duty/history.go
@@ -29,13 +29,13 @@
 
 // Event is one entry of a controller's history.
 type Event struct {
-	At    time.Time     `json:"at"`
-	Kind  EventKind     `json:"kind"`
-	Duty  string        `json:"duty"`
-	Node  string        `json:"node"`
-	Token uint64        `json:"token"`
-	Count int           `json:"count"` // of machines or requests
-	Took  time.Duration `json:"took_ns"`
+	At    time.Time
+	Kind  EventKind
+	Duty  string
+	Node  string
+	Token uint64
+	Count int // of machines or requests
+	Took  time.Duration
 }
 
 // maxEvents bounds a controller's history.
--- a/internal/duty/ledger.go
+++ b/internal/duty/ledger.go
@@ -32,7 +32,6 @@
 	version   uint64
 	condemned *condemnedRecord
 	rental    *rentalRecord
-	damaged   bool
 }
 
 // holder is who holds a duty.
@@ -122,7 +121,7 @@
 		err = json.Unmarshal(value, e.rental)
 	}
 	if err != nil {
-		e.damaged, e.rental = true, nil
+		e.rental = nil
 		l.log.Error("a record of duties cannot be read; nothing is taken for free because of it", "key", key, "version", version, "err", err)
 	}
 	l.entries[key] = e
--- a/internal/handover/door.go
+++ b/internal/handover/door.go
@@ -37,8 +37,8 @@
 const MaxLate = 20 * time.Second
 
 // Door is all that passes between one controller and the world: the store and the machine
-// service. One request in four to the latter is carried out late, or twice, or loses its
-// answer. Nothing passes while the controller is frozen.
+// service. Three requests in sixteen to the latter are carried out late, or twice, or lose
+// their answer. Nothing passes while the controller is frozen.
 type Door struct {
 	judge  *Judge
 	sender string
--- a/internal/scheduler/returns.go
+++ b/internal/scheduler/returns.go
@@ -104,17 +104,17 @@
 // condemn records the return and gives what then carries it out. A cancelled task must
 // be gone by a time, also while the store cannot be reached.
 func (s *Share) condemn(ctx context.Context, id duty.ID, fence state.Fence, names []string, why string) (send func(context.Context) error, err error) {
-	if why != whyOverdue {
-		condemnation, err := s.opts.Actions.Condemn(ctx, id, fence, names, why)
-		return func(ctx context.Context) error { return s.opts.Actions.GiveBack(ctx, condemnation) }, err
+	recording, overdue := ctx, why == whyOverdue
+	if overdue {
+		var cancel context.CancelFunc
+		recording, cancel = context.WithTimeout(ctx, overdueRecordTime)
+		defer cancel()
 	}
-	recording, cancel := context.WithTimeout(ctx, overdueRecordTime)
-	defer cancel()
 	condemnation, err := s.opts.Actions.Condemn(recording, id, fence, names, why)
-	if err != nil {
+	if err != nil && overdue {
 		return func(ctx context.Context) error { return s.opts.Actions.GiveBackUnrecorded(ctx, id, names) }, nil
 	}
-	return func(ctx context.Context) error { return s.opts.Actions.GiveBack(ctx, condemnation) }, nil
+	return func(ctx context.Context) error { return s.opts.Actions.GiveBack(ctx, condemnation) }, err
 }
 
 // keepLocked keeps machines whose return could not be recorded.
--- a/internal/scheduler/supply.go
+++ b/internal/scheduler/supply.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"heronwick/internal/placement"
+	"heronwick/internal/state"
 )
 
 // supply is what the share knows of machines that come and go: those that were rented
@@ -105,11 +106,5 @@
 // toTell returns as many of the machines that are gone as one write of so many bytes can
 // name.
 func (s *supply) toTell(limit int) []string {
-	size := 0
-	for i, name := range s.untold {
-		if size += len(name) + goneSyntax; i > 0 && size > limit {
-			return s.untold[:i]
-		}
-	}
-	return s.untold
+	return s.untold[:state.FittingNames(s.untold, 0, goneSyntax, limit)]
 }
--- a/internal/state/keys.go
+++ b/internal/state/keys.go
@@ -12,6 +12,18 @@
 	return fmt.Sprintf("%s%s/%d/%s", prefix, node, since, name)
 }
 
+// FittingNames returns how many of the names fit a value of so many bytes, one at least,
+// of which base are taken and each name takes so much beside itself.
+func FittingNames(names []string, base, each, limit int) int {
+	size := base
+	for i, name := range names {
+		if size += len(name) + each; i > 0 && size > limit {
+			return i
+		}
+	}
+	return len(names)
+}
+
 // MemberOfKey tells whose a MemberKey is; ok is false for a key of another form.
 func MemberOfKey(prefix, key string) (node string, since uint64, ok bool) {
 	parts := strings.Split(strings.TrimPrefix(key, prefix), "/")
