--- /dev/null
+++ b/review/harness/state.go
@@ -0,0 +1,308 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"heronwick/wire"
+)
+
+// Limits of the state service.
+const (
+	maxListItems   = 1000
+	maxListBytes   = 512 << 10
+	maxKeptChanges = 10_000
+	stateLatency   = 4 * time.Millisecond
+)
+
+// store is the stand-in of the state service. Each controller reaches it at an address
+// of its own, so that it can refuse a single one.
+type store struct {
+	rec *recorder
+
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]wire.Item
+	log      []wire.Event
+	changed  chan struct{}
+	leases   map[uint64]*storeLease
+	last     uint64 // ID of the last lease
+
+	refused map[string]bool // controllers that get 503
+	outage  bool            // every controller gets 503, and leases are kept
+}
+
+type storeLease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+func newStore(rec *recorder) *store {
+	s := &store{rec: rec, items: map[string]wire.Item{}, changed: make(chan struct{}),
+		leases: map[uint64]*storeLease{}, refused: map[string]bool{}}
+	go s.expireLeases()
+	return s
+}
+
+func (s *store) wakeLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) expireLeases() {
+	for {
+		time.Sleep(20 * time.Millisecond)
+		s.mu.Lock()
+		for id, l := range s.leases {
+			if !s.outage && time.Now().After(l.end) {
+				s.dropLeaseLocked(id)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *store) dropLeaseLocked(id uint64) {
+	delete(s.leases, id)
+	var drops []wire.Change
+	for key, item := range s.items {
+		if item.Lease == id {
+			drops = append(drops, wire.Change{Delete: key})
+		}
+	}
+	if len(drops) > 0 {
+		s.applyLocked(drops)
+	}
+}
+
+// applyLocked makes changes at one new revision.
+func (s *store) applyLocked(changes []wire.Change) {
+	s.revision++
+	for _, c := range changes {
+		if c.Put != "" {
+			s.items[c.Put] = wire.Item{Key: c.Put, Value: c.Value, Version: s.revision, Lease: c.Lease}
+			s.log = append(s.log, wire.Event{Put: c.Put, Value: c.Value, Version: s.revision})
+			continue
+		}
+		if _, ok := s.items[c.Delete]; ok {
+			delete(s.items, c.Delete)
+			s.log = append(s.log, wire.Event{Delete: c.Delete, Version: s.revision})
+		}
+	}
+	s.log = s.log[max(0, len(s.log)-maxKeptChanges):]
+	s.wakeLocked()
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func replyError(w http.ResponseWriter, status int, text string) {
+	reply(w, status, wire.Error{Error: text})
+}
+
+// handler serves one controller.
+func (s *store) handler(node string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(stateLatency)
+		body, _ := io.ReadAll(r.Body)
+		s.mu.Lock()
+		down := s.outage || s.refused[node]
+		s.mu.Unlock()
+		if down {
+			replyError(w, http.StatusServiceUnavailable, "trouble")
+			return
+		}
+		switch {
+		case r.URL.Path == wire.PathTxn:
+			s.txn(w, node, body)
+		case r.URL.Path == wire.PathWatch:
+			s.follow(w, r, node)
+		case r.URL.Path == wire.PathKeys:
+			s.list(w, r.URL.Query())
+		case strings.HasPrefix(r.URL.Path, wire.PathKeys+"/"):
+			s.get(w, strings.TrimPrefix(r.URL.Path, wire.PathKeys+"/"))
+		case strings.HasPrefix(r.URL.Path, wire.PathLeases):
+			s.lease(w, r, body)
+		default:
+			replyError(w, http.StatusBadRequest, "no such path")
+		}
+	})
+}
+
+func (s *store) get(w http.ResponseWriter, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	item, ok := s.items[key]
+	if !ok {
+		reply(w, http.StatusNotFound, wire.TxnReply{Revision: s.revision})
+		return
+	}
+	reply(w, http.StatusOK, item)
+}
+
+func (s *store) list(w http.ResponseWriter, query url.Values) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most, err := strconv.Atoi(query.Get("most"))
+	if err != nil || most > maxListItems {
+		most = maxListItems
+	}
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, query.Get("under")) && key > query.Get("after") {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	page := wire.ItemList{Items: []wire.Item{}, Revision: s.revision}
+	size := 0
+	for _, key := range keys {
+		size += len(s.items[key].Value) + len(key)
+		if len(page.Items) == most || len(page.Items) > 0 && size > maxListBytes {
+			page.More = true
+			break
+		}
+		page.Items = append(page.Items, s.items[key])
+	}
+	reply(w, http.StatusOK, page)
+}
+
+func (s *store) txn(w http.ResponseWriter, node string, body []byte) {
+	var txn wire.Txn
+	if json.Unmarshal(body, &txn) != nil {
+		replyError(w, http.StatusBadRequest, "malformed")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range txn.Then {
+		if c.Lease != 0 && s.leases[c.Lease] == nil {
+			replyError(w, http.StatusBadRequest, "no such lease")
+			return
+		}
+	}
+	var failed []string
+	for _, c := range txn.If {
+		if s.items[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		s.recordTxn(node, txn, "409")
+		reply(w, http.StatusConflict, wire.TxnReply{Failed: failed, Revision: s.revision})
+		return
+	}
+	if len(txn.Then) > 0 {
+		s.applyLocked(txn.Then)
+		s.recordTxn(node, txn, "200")
+	}
+	reply(w, http.StatusOK, wire.TxnReply{Revision: s.revision})
+}
+
+// recordTxn records the changes of a transaction and its status.
+func (s *store) recordTxn(node string, txn wire.Txn, status string) {
+	if len(txn.Then) == 0 {
+		return
+	}
+	var changes []string
+	for _, c := range txn.Then {
+		changes = append(changes, c.Put+c.Delete)
+	}
+	s.rec.event("state: %s from %s at %d: %s", status, node, s.revision, strings.Join(changes, " "))
+}
+
+func (s *store) lease(w http.ResponseWriter, r *http.Request, body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
+	if len(parts) == 1 {
+		var req wire.LeaseRequest
+		if json.Unmarshal(body, &req) != nil || req.TTLMs < 100 || req.TTLMs > 600_000 {
+			replyError(w, http.StatusBadRequest, "malformed")
+			return
+		}
+		s.last++
+		ttl := time.Duration(req.TTLMs) * time.Millisecond
+		s.leases[s.last] = &storeLease{ttl: ttl, end: time.Now().Add(ttl)}
+		reply(w, http.StatusOK, wire.Lease{ID: s.last})
+		return
+	}
+	id, _ := strconv.ParseUint(parts[1], 10, 64)
+	l := s.leases[id]
+	switch {
+	case l == nil:
+		replyError(w, http.StatusNotFound, "no such lease")
+	case r.Method == http.MethodDelete:
+		s.dropLeaseLocked(id)
+		reply(w, http.StatusOK, struct{}{})
+	default:
+		l.end = time.Now().Add(l.ttl)
+		reply(w, http.StatusOK, struct{}{})
+	}
+}
+
+// follow serves a watch. It stays open without an answer during an outage, also one of
+// a single controller.
+func (s *store) follow(w http.ResponseWriter, r *http.Request, node string) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timeout.Stop()
+	timedOut := false
+	for {
+		s.mu.Lock()
+		changed, down := s.changed, s.outage || s.refused[node]
+		events := wire.Events{Revision: s.revision, Events: []wire.Event{}}
+		compacted := len(s.log) > 0 && s.log[0].Version > after+1 && len(s.log) == maxKeptChanges
+		for _, e := range s.log {
+			if e.Version > after && strings.HasPrefix(e.Put+e.Delete, query.Get("under")) {
+				events.Events = append(events.Events, e)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+		case compacted:
+			replyError(w, http.StatusGone, "too old")
+			return
+		case len(events.Events) > 0 || timedOut:
+			reply(w, http.StatusOK, followReply(events))
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			timedOut = true
+		case <-r.Context().Done():
+			return
+		}
+		if wait == 0 {
+			timedOut = true
+		}
+	}
+}
+
+// followReply returns a watch response in which each event names only one of write and
+// drop.
+func followReply(events wire.Events) any {
+	log := []any{}
+	for _, e := range events.Events {
+		if e.Put != "" {
+			log = append(log, map[string]any{"write": e.Put, "data": e.Value, "mark": e.Version})
+		} else {
+			log = append(log, map[string]any{"drop": e.Delete, "mark": e.Version})
+		}
+	}
+	return map[string]any{"tide": events.Revision, "log": log}
+}
