--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -33,6 +33,8 @@
 func cases() map[string]caseSettings {
 	return map[string]caseSettings{
 		"slow-link": {slowLinkSettings(), playSlowLink},
+		"restart":   {restartSettings(), playRestart},
+		"search":    {searchSettings(), playSearch},
 	}
 }
 
@@ -137,7 +139,12 @@
 	return s.running[task][w.name]
 }
 
-// baobab is the machine type of the smaller of the two deployments.
+// baobab is a machine type like that of the first deployment.
 func baobab(name string, zones ...string) wire.MachineType {
 	return wire.MachineType{Name: name, CPUs: 16, MemoryGB: 64, CacheGB: 30, FetchGBPerS: 0.25, Price: 1.17, SpotPrice: 0.36, BootS: 15, Zones: zones}
 }
+
+// nopal is a machine type like that of the second deployment.
+func nopal(name string, zones ...string) wire.MachineType {
+	return wire.MachineType{Name: name, CPUs: 16, MemoryGB: 128, CacheGB: 30, FetchGBPerS: 0.25, Price: 1.06, SpotPrice: 0.4, BootS: 50, Zones: zones}
+}
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -17,6 +17,7 @@
 // siteSettings are the parts of the controllers' settings that the stand-ins need too.
 type siteSettings struct {
 	reportS, leaseS, cancelS float64
+	limits                   string // the tables of the settings on limits
 	teams                    []wireTeam
 	zones                    []string
 	types                    []wire.MachineType
@@ -35,6 +36,7 @@
 	store       *store
 	controllers []*controller
 	seed        uint64
+	peerLinks   map[string]*peerLink // by the names of the two controllers
 
 	mu         sync.Mutex
 	workers    map[string]*worker
@@ -47,10 +49,11 @@
 	violations []string
 	capacity   map[string]int // machines that may still be rented, by type
 	rented     map[string][]string
+	cloudDown  bool // the cloud's interface is down
 }
 
 func newSite(rec *recorder, settings siteSettings) *site {
-	return &site{rec: rec, settings: settings, store: newStore(rec), workers: map[string]*worker{},
+	return &site{rec: rec, peerLinks: map[string]*peerLink{}, settings: settings, store: newStore(rec), workers: map[string]*worker{},
 		jobs: map[string]*wire.Job{}, runTimes: map[string]time.Duration{}, running: map[string]map[string]bool{},
 		done: map[string]bool{}, cancelled: map[string]time.Time{}, capacity: map[string]int{}, rented: map[string][]string{}}
 }
@@ -161,7 +164,13 @@
 func (s *site) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	time.Sleep(30 * time.Millisecond)
+	s.mu.Lock()
+	down := s.cloudDown
+	s.mu.Unlock()
 	switch {
+	case down:
+		s.rec.event("cloud: %s %s %s: 503", r.Method, r.URL.Path, body)
+		replyError(w, http.StatusServiceUnavailable, "trouble")
 	case r.URL.Path == wire.PathTypes:
 		reply(w, http.StatusOK, wire.MachineTypes{Types: s.settings.types})
 	case r.URL.Path == wire.PathReturn:
--- a/review/harness/slowlink.go
+++ b/review/harness/slowlink.go
@@ -13,7 +13,7 @@
 
 func slowLinkSettings() siteSettings {
 	return siteSettings{
-		reportS: 2.5, leaseS: 16, cancelS: 36, zones: []string{"arusha-north"},
+		reportS: 2.5, leaseS: 16, cancelS: 36, limits: zawadiLimits, zones: []string{"arusha-north"},
 		teams: []wireTeam{{"farm-liaison", 256, 608}},
 		types: []wire.MachineType{baobab("baobab", "arusha-north"), baobab("acacia", "arusha-north")},
 	}
