--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -32,3 +32,6 @@
 
 // A task must not run twice when a machine is back at once while the cloud is away.
 func TestCaseMachineBackAtOnce(t *testing.T) { runCase(t, "2/run.sh") }
+
+// No task of a cancelled job must start when a command is repeated.
+func TestCaseRepeatedStart(t *testing.T) { runCase(t, "3/run.sh") }
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -33,6 +33,7 @@
 func cases() map[string]caseSettings {
 	return map[string]caseSettings{
 		"slow-link": {slowLinkSettings(), playSlowLink},
+		"repeat":    {slowLinkSettings(), playRepeat},
 		"restart":   {restartSettings(), playRestart},
 		"search":    {searchSettings(), playSearch},
 	}
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -42,7 +42,7 @@
 	workers    map[string]*worker
 	created    int
 	jobs       map[string]*wire.Job
-	runTimes   map[string]time.Duration   // by job; 0 means until stopped
+	runTimes   map[string]time.Duration   // by job, or by task; 0 means until stopped
 	running    map[string]map[string]bool // machines by task
 	done       map[string]bool            // tasks
 	cancelled  map[string]time.Time       // when the user was told, by job
@@ -77,6 +77,9 @@
 }
 
 func (s *site) runTimeLocked(task string) time.Duration {
+	if run, ok := s.runTimes[task]; ok {
+		return run
+	}
 	id, _, _ := strings.Cut(task, "/")
 	return s.runTimes[id]
 }
