--- a/review/harness/restart.go
+++ b/review/harness/restart.go
@@ -82,7 +82,7 @@
 	s.cloudDown = true
 	s.rec.event("TROUBLE: the cloud's interface is down; %s ends", first.name)
 	first.killLocked("the machine ends")
-	first.hung = true
+	first.away = true
 	s.mu.Unlock()
 	time.AfterFunc(outageTime, func() {
 		s.mu.Lock()
