--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -36,6 +36,7 @@
 		"repeat":    {slowLinkSettings(), playRepeat},
 		"restart":   {restartSettings(), playRestart},
 		"search":    {searchSettings(), playSearch},
+		"low":       {lowSearchSettings(), playSearch},
 	}
 }
 
--- a/review/harness/state.go
+++ b/review/harness/state.go
@@ -40,8 +40,11 @@
 	refused map[string]bool // controllers that get 503
 	held    map[string]bool // controllers whose requests are held back; they are carried out later
 	outage  bool            // every controller gets 503, and leases are kept
-	slow    time.Duration   // the longest that an answer takes in addition
-	late    float64         // share of transactions that get no answer and are carried out at once or late
+	// The limits of a value and a transaction; 0 for those of the page.
+	maxValue, maxOps int
+	tooLarge         int           // transactions that exceeded them
+	slow             time.Duration // the longest that an answer takes in addition
+	late             float64       // share of transactions that get no answer and are carried out at once or late
 }
 
 type storeLease struct {
@@ -255,6 +258,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.tooLargeLocked(txn, body) {
+		s.tooLarge++
+		s.recordTxn(node, txn, "400, too large,")
+		replyError(w, http.StatusBadRequest, "too large")
+		return
+	}
 	for _, c := range txn.Then {
 		if c.Lease != 0 && s.leases[c.Lease] == nil {
 			replyError(w, http.StatusBadRequest, "no such lease")
@@ -279,6 +288,14 @@
 	reply(w, http.StatusOK, wire.TxnReply{Revision: s.revision})
 }
 
+// tooLargeLocked reports whether a transaction exceeds a limit.
+func (s *store) tooLargeLocked(txn wire.Txn, body []byte) bool {
+	if s.maxOps > 0 && (len(txn.Then) > s.maxOps || len(txn.If) > 4*s.maxOps) || len(body) > 64<<10 {
+		return true
+	}
+	return s.maxValue > 0 && slices.ContainsFunc(txn.Then, func(c wire.Change) bool { return len(c.Value) > s.maxValue })
+}
+
 // recordTxn records the changes of a transaction and its status.
 func (s *store) recordTxn(node string, txn wire.Txn, status string) {
 	if len(txn.Then) == 0 {
