--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -99,6 +99,7 @@
 	if len(job.Types) > 0 && !slices.Contains(job.Types, w.machineType.Name) || job.Zone != nil && *job.Zone != w.zone || w.spot && !job.Spot {
 		s.violateLocked("wrong_place: %s starts on %s", task, w.name)
 	}
+	s.checkZonesLocked(task, job, w)
 	if s.running[task] == nil {
 		s.running[task] = map[string]bool{}
 	}
@@ -116,6 +117,28 @@
 	}
 }
 
+// checkZonesLocked checks the zone in which a task starts against those of the other tasks
+// of its job.
+func (s *site) checkZonesLocked(task string, job *wire.Job, w *worker) {
+	here := 1
+	for other, on := range s.running {
+		if other == task || s.jobOfLocked(other) != job {
+			continue
+		}
+		for name := range on {
+			zone := s.workers[name].zone
+			if zone == w.zone {
+				here++
+			} else if job.OneZone {
+				s.violateLocked("wrong_place: %s starts in %s while %s is in %s", task, w.zone, other, zone)
+			}
+		}
+	}
+	if job.Spread && here > (job.Tasks+1)/2 {
+		s.violateLocked("wrong_place: %s starts in %s as number %d of %d", task, w.zone, here, job.Tasks)
+	}
+}
+
 func (s *site) taskEndsLocked(task string, w *worker) {
 	delete(s.running[task], w.name)
 	if len(s.running[task]) == 0 {
