--- a/internal/checkpoint/limit.go
+++ b/internal/checkpoint/limit.go
@@ -57,8 +57,8 @@
 	l.reduction += l.Bytes() / 4
 }
 
-// MaxAttempts returns the maximum number of attempts on a machine, so that its record
-// fits in one value.
+// MaxAttempts returns the maximum number of attempts on a machine that have not exited,
+// so that its record, which contains only these, fits in one value.
 func (l *ValueLimit) MaxAttempts() int {
 	limit := l.Bytes()
 	return max(minAttempts, (limit-limit/imagesDivisor-maxBaseRecordBytes)/maxAttemptBytes)
--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -7,10 +7,10 @@
 	"heronwick/wire"
 )
 
-// ReplyCommands returns the commands for the reply to the newest heartbeat, and records
-// the starts among them as sent.
-func (m *Machine) ReplyCommands() []wire.Command {
-	commands := m.commands()
+// ReplyCommands returns the commands for the reply to the newest heartbeat, which is sent
+// under a fencing token, and records the starts among them as sent.
+func (m *Machine) ReplyCommands(token uint64) []wire.Command {
+	commands := m.commands(token)
 	m.forEachStart(commands, func(a *Attempt) { a.startSentInReply, a.startReplySeq = true, m.Seq })
 	return commands
 }
@@ -19,7 +19,7 @@
 // heartbeat reply, under a fencing token. It returns nil if there are no commands. The
 // caller must call DirectRequestDone when the request has completed or failed.
 func (m *Machine) DirectRequest(token uint64) *wire.CommandRequest {
-	commands := m.commands()
+	commands := m.commands(token)
 	if len(commands) == 0 {
 		return nil
 	}
@@ -55,13 +55,13 @@
 	}
 }
 
-// commands returns the commands to send to the worker now, at most wire.MaxCommands.
-// Commands that free capacity come first.
-func (m *Machine) commands() []wire.Command {
+// commands returns the commands to send to the worker now under a fencing token, at most
+// wire.MaxCommands. Commands that free capacity come first.
+func (m *Machine) commands(token uint64) []wire.Command {
 	var stops, forgets, starts []wire.Command
 	for _, a := range m.Attempts.All() {
 		switch {
-		case m.canForget(a):
+		case a.canForget(token):
 			forgets = append(forgets, a.command(wire.OpForget))
 		case m.needsStop(a):
 			stop := a.command(wire.OpStop)
@@ -81,15 +81,14 @@
 	return wire.Command{Op: op, Task: a.Task, Attempt: a.Attempt}
 }
 
-// canForget reports whether the worker may forget an attempt that has exited. After
-// that, a delayed copy of the attempt's start would run it again, unless the worker has
-// seen a higher token than that of any direct start. If the attempt is done, a copy is
-// harmless: the worker would only report the result again.
-func (m *Machine) canForget(a *Attempt) bool {
-	if !a.Exited() || !a.ExitProcessed || m.directStartMayArrive(a) {
-		return false
-	}
-	return a.ExitReason == wire.ExitDone || a.maxDirectStartToken < m.FencingToken
+// canForget reports whether the worker may be told under a fencing token to forget an
+// attempt that has exited. A worker that has forgotten an attempt executes any copy of its
+// start that arrives later, under the token of the copy or a higher one. So the token must
+// be higher than that of every direct request with the start: the worker has then seen it
+// and rejects the copies. The exit reason makes no difference: a copy starts even a task
+// that is done, whose job may have been cancelled and whose team may be at its quota.
+func (a *Attempt) canForget(token uint64) bool {
+	return a.Exited() && a.ExitProcessed && a.maxDirectStartToken < token
 }
 
 // needsStop reports whether the worker has the attempt and must be sent a stop. An
@@ -108,18 +107,26 @@
 // forget until it has seen a higher fencing token. All of them stay in its heartbeats.
 const maxExitedAttempts = 30
 
-// NeedsHigherFencingToken reports whether the worker must see a higher token than this
-// one: either it may still execute a start that got no response, or it has too many
+// NeedsHigherFencingToken reports whether the worker must soon see a higher token than
+// this one: either it may still execute a start that got no response, or it has too many
 // exited attempts that it cannot forget until then.
 func (m *Machine) NeedsHigherFencingToken(token uint64) bool {
-	unforgotten := 0
 	for _, a := range m.Attempts.All() {
 		if a.maxUnansweredToken >= token && (a.Stop && a.State == "" || a.Exited()) {
 			return true
 		}
-		if a.Exited() && a.ExitProcessed && a.ExitReason != wire.ExitDone && a.maxDirectStartToken >= token {
-			unforgotten++
+	}
+	return m.UnforgettableExits(token) > maxExitedAttempts
+}
+
+// UnforgettableExits returns the number of exited attempts that the worker need not
+// remember any more but cannot be told to forget under this token.
+func (m *Machine) UnforgettableExits(token uint64) int {
+	n := 0
+	for _, a := range m.Attempts.All() {
+		if a.Exited() && a.ExitProcessed && !a.canForget(token) {
+			n++
 		}
 	}
-	return unforgotten > maxExitedAttempts
+	return n
 }
--- a/internal/packing/packer.go
+++ b/internal/packing/packer.go
@@ -19,7 +19,8 @@
 	AnyMachine(condition func(*Machine) bool) bool
 	// Owns reports whether the scheduler still owns the machine.
 	Owns(m *Machine) bool
-	// MaxAttempts returns the maximum number of attempts on one machine.
+	// MaxAttempts returns the maximum number of attempts on one machine that have not
+	// exited.
 	MaxAttempts() int
 }
 
@@ -52,7 +53,7 @@
 	if queued.Avoids(m.Name) {
 		return false
 	}
-	return m.Attempts.Len() < p.scheduler.MaxAttempts()
+	return m.ActiveCount() < p.scheduler.MaxAttempts()
 }
 
 // fits returns Fits for one job as a predicate on machines.
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"heronwick/internal/fleet"
@@ -21,6 +22,19 @@
 	return s.opts.Workers.Command(ctx, address, req)
 }
 
+// logForgets logs which attempts a worker is told to forget, and the fencing token under
+// which it is told. Once it has seen that token, it rejects copies of their starts.
+func (s *Scheduler) logForgets(m *machine, token uint64, commands []wire.Command) {
+	if !s.log.Enabled(s.ctx, slog.LevelDebug) {
+		return
+	}
+	for _, c := range commands {
+		if c.Op == wire.OpForget {
+			s.log.Debug("forget sent", "task", c.Task, "attempt", c.Attempt, "machine", m.Name, "token", token, "worker_token", m.FencingToken)
+		}
+	}
+}
+
 // needsDirectCommandLocked reports whether a command should be sent directly instead of
 // in the reply to the next heartbeat. That is so for stops, since they free room for
 // pending tasks.
@@ -49,6 +63,7 @@
 	if req == nil {
 		return
 	}
+	s.logForgets(m, token, req.Commands)
 	m.commandPending = true
 	address := m.Address
 	s.spawn(func(ctx context.Context) {
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -49,7 +49,8 @@
 	m.LastReply = now
 	m.RecordUnsolicited(heartbeat, fresh, now)
 	if fresh {
-		reply.Commands = append(reply.Commands, m.ReplyCommands()...)
+		reply.Commands = append(reply.Commands, m.ReplyCommands(reply.FencingToken)...)
+		s.logForgets(m, reply.FencingToken, reply.Commands)
 		return reply
 	}
 	// The heartbeat is late or a duplicate: the worker drops the reply, which must not
@@ -188,6 +189,8 @@
 		a := e.Attempt
 		switch e.Kind {
 		case fleet.Found:
+			s.log.Debug("task found without a record", "task", a.Task, "attempt", a.Attempt, "machine", m.Name,
+				"state", a.State, "reason", a.ExitReason, "worker_token", m.FencingToken)
 			s.adoptAttemptLocked(m, a)
 			if a.Exited() {
 				s.handleAttemptExitLocked(m, a)
--- a/internal/scheduler/machinewatch.go
+++ b/internal/scheduler/machinewatch.go
@@ -12,11 +12,11 @@
 	// electionSettleTime is how long after an election workers still send heartbeats to
 	// controllers other than the leader, even workers that the leader reaches.
 	electionSettleTime = 10 * time.Second
-	// exitedAttemptsTokenAge and exitedAttemptsIdleTime are the times that must have
-	// passed since the token was last incremented, and since a machine became idle, before
-	// exited attempts on the machine can cause the token to be incremented.
-	exitedAttemptsTokenAge = 20 * time.Second
-	exitedAttemptsIdleTime = 2 * time.Second
+	// exitedAttemptsTokenAge is the time that must have passed since the token was last
+	// incremented before exited attempts that a worker cannot forget under it cause it to
+	// be incremented. Until then they lengthen the worker's heartbeats and keep an idle
+	// machine from being handed over.
+	exitedAttemptsTokenAge = 15 * time.Second
 	// overdueMargin is how long before the deadline of a cancelled task its machine is
 	// returned, if no lease expiry will prove the task gone in time.
 	overdueMargin = 3 * time.Second
@@ -39,6 +39,7 @@
 	s.resignIfPartitionedLocked(assessment, now)
 	increment := false
 	token := s.opts.Authority.Token()
+	tokenAged := now.Sub(s.epoch.incrementedAt) > exitedAttemptsTokenAge
 	returned := map[autoscale.ReturnReason][]*machine{}
 	for _, m := range s.machines {
 		s.probeIfDueLocked(m, now)
@@ -49,7 +50,7 @@
 		if !m.ReclaimAt.IsZero() || assessment.HeartbeatsMissing(&m.Worker) {
 			s.drainLocked(m)
 		}
-		increment = increment || m.NeedsHigherFencingToken(token) || s.heldByExitedAttemptsLocked(m, now)
+		increment = increment || m.NeedsHigherFencingToken(token) || tokenAged && m.UnforgettableExits(token) > 0
 	}
 	for reason, machines := range returned {
 		s.returnLocked(machines, reason)
@@ -140,10 +141,3 @@
 	}
 	return false
 }
-
-// heldByExitedAttemptsLocked reports whether exited attempts alone prevent an idle
-// machine from being handed over or returned.
-func (s *Scheduler) heldByExitedAttemptsLocked(m *machine, now time.Time) bool {
-	return m.ActiveCount() == 0 && m.Attempts.Len() > 0 &&
-		now.Sub(s.epoch.incrementedAt) > exitedAttemptsTokenAge && now.Sub(m.idleSince) > exitedAttemptsIdleTime
-}
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -9,9 +9,11 @@
 
 // logLoadLocked logs the scheduler's load for operators.
 func (s *Scheduler) logLoadLocked(now time.Time) {
-	usable, open, tasks, waiting, notReady := 0, 0, 0, 0, 0
+	usable, open, tasks, exited, waiting, notReady := 0, 0, 0, 0, 0, 0
 	for _, m := range s.machines {
-		tasks += m.ActiveCount()
+		active := m.ActiveCount()
+		tasks += active
+		exited += m.Attempts.Len() - active
 		if s.packer.Open.Has(m.packing) {
 			open++
 		}
@@ -28,7 +30,7 @@
 		}
 	}
 	s.log.Info("load", "jobs", len(s.jobs), "remote", s.remoteAttempts.Len(), "waiting", waiting, "not_ready", notReady,
-		"tasks", tasks, "machines", len(s.machines), "usable", usable, "open", open, "booting", len(s.inventory.Booting()),
+		"tasks", tasks, "exited", exited, "machines", len(s.machines), "usable", usable, "open", open, "booting", len(s.inventory.Booting()),
 		"cpus", available.total.CPUs, "free_cpus", available.free.CPUs, "free_memory_gb", available.free.MemoryGB,
 		"latency", s.detector.Latency(), "passes", s.passes.count, "pass_time", s.passes.total, "longest_pass", s.passes.longest)
 	s.passes = passStats{}
--- a/internal/standin/checker_tasks.go
+++ b/internal/standin/checker_tasks.go
@@ -94,6 +94,15 @@
 	return !job.Spread || inZone <= (job.Tasks+1)/2
 }
 
+// resultKept reports whether a task is done: its result is kept, and if the task is started
+// again, it exits as soon as its image has been fetched.
+func (c *Checker) resultKept(task string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[jobOf(task)]
+	return j != nil && j.done[task]
+}
+
 // ObserveExit records that a task no longer runs; done reports whether it succeeded.
 func (c *Checker) ObserveExit(task string, done bool) {
 	c.mu.Lock()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -63,6 +63,21 @@
 	})
 }
 
+// RepeatCommands delivers the direct commands that a machine has executed recently once more,
+// in the same order.
+func (f *Fleet) RepeatCommands(machine string) {
+	f.withWorker(machine, func(w *Worker) {
+		if w.disconnected || w.dropInbound || w.paused {
+			return
+		}
+		recent := w.executedCommands
+		for _, req := range recent {
+			w.applyCommandRequestLocked(req)
+		}
+		w.executedCommands = recent // repetitions are not recorded
+	})
+}
+
 // Isolate cuts a controller off from all workers, or reconnects it.
 func (f *Fleet) Isolate(node string, on bool) {
 	f.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -23,9 +23,11 @@
 	fencingToken uint64 // highest token received
 	leaseRenewed time.Time
 	tasks        map[string]*task // by attempt
-	restarts     int              // number of restarts of the machine
-	removed      bool             // the machine no longer exists
-	changed      chan struct{}    // wakes the worker to send a heartbeat
+	// executedCommands are the most recent direct commands that were executed, for RepeatCommands.
+	executedCommands []*wire.CommandRequest
+	restarts         int           // number of restarts of the machine
+	removed          bool          // the machine no longer exists
+	changed          chan struct{} // wakes the worker to send a heartbeat
 
 	// Faults.
 	disconnected   bool                   // no messages to or from the worker
@@ -46,6 +48,9 @@
 	responseTimeout = 4 * time.Second
 	// maxHeldHeartbeats is the maximum number of heartbeats of one machine that are held back.
 	maxHeldHeartbeats = 50
+	// maxExecutedCommands is the number of executed direct commands that a worker keeps for
+	// RepeatCommands.
+	maxExecutedCommands = 50
 )
 
 // location returns the location of the worker's tasks.
@@ -88,6 +93,8 @@
 	}
 	w.fencingToken = req.FencingToken
 	w.executeLocked(req.Commands)
+	w.executedCommands = append(w.executedCommands, req)
+	w.executedCommands = w.executedCommands[max(0, len(w.executedCommands)-maxExecutedCommands):]
 }
 
 // deliverHeldLocked executes the direct commands that were held back.
