--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -54,8 +54,9 @@
 
 	incarnation          uint64 // incarnation of the worker that the attempt was placed on
 	lastSeenHeartbeat    uint64 // Machine.heartbeatsApplied at the last heartbeat that showed the attempt
-	startReplySeq        uint64 // Seq of the last heartbeat whose reply contained the start
 	startSentInReply     bool   // a heartbeat reply has contained the start
+	startReplySeq        uint64 // sequence number of the last heartbeat whose reply contained the start
+	startReplyToken      uint64 // fencing token of that reply
 	directStartsInFlight int    // number of direct requests in flight that contain the start
 	maxUnansweredToken   uint64 // highest token of the direct requests with the start that got no response
 	maxDirectStartToken  uint64 // highest token of all direct requests with the start
@@ -90,10 +91,24 @@
 	Found                    // the attempt is on the machine, but in no record
 )
 
+// Evidence is what proves that an attempt is gone.
+type Evidence string
+
+// The kinds of evidence.
+const (
+	unproven        Evidence = ""
+	Forgotten       Evidence = "its worker has forgotten it"
+	StartExcluded   Evidence = "its worker does not have it and cannot start it any more"
+	NewIncarnation  Evidence = "its worker has a new incarnation"
+	LeaseExpired    Evidence = "the lease of its worker has expired"
+	MachineReleased Evidence = "its machine was released"
+)
+
 // Event is a change in the state of an attempt.
 type Event struct {
-	Kind    EventKind
-	Attempt *Attempt
+	Kind     EventKind
+	Attempt  *Attempt
+	Evidence Evidence // of a Lost event
 }
 
 // NeverSent reports whether the start of the attempt has never been sent to a worker.
--- a/internal/fleet/attempts.go
+++ b/internal/fleet/attempts.go
@@ -41,21 +41,24 @@
 	}
 }
 
-// removeIf removes the attempts that match and returns them.
-func (as *Attempts) removeIf(match func(*Attempt) bool) []*Attempt {
-	if !slices.ContainsFunc(as.all, match) {
-		return nil
-	}
-	var kept, removed []*Attempt
-	for _, a := range as.all {
+// removeIf removes the attempts that match. It calls match once for each attempt.
+func (as *Attempts) removeIf(match func(*Attempt) bool) {
+	for i, a := range as.all {
 		if match(a) {
-			removed = append(removed, a)
-		} else {
+			as.all = append(slices.Clone(as.all[:i]), keepUnless(match, as.all[i+1:])...)
+			return
+		}
+	}
+}
+
+// keepUnless returns the attempts that do not match.
+func keepUnless(match func(*Attempt) bool, attempts []*Attempt) (kept []*Attempt) {
+	for _, a := range attempts {
+		if !match(a) {
 			kept = append(kept, a)
 		}
 	}
-	as.all = kept
-	return removed
+	return kept
 }
 
 // index returns the index of the attempt with the key, or -1 if there is none.
--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -11,7 +11,9 @@
 // under a fencing token, and records the starts among them as sent.
 func (m *Machine) ReplyCommands(token uint64) []wire.Command {
 	commands := m.commands(token)
-	m.forEachStart(commands, func(a *Attempt) { a.startSentInReply, a.startReplySeq = true, m.Seq })
+	m.forEachStart(commands, func(a *Attempt) {
+		a.startSentInReply, a.startReplySeq, a.startReplyToken = true, m.HeartbeatSeq, token
+	})
 	return commands
 }
 
@@ -61,7 +63,7 @@
 	var stops, forgets, starts []wire.Command
 	for _, a := range m.Attempts.All() {
 		switch {
-		case a.canForget(token):
+		case m.canForget(a, token):
 			forgets = append(forgets, a.command(wire.OpForget))
 		case m.needsStop(a):
 			stop := a.command(wire.OpStop)
@@ -85,10 +87,11 @@
 // attempt that has exited. A worker that has forgotten an attempt executes any copy of its
 // start that arrives later, under the token of the copy or a higher one. So the token must
 // be higher than that of every direct request with the start: the worker has then seen it
-// and rejects the copies. The exit reason makes no difference: a copy starts even a task
-// that is done, whose job may have been cancelled and whose team may be at its quota.
-func (a *Attempt) canForget(token uint64) bool {
-	return a.Exited() && a.ExitProcessed && a.maxDirectStartToken < token
+// and rejects the copies. A reply with the start must not be on its way under the same
+// token either. The exit reason makes no difference: a copy starts even a task that is
+// done, whose job may have been cancelled and whose team may be at its quota.
+func (m *Machine) canForget(a *Attempt, token uint64) bool {
+	return a.Exited() && a.ExitProcessed && a.maxDirectStartToken < token && !a.replyStartMayArrive(m.HeartbeatSeq, token)
 }
 
 // needsStop reports whether the worker has the attempt and must be sent a stop. An
@@ -124,7 +127,7 @@
 func (m *Machine) UnforgettableExits(token uint64) int {
 	n := 0
 	for _, a := range m.Attempts.All() {
-		if a.Exited() && a.ExitProcessed && !a.canForget(token) {
+		if a.Exited() && a.ExitProcessed && !m.canForget(a, token) {
 			n++
 		}
 	}
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -6,16 +6,45 @@
 	"heronwick/wire"
 )
 
-// ApplyHeartbeat applies a heartbeat, or the response to a direct request, and returns
-// the changes that it shows. It ignores an outdated heartbeat and returns false for it.
+// source tells what made a worker send a heartbeat.
+type source int
+
+const (
+	unsolicited source = iota // sent by the worker on its own; it waits for the reply before it sends the next one
+	response                  // the response to a direct request, which may overtake unsolicited heartbeats and their replies
+)
+
+// ApplyHeartbeat applies an unsolicited heartbeat and returns the changes that it shows.
+// It ignores an outdated heartbeat and returns false for it.
 func (m *Machine) ApplyHeartbeat(h *wire.Heartbeat, now time.Time) (events []Event, applied bool) {
+	return m.apply(h, unsolicited, now)
+}
+
+// ApplyResponse is ApplyHeartbeat for the heartbeat in the response to a direct request.
+func (m *Machine) ApplyResponse(h *wire.Heartbeat, now time.Time) (events []Event, applied bool) {
+	return m.apply(h, response, now)
+}
+
+func (m *Machine) apply(h *wire.Heartbeat, from source, now time.Time) (events []Event, applied bool) {
 	if m.outdated(h) {
+		if from == unsolicited && m.overtaken(h) {
+			m.HeartbeatSeq = h.Seq
+		}
 		return nil, false
 	}
 	if h.Incarnation > m.Incarnation {
 		// The lease of the previous incarnation expired, and the worker stopped its tasks.
-		events = m.removeLost(func(a *Attempt) bool { return a.incarnation < h.Incarnation })
+		events = m.removeLost(func(a *Attempt) Evidence {
+			if a.incarnation < h.Incarnation {
+				return NewIncarnation
+			}
+			return unproven
+		})
 		m.IncarnationSeenAt = now
+		m.HeartbeatSeq = 0
+	}
+	if from == unsolicited {
+		m.HeartbeatSeq = h.Seq
 	}
 	m.applyHeader(h, now)
 	for _, status := range h.Tasks {
@@ -23,8 +52,16 @@
 			events = append(events, event)
 		}
 	}
-	lost := m.removeLost(func(a *Attempt) bool { return a.lastSeenHeartbeat != m.heartbeatsApplied && m.provenGone(a) })
-	return append(events, lost...), true
+	return append(events, m.removeLost(m.provenGone)...), true
+}
+
+// overtaken reports whether an outdated heartbeat is no copy, but the newest unsolicited
+// one that the worker has sent in its current incarnation: only responses to later direct
+// requests have arrived before it. A heartbeat with a lower token could also come from an
+// earlier incarnation of the machine, see outdated.
+func (m *Machine) overtaken(h *wire.Heartbeat) bool {
+	return h.Incarnation == m.Incarnation && h.Incarnation > m.expiredIncarnation &&
+		h.FencingToken == m.FencingToken && h.Seq > m.HeartbeatSeq
 }
 
 // outdated reports whether a heartbeat was delayed: a newer one has been applied, or the
@@ -65,11 +102,11 @@
 	a.State, a.ExitReason = status.State, status.Reason
 	switch {
 	case status.State == wire.TaskExited:
-		return Event{Exited, a}, true
+		return Event{Kind: Exited, Attempt: a}, true
 	case status.State == wire.TaskRunning && a.RunningSince.IsZero():
 		a.RunningSince = now
 		m.recordImage(a, now)
-		return Event{Started, a}, true
+		return Event{Kind: Started, Attempt: a}, true
 	}
 	return Event{}, false
 }
@@ -87,23 +124,23 @@
 		a.RunningSince = now
 	}
 	m.Attempts.Put(a)
-	return Event{Found, a}, true
+	return Event{Kind: Found, Attempt: a}, true
 }
 
-// provenGone reports whether an attempt that the newest heartbeat does not show is not
-// on the machine and can no longer start there.
-func (m *Machine) provenGone(a *Attempt) bool {
-	if a.State != "" {
-		return true // the worker had the attempt and has forgotten it
-	}
-	if !a.Stop && !a.RestoredFromRecord {
-		return false // the start will be sent again
-	}
-	if m.directStartMayArrive(a) {
-		return false
+// provenGone returns the evidence that an attempt that the newest heartbeat does not show
+// is not on the machine and can no longer start there, or unproven.
+func (m *Machine) provenGone(a *Attempt) Evidence {
+	switch {
+	case a.lastSeenHeartbeat == m.heartbeatsApplied:
+		return unproven
+	case a.State != "":
+		return Forgotten
+	case !a.Stop && !a.RestoredFromRecord:
+		return unproven // the start will be sent again
+	case m.directStartMayArrive(a) || a.replyStartMayArrive(m.HeartbeatSeq, m.FencingToken):
+		return unproven
 	}
-	// The worker executes a start from a reply before its next heartbeat or never.
-	return !a.startSentInReply || m.Seq > a.startReplySeq
+	return StartExcluded
 }
 
 // directStartMayArrive reports whether the worker may still execute a direct start of
@@ -112,3 +149,13 @@
 func (m *Machine) directStartMayArrive(a *Attempt) bool {
 	return a.directStartsInFlight > 0 || a.maxUnansweredToken > 0 && a.maxUnansweredToken >= m.FencingToken
 }
+
+// replyStartMayArrive reports whether a worker may still execute a start of the attempt
+// from a reply to a heartbeat, given the sequence number of its newest unsolicited
+// heartbeat and a fencing token that it has seen. It sends the next unsolicited heartbeat
+// only after it has executed the reply or has given up waiting for it, and it drops a
+// reply with a lower token. The response to a direct request proves nothing of that kind:
+// the worker may send it while the reply is still on its way.
+func (a *Attempt) replyStartMayArrive(heartbeatSeq, token uint64) bool {
+	return a.startSentInReply && heartbeatSeq <= a.startReplySeq && token <= a.startReplyToken
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -18,7 +18,8 @@
 	Spot     bool
 
 	Incarnation       uint64    // newest known incarnation of the worker
-	Seq               uint64    // sequence number of the newest heartbeat
+	Seq               uint64    // sequence number of the newest heartbeat or response to a direct request
+	HeartbeatSeq      uint64    // sequence number of the newest unsolicited heartbeat in this incarnation
 	FencingToken      uint64    // highest fencing token that the worker is known to have seen
 	HeartbeatSeen     bool      // a heartbeat was received in this epoch
 	LastHeartbeat     time.Time // when the newest heartbeat or response to a direct request was received
@@ -84,15 +85,17 @@
 	m.Attempts.Put(a)
 }
 
-// removeLost removes the attempts that match and returns a Lost event for each of them
-// that was not known to have exited.
-func (m *Machine) removeLost(match func(*Attempt) bool) []Event {
+// removeLost removes the attempts for which proof returns evidence that they are gone, and
+// returns a Lost event for each of them that was not known to have exited.
+func (m *Machine) removeLost(proof func(*Attempt) Evidence) []Event {
 	var events []Event
-	for _, a := range m.Attempts.removeIf(match) {
-		if !a.Exited() {
-			events = append(events, Event{Lost, a})
+	m.Attempts.removeIf(func(a *Attempt) bool {
+		evidence := proof(a)
+		if evidence != unproven && !a.Exited() {
+			events = append(events, Event{Kind: Lost, Attempt: a, Evidence: evidence})
 		}
-	}
+		return evidence != unproven
+	})
 	return events
 }
 
@@ -101,7 +104,7 @@
 
 // MarkReleased removes all attempts because the machine was returned to the cloud.
 func (m *Machine) MarkReleased() []Event {
-	return m.removeLost(func(*Attempt) bool { return true })
+	return m.removeLost(func(*Attempt) Evidence { return MachineReleased })
 }
 
 // MarkLeaseExpired removes all attempts because the lease of the current incarnation
@@ -109,5 +112,5 @@
 // delayed and are ignored as outdated.
 func (m *Machine) MarkLeaseExpired() []Event {
 	m.expiredIncarnation = max(m.expiredIncarnation, m.Incarnation)
-	return m.MarkReleased()
+	return m.removeLost(func(*Attempt) Evidence { return LeaseExpired })
 }
--- a/internal/fleet/machine_test.go
+++ b/internal/fleet/machine_test.go
@@ -211,3 +211,82 @@
 		t.Error("got the next heartbeat of the worker ignored, want it applied and the attempt kept")
 	}
 }
+
+// machineWithReplyStart returns a machine whose worker's heartbeat with sequence number 2
+// got a reply under token 5 with the start of an attempt that is to be stopped.
+func machineWithReplyStart(t *testing.T) (*Machine, *Attempt) {
+	t.Helper()
+	m, a := machineWithAttempt(t)
+	m.ApplyHeartbeat(heartbeat(1, 2, 5), t0)
+	if commands := m.ReplyCommands(5); len(commands) != 1 || commands[0].Op != wire.OpStart {
+		t.Fatalf("got commands %v in the reply, want one start", commands)
+	}
+	a.Stop = true
+	return m, a
+}
+
+// Guards against a task that runs twice over a slow link (rule ran_twice): the response
+// to a direct request says nothing about a start in a reply that is still on its way.
+// Only the worker's next unsolicited heartbeat does, or a token above that of the reply.
+func TestResponseDoesNotExcludeStartInReply(t *testing.T) {
+	response := func(m *Machine, seq, token uint64) []Event {
+		events, _ := m.ApplyResponse(heartbeat(1, seq, token), t0)
+		return events
+	}
+	for _, test := range []struct {
+		name   string
+		events func(m *Machine) []Event
+		lost   bool
+	}{
+		{"response to a direct request", func(m *Machine) []Event { return response(m, 3, 5) }, false},
+		{"several responses", func(m *Machine) []Event { return append(response(m, 3, 5), response(m, 4, 5)...) }, false},
+		{"next heartbeat", func(m *Machine) []Event {
+			events, _ := m.ApplyHeartbeat(heartbeat(1, 3, 5), t0)
+			return events
+		}, true},
+		{"response under a higher token", func(m *Machine) []Event { return response(m, 3, 6) }, true},
+		{"copy of the heartbeat that got the reply", func(m *Machine) []Event {
+			response(m, 4, 5)
+			m.ApplyHeartbeat(heartbeat(1, 2, 5), t0)
+			return response(m, 5, 5)
+		}, false},
+		{"next heartbeat, overtaken by a response", func(m *Machine) []Event {
+			response(m, 4, 5)
+			m.ApplyHeartbeat(heartbeat(1, 3, 5), t0)
+			return response(m, 5, 5)
+		}, true},
+		{"heartbeat of an earlier time with a lower token", func(m *Machine) []Event {
+			response(m, 40, 5)
+			m.ApplyHeartbeat(heartbeat(1, 39, 4), t0)
+			return response(m, 41, 5)
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			m, a := machineWithReplyStart(t)
+			events := test.events(m)
+			if lost := len(events) == 1 && events[0].Kind == Lost; lost != test.lost || m.Attempts.Get(a.Key) == nil != test.lost {
+				t.Errorf("got events %v and attempt kept %v, want it lost: %v", kinds(events), m.Attempts.Get(a.Key) != nil, test.lost)
+			}
+		})
+	}
+}
+
+// Guards against an attempt that runs again because a forget, sent directly, overtakes a
+// reply that contains the start of the attempt once more.
+func TestForgetWaitsForReplyWithStart(t *testing.T) {
+	m, a := machineWithAttempt(t)
+	req := m.DirectRequest(5)
+	m.ApplyHeartbeat(heartbeat(1, 2, 5), t0) // the direct start has not reached the worker yet
+	m.ReplyCommands(6)
+	m.DirectRequestDone(req, true)
+	exited := taskStatus(a, wire.TaskExited, wire.ExitError)
+	m.ApplyResponse(heartbeat(1, 3, 5, exited), t0)
+	a.ExitProcessed = true
+	if req := m.DirectRequest(6); req != nil {
+		t.Errorf("got commands %v while the reply with the start is on its way, want none", req.Commands)
+	}
+	m.ApplyHeartbeat(heartbeat(1, 4, 6, exited), t0)
+	if commands := m.ReplyCommands(6); len(commands) != 1 || commands[0].Op != wire.OpForget {
+		t.Errorf("got commands %v after the next heartbeat, want a forget", commands)
+	}
+}
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -76,7 +76,7 @@
 			m.commandQueued = false
 			return
 		}
-		s.applyHeartbeatLocked(m, heartbeat)
+		s.applyResponseLocked(m, heartbeat)
 		if m.commandQueued {
 			m.commandQueued = false
 			s.sendCommandsLocked(m)
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -156,15 +156,25 @@
 	return stops
 }
 
-// applyHeartbeatLocked applies a heartbeat, which may also be the answer to a probe
-// or a direct command. It reports whether the heartbeat was newer than the known
-// state.
+// applyHeartbeatLocked applies an unsolicited heartbeat. It reports whether the heartbeat
+// was newer than the known state.
 func (s *Scheduler) applyHeartbeatLocked(m *machine, heartbeat *wire.Heartbeat) bool {
+	return s.applyLocked(m, heartbeat, m.ApplyHeartbeat)
+}
+
+// applyResponseLocked applies the heartbeat in the response to a direct request. It
+// reports whether the heartbeat was newer than the known state.
+func (s *Scheduler) applyResponseLocked(m *machine, heartbeat *wire.Heartbeat) bool {
+	return s.applyLocked(m, heartbeat, m.ApplyResponse)
+}
+
+// applyLocked applies a heartbeat to a machine by one of its two methods for that, and
+// handles the changes that it shows.
+func (s *Scheduler) applyLocked(m *machine, heartbeat *wire.Heartbeat, apply func(*wire.Heartbeat, time.Time) ([]fleet.Event, bool)) bool {
 	if s.machines[m.Name] != m || heartbeat.Machine != m.Name {
 		return false
 	}
-	now := time.Now()
-	events, fresh := m.ApplyHeartbeat(heartbeat, now)
+	events, fresh := apply(heartbeat, time.Now())
 	if !fresh {
 		return false
 	}
@@ -207,7 +217,8 @@
 			if a.RestoredFromRecord {
 				log = s.log.Debug // most restored attempts had ended before the takeover
 			}
-			log("task lost", "task", a.Task, "attempt", a.Attempt, "machine", m.Name)
+			log("task lost", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "evidence", e.Evidence,
+				"seq", m.Seq, "heartbeat_seq", m.HeartbeatSeq, "worker_token", m.FencingToken)
 			s.uncountAttemptLocked(a)
 		}
 	}
--- a/internal/scheduler/probes.go
+++ b/internal/scheduler/probes.go
@@ -58,7 +58,7 @@
 		case heartbeat.Machine == m.Name && (heartbeat.Incarnation < incarnation || heartbeat.Incarnation == incarnation && heartbeat.Seq < seq):
 			s.returnRestartedLocked(m)
 		default:
-			s.applyHeartbeatLocked(m, heartbeat)
+			s.applyResponseLocked(m, heartbeat)
 		}
 	})
 }
--- a/internal/scheduler/startcopies_test.go
+++ b/internal/scheduler/startcopies_test.go
@@ -11,7 +11,8 @@
 )
 
 // scriptedWorker is the worker of machine m1 of a test scheduler. It answers direct
-// requests as answer says, which runs with the scheduler's lock released.
+// requests as answer says, which runs with the scheduler's lock released. req is nil for
+// a probe.
 type scriptedWorker struct {
 	fakeEnvironment
 	answer func(req *wire.CommandRequest) (*wire.Heartbeat, error)
@@ -22,6 +23,11 @@
 	return w.answer(req)
 }
 
+// Status implements Workers.
+func (w *scriptedWorker) Status(context.Context, string) (*wire.Heartbeat, error) {
+	return w.answer(nil)
+}
+
 // workerHeartbeat returns a heartbeat of machine m1 in incarnation 1.
 func workerHeartbeat(seq, token uint64, tasks ...wire.TaskStatus) *wire.Heartbeat {
 	return &wire.Heartbeat{Machine: "m1", Address: "m1", Type: "m", Zone: "z", Incarnation: 1, Seq: seq, FencingToken: token, Tasks: tasks}
@@ -63,3 +69,61 @@
 		}
 	})
 }
+
+// Guards against a task that runs twice over a slow link (rule ran_twice): while the reply
+// with its start is on its way, no response to a direct request proves that the worker
+// does not get it. All paths that apply such a response are covered.
+func TestResponsesDoNotExcludeStartInReply(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		send func(s *Scheduler, m *machine) // sends the direct request, with the scheduler's lock held
+	}{
+		{"command", func(s *Scheduler, m *machine) { s.sendCommandsLocked(m) }},
+		{"probe", func(s *Scheduler, m *machine) { s.probeLocked(m, time.Now()) }},
+		{"token", func(s *Scheduler, m *machine) { s.sendTokenLocked(m) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, _, m := newTestScheduler(t)
+				first := wire.TaskStatus{Task: "wk-1/0", Attempt: 9, State: wire.TaskRunning}
+				s.opts.Workers = &scriptedWorker{answer: func(*wire.CommandRequest) (*wire.Heartbeat, error) {
+					time.Sleep(300 * time.Millisecond) // the worker answers before it gets the reply to its heartbeat
+					return workerHeartbeat(3, 5, first), nil
+				}}
+				add := func(task string) *fleet.Attempt {
+					a := &fleet.Attempt{Key: fleet.Key{Task: task, Attempt: 9}, Recorded: true}
+					a.Job, a.Index, _ = wire.SplitTaskID(task)
+					m.Add(a, time.Now())
+					return a
+				}
+				s.mu.Lock()
+				add(first.Task)
+				test.send(s, m)
+				second := add("wk-2/0")
+				s.mu.Unlock()
+				reply := s.HandleHeartbeat(workerHeartbeat(2, 5))
+				if len(reply.Commands) != 2 {
+					t.Fatalf("got commands %v in the reply, want two starts", reply.Commands)
+				}
+				s.mu.Lock()
+				second.Stop = true // preempted
+				s.mu.Unlock()
+				time.Sleep(time.Second)
+				synctest.Wait()
+				s.mu.Lock()
+				if m.Seq != 3 || m.Attempts.Get(second.Key) != second {
+					t.Errorf("got sequence number %d and attempt kept %v, want 3 and the attempt kept until the next heartbeat",
+						m.Seq, m.Attempts.Get(second.Key) == second)
+				}
+				s.mu.Unlock()
+				s.HandleHeartbeat(workerHeartbeat(4, 5, first))
+				synctest.Wait()
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if m.Attempts.Get(second.Key) != nil {
+					t.Error("got the attempt kept after the next heartbeat, want it lost: the worker did not get the reply")
+				}
+			})
+		})
+	}
+}
--- a/internal/scheduler/tokensync.go
+++ b/internal/scheduler/tokensync.go
@@ -110,7 +110,7 @@
 		m.EndRequest()
 		s.tokenSync.requests--
 		if s.recordAnswerLocked(m, err) {
-			s.applyHeartbeatLocked(m, heartbeat)
+			s.applyResponseLocked(m, heartbeat)
 		}
 		if ctx.Err() == nil {
 			s.syncNextWorkersLocked()
