--- a/internal/autoscale/returner.go
+++ b/internal/autoscale/returner.go
@@ -27,7 +27,6 @@
 	ReasonUnreachable       ReturnReason = "nothing reaches it"
 	ReasonQuarantined       ReturnReason = "set aside"
 	ReasonSendsNoHeartbeats ReturnReason = "it reaches nobody"
-	ReasonRestarted         ReturnReason = "its worker has started anew"
 )
 
 const (
--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -54,12 +54,12 @@
 
 	incarnation          uint64 // incarnation of the worker that the attempt was placed on
 	lastSeenHeartbeat    uint64 // Machine.heartbeatsApplied at the last heartbeat that showed the attempt
+	beforeRestart        bool   // only heartbeats from before the last restart of the worker have shown the attempt
 	startSentInReply     bool   // a heartbeat reply has contained the start
 	startReplySeq        uint64 // sequence number of the last heartbeat whose reply contained the start
 	startReplyToken      uint64 // fencing token of that reply
 	directStartsInFlight int    // number of direct requests in flight that contain the start
-	maxUnansweredToken   uint64 // highest token of the direct requests with the start that got no response
-	maxDirectStartToken  uint64 // highest token of all direct requests with the start
+	maxDirectStartToken  uint64 // highest token of the direct requests with the start that were sent before
 }
 
 // Exited reports whether a heartbeat has shown that the attempt exited.
@@ -98,6 +98,7 @@
 const (
 	unproven        Evidence = ""
 	Forgotten       Evidence = "its worker has forgotten it"
+	RestartFenced   Evidence = "its worker has restarted and cannot start it again"
 	StartExcluded   Evidence = "its worker does not have it and cannot start it any more"
 	NewIncarnation  Evidence = "its worker has a new incarnation"
 	LeaseExpired    Evidence = "the lease of its worker has expired"
--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -25,21 +25,18 @@
 	if len(commands) == 0 {
 		return nil
 	}
-	m.forEachStart(commands, func(a *Attempt) {
-		a.directStartsInFlight++
-		a.maxDirectStartToken = max(a.maxDirectStartToken, token)
-	})
+	m.forEachStart(commands, func(a *Attempt) { a.directStartsInFlight++ })
 	return &wire.CommandRequest{FencingToken: token, Incarnation: m.Incarnation, Commands: commands}
 }
 
-// DirectRequestDone records the end of a request from DirectRequest. answered reports
-// whether the worker responded. If it did not, it may still execute the commands later,
-// as long as it has the token and the incarnation of the request.
-func (m *Machine) DirectRequestDone(req *wire.CommandRequest, answered bool) {
+// DirectRequestDone records the end of a request from DirectRequest. sent is false if it
+// certainly was not sent. Otherwise the worker may execute the commands later or again, as
+// long as it has the incarnation of the request and has seen no higher token.
+func (m *Machine) DirectRequestDone(req *wire.CommandRequest, sent bool) {
 	m.forEachStart(req.Commands, func(a *Attempt) {
 		a.directStartsInFlight--
-		if !answered {
-			a.maxUnansweredToken = max(a.maxUnansweredToken, req.FencingToken)
+		if sent {
+			a.maxDirectStartToken = max(a.maxDirectStartToken, req.FencingToken)
 		}
 	})
 }
@@ -58,8 +55,12 @@
 }
 
 // commands returns the commands to send to the worker now under a fencing token, at most
-// wire.MaxCommands. Commands that free capacity come first.
+// wire.MaxCommands. Commands that free capacity come first. There are none while a restart
+// of the worker is pending.
 func (m *Machine) commands(token uint64) []wire.Command {
+	if m.RestartPending() {
+		return nil
+	}
 	var stops, forgets, starts []wire.Command
 	for _, a := range m.Attempts.All() {
 		switch {
@@ -91,7 +92,8 @@
 // token either. The exit reason makes no difference: a copy starts even a task that is
 // done, whose job may have been cancelled and whose team may be at its quota.
 func (m *Machine) canForget(a *Attempt, token uint64) bool {
-	return a.Exited() && a.ExitProcessed && a.maxDirectStartToken < token && !a.replyStartMayArrive(m.HeartbeatSeq, token)
+	return a.Exited() && a.ExitProcessed && a.directStartsInFlight == 0 && a.maxDirectStartToken < token &&
+		!a.replyStartMayArrive(m.HeartbeatSeq, token)
 }
 
 // needsStop reports whether the worker has the attempt and must be sent a stop. An
@@ -111,11 +113,14 @@
 const maxExitedAttempts = 30
 
 // NeedsHigherFencingToken reports whether the worker must soon see a higher token than
-// this one: either it may still execute a start that got no response, or it has too many
-// exited attempts that it cannot forget until then.
+// this one: it has restarted, or it may still execute the start of an attempt that is to
+// be stopped, or it has too many exited attempts that it cannot forget until then.
 func (m *Machine) NeedsHigherFencingToken(token uint64) bool {
+	if m.RestartPending() && m.restartFence > token {
+		return true
+	}
 	for _, a := range m.Attempts.All() {
-		if a.maxUnansweredToken >= token && (a.Stop && a.State == "" || a.Exited()) {
+		if a.Stop && a.State == "" && a.directStartsInFlight == 0 && a.maxDirectStartToken >= token {
 			return true
 		}
 	}
@@ -127,7 +132,7 @@
 func (m *Machine) UnforgettableExits(token uint64) int {
 	n := 0
 	for _, a := range m.Attempts.All() {
-		if a.Exited() && a.ExitProcessed && !m.canForget(a, token) {
+		if a.Exited() && a.ExitProcessed && a.maxDirectStartToken >= token {
 			n++
 		}
 	}
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -14,45 +14,91 @@
 	response                  // the response to a direct request, which may overtake unsolicited heartbeats and their replies
 )
 
+// Result is the effect of a heartbeat on what is known of its machine.
+type Result int
+
+const (
+	// Outdated means that the heartbeat was ignored.
+	Outdated Result = iota
+	// Applied means that the heartbeat was newer than what was known.
+	Applied
+	// Restarted means that the heartbeat shows a restart of the worker. The caller must
+	// call BeginRestart.
+	Restarted
+)
+
 // ApplyHeartbeat applies an unsolicited heartbeat and returns the changes that it shows.
-// It ignores an outdated heartbeat and returns false for it.
-func (m *Machine) ApplyHeartbeat(h *wire.Heartbeat, now time.Time) (events []Event, applied bool) {
+func (m *Machine) ApplyHeartbeat(h *wire.Heartbeat, now time.Time) ([]Event, Result) {
 	return m.apply(h, unsolicited, now)
 }
 
 // ApplyResponse is ApplyHeartbeat for the heartbeat in the response to a direct request.
-func (m *Machine) ApplyResponse(h *wire.Heartbeat, now time.Time) (events []Event, applied bool) {
+// sent is the Position of the machine when the request was sent.
+func (m *Machine) ApplyResponse(h *wire.Heartbeat, sent Position, now time.Time) ([]Event, Result) {
+	if !sent.precedes(h) {
+		return nil, Restarted
+	}
 	return m.apply(h, response, now)
 }
 
-func (m *Machine) apply(h *wire.Heartbeat, from source, now time.Time) (events []Event, applied bool) {
+func (m *Machine) apply(h *wire.Heartbeat, from source, now time.Time) ([]Event, Result) {
 	if m.outdated(h) {
-		if from == unsolicited && m.overtaken(h) {
-			m.HeartbeatSeq = h.Seq
-		}
-		return nil, false
-	}
-	if h.Incarnation > m.Incarnation {
-		// The lease of the previous incarnation expired, and the worker stopped its tasks.
-		events = m.removeLost(func(a *Attempt) Evidence {
-			if a.incarnation < h.Incarnation {
-				return NewIncarnation
-			}
-			return unproven
-		})
-		m.IncarnationSeenAt = now
-		m.HeartbeatSeq = 0
+		m.applyOutdated(h, from, now)
+		return nil, Outdated
 	}
+	if m.RestartPending() {
+		m.endRestart(h, now)
+	}
+	changes := changes{events: m.beginIncarnation(h, now)}
 	if from == unsolicited {
 		m.HeartbeatSeq = h.Seq
 	}
 	m.applyHeader(h, now)
 	for _, status := range h.Tasks {
-		if event, ok := m.applyTaskStatus(status, now); ok {
-			events = append(events, event)
-		}
+		m.applyTaskStatus(&changes, status, now)
 	}
-	return append(events, m.removeLost(m.provenGone)...), true
+	changes.restarted = changes.restarted || m.missesLiveAttempt()
+	changes.events = append(changes.events, m.removeLost(m.provenGone)...)
+	if changes.restarted {
+		return changes.events, Restarted
+	}
+	return changes.events, Applied
+}
+
+// changes is what a heartbeat has changed.
+type changes struct {
+	events    []Event
+	restarted bool // the worker has restarted since the last heartbeat that was applied
+}
+
+func (c *changes) add(kind EventKind, a *Attempt) {
+	c.events = append(c.events, Event{Kind: kind, Attempt: a})
+}
+
+// applyOutdated keeps what an outdated heartbeat nevertheless shows.
+func (m *Machine) applyOutdated(h *wire.Heartbeat, from source, now time.Time) {
+	switch {
+	case from == unsolicited && !m.RestartPending() && m.overtaken(h):
+		m.HeartbeatSeq = h.Seq
+	case from == response && m.RestartPending():
+		m.followRestarted(h, now)
+	}
+}
+
+// beginIncarnation removes the attempts of earlier incarnations if the heartbeat is the
+// first one of an incarnation: their lease expired, and the worker stopped its tasks.
+func (m *Machine) beginIncarnation(h *wire.Heartbeat, now time.Time) []Event {
+	if h.Incarnation <= m.Incarnation {
+		return nil
+	}
+	m.IncarnationSeenAt = now
+	m.HeartbeatSeq = 0
+	return m.removeLost(func(a *Attempt) Evidence {
+		if a.incarnation < h.Incarnation {
+			return NewIncarnation
+		}
+		return unproven
+	})
 }
 
 // overtaken reports whether an outdated heartbeat is no copy, but the newest unsolicited
@@ -68,8 +114,12 @@
 // lease of its incarnation is certain to have expired. The token that a worker shows
 // never decreases, so a heartbeat with a lower token is older too. Such a heartbeat may
 // come from an earlier incarnation of the machine that had reached a higher sequence
-// number; applying it made tasks run twice (rule ran_twice).
+// number; applying it made tasks run twice (rule ran_twice). While a restart is pending,
+// only a token from after the restart counts.
 func (m *Machine) outdated(h *wire.Heartbeat) bool {
+	if m.RestartPending() {
+		return h.FencingToken < m.restartFence
+	}
 	return h.FencingToken < m.FencingToken ||
 		h.Incarnation <= m.expiredIncarnation ||
 		h.Incarnation < m.Incarnation ||
@@ -79,7 +129,7 @@
 // applyHeader applies the part of a heartbeat that describes the machine itself.
 func (m *Machine) applyHeader(h *wire.Heartbeat, now time.Time) {
 	m.Incarnation, m.Seq = h.Incarnation, h.Seq
-	m.FencingToken = max(m.FencingToken, h.FencingToken)
+	m.FencingToken = h.FencingToken // outdated excludes a lower one
 	m.HeartbeatSeen, m.LastHeartbeat = true, now
 	m.Address, m.TypeName, m.Zone, m.Spot = h.Address, h.Type, h.Zone, h.Spot
 	m.ReclaimAt = time.Time{}
@@ -89,34 +139,40 @@
 	m.heartbeatsApplied++
 }
 
-// applyTaskStatus applies the status of one attempt. ok is false if there is no event.
-func (m *Machine) applyTaskStatus(status wire.TaskStatus, now time.Time) (event Event, ok bool) {
+// applyTaskStatus applies the status of one attempt.
+func (m *Machine) applyTaskStatus(c *changes, status wire.TaskStatus, now time.Time) {
 	a := m.Attempts.Get(Key{status.Task, status.Attempt})
+	if a != nil && a.Exited() && status.State != wire.TaskExited {
+		// A copy of its start has run it again. It is found like an unknown attempt.
+		c.restarted = c.restarted || !a.beforeRestart
+		m.Attempts.Delete(a.Key)
+		a = nil
+	}
 	if a == nil {
-		return m.addFound(status, now)
+		m.addFound(c, status, now)
+		return
 	}
-	a.lastSeenHeartbeat = m.heartbeatsApplied
+	a.lastSeenHeartbeat, a.beforeRestart = m.heartbeatsApplied, false
 	if a.Exited() {
-		return Event{}, false
+		return
 	}
 	a.State, a.ExitReason = status.State, status.Reason
 	switch {
 	case status.State == wire.TaskExited:
-		return Event{Kind: Exited, Attempt: a}, true
+		c.add(Exited, a)
 	case status.State == wire.TaskRunning && a.RunningSince.IsZero():
 		a.RunningSince = now
 		m.recordImage(a, now)
-		return Event{Kind: Started, Attempt: a}, true
+		c.add(Started, a)
 	}
-	return Event{}, false
 }
 
-// addFound adds an attempt that is on the machine but in no record. ok is false if the
-// ID of its task is not valid.
-func (m *Machine) addFound(status wire.TaskStatus, now time.Time) (event Event, ok bool) {
+// addFound adds an attempt that is on the machine but in no record, unless the ID of its
+// task is not valid.
+func (m *Machine) addFound(c *changes, status wire.TaskStatus, now time.Time) {
 	job, index, ok := wire.SplitTaskID(status.Task)
 	if !ok {
-		return Event{}, false
+		return
 	}
 	a := &Attempt{Key: Key{status.Task, status.Attempt}, Job: job, Index: index, Recorded: true, PlacedAt: now,
 		State: status.State, ExitReason: status.Reason, incarnation: m.Incarnation, lastSeenHeartbeat: m.heartbeatsApplied}
@@ -124,30 +180,31 @@
 		a.RunningSince = now
 	}
 	m.Attempts.Put(a)
-	return Event{Kind: Found, Attempt: a}, true
+	c.add(Found, a)
 }
 
 // provenGone returns the evidence that an attempt that the newest heartbeat does not show
 // is not on the machine and can no longer start there, or unproven.
 func (m *Machine) provenGone(a *Attempt) Evidence {
+	startPending := a.State == "" && !a.Stop && !a.RestoredFromRecord // it will be sent again
 	switch {
-	case a.lastSeenHeartbeat == m.heartbeatsApplied:
+	case a.lastSeenHeartbeat == m.heartbeatsApplied || startPending:
 		return unproven
-	case a.State != "":
-		return Forgotten
-	case !a.Stop && !a.RestoredFromRecord:
-		return unproven // the start will be sent again
 	case m.directStartMayArrive(a) || a.replyStartMayArrive(m.HeartbeatSeq, m.FencingToken):
 		return unproven
+	case a.beforeRestart:
+		return RestartFenced
+	case a.State != "":
+		return Forgotten
 	}
 	return StartExcluded
 }
 
 // directStartMayArrive reports whether the worker may still execute a direct start of
-// the attempt: a request is in flight, or a request got no response and the worker has
-// not seen a higher token since.
+// the attempt: a request is in flight, or a copy of one may arrive and the worker has not
+// seen a higher token than that of the request.
 func (m *Machine) directStartMayArrive(a *Attempt) bool {
-	return a.directStartsInFlight > 0 || a.maxUnansweredToken > 0 && a.maxUnansweredToken >= m.FencingToken
+	return a.directStartsInFlight > 0 || a.maxDirectStartToken > 0 && a.maxDirectStartToken >= m.FencingToken
 }
 
 // replyStartMayArrive reports whether a worker may still execute a start of the attempt
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -31,6 +31,7 @@
 	CachedImages map[string]CachedImage // images known to be on the machine, by name
 
 	expiredIncarnation uint64 // newest incarnation whose lease is certain to have expired
+	restartFence       uint64 // lowest fencing token that ends the last restart of the worker that was detected; 0 if there was none
 	heartbeatsApplied  uint64 // number of heartbeats applied
 }
 
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -65,18 +65,18 @@
 	}
 	s.logForgets(m, token, req.Commands)
 	m.commandPending = true
-	address := m.Address
+	address, sent := m.Address, m.Position()
 	s.spawn(func(ctx context.Context) {
 		heartbeat, err := s.command(ctx, address, req)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		m.commandPending = false
-		m.DirectRequestDone(req, err == nil || errors.Is(err, fleet.ErrNoSocket))
+		m.DirectRequestDone(req, !errors.Is(err, fleet.ErrNoSocket))
 		if !s.recordAnswerLocked(m, err) {
 			m.commandQueued = false
 			return
 		}
-		s.applyResponseLocked(m, heartbeat)
+		s.applyResponseLocked(m, heartbeat, sent)
 		if m.commandQueued {
 			m.commandQueued = false
 			s.sendCommandsLocked(m)
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -43,6 +43,9 @@
 // expire.
 func (s *Scheduler) replyLocked(m *machine, heartbeat *wire.Heartbeat, reply *wire.HeartbeatReply, now time.Time) *wire.HeartbeatReply {
 	fresh := s.applyHeartbeatLocked(m, heartbeat)
+	if m.RestartPending() {
+		return s.replyRestartedLocked(m, heartbeat, reply, now)
+	}
 	if s.unknownTasksPastGraceLocked(heartbeat, now) {
 		return nil
 	}
@@ -55,7 +58,7 @@
 	}
 	// The heartbeat is late or a duplicate: the worker drops the reply, which must not
 	// carry commands that are meant for the worker's current state. Or the worker has
-	// restarted, and its sequence numbers start over. A probe shows which.
+	// restarted, and its numbers start over. A probe shows which.
 	if !m.ProbedRecently(now) {
 		s.probeLocked(m, now)
 	}
@@ -157,31 +160,38 @@
 }
 
 // applyHeartbeatLocked applies an unsolicited heartbeat. It reports whether the heartbeat
-// was newer than the known state.
+// was newer than the known state of the worker, which has not restarted since.
 func (s *Scheduler) applyHeartbeatLocked(m *machine, heartbeat *wire.Heartbeat) bool {
-	return s.applyLocked(m, heartbeat, m.ApplyHeartbeat)
-}
-
-// applyResponseLocked applies the heartbeat in the response to a direct request. It
-// reports whether the heartbeat was newer than the known state.
-func (s *Scheduler) applyResponseLocked(m *machine, heartbeat *wire.Heartbeat) bool {
-	return s.applyLocked(m, heartbeat, m.ApplyResponse)
+	if s.machines[m.Name] != m || heartbeat.Machine != m.Name {
+		return false
+	}
+	events, result := m.ApplyHeartbeat(heartbeat, time.Now())
+	return s.handleResultLocked(m, heartbeat, events, result)
 }
 
-// applyLocked applies a heartbeat to a machine by one of its two methods for that, and
-// handles the changes that it shows.
-func (s *Scheduler) applyLocked(m *machine, heartbeat *wire.Heartbeat, apply func(*wire.Heartbeat, time.Time) ([]fleet.Event, bool)) bool {
+// applyResponseLocked applies the heartbeat in the response to a direct request, which was
+// sent when the worker was known to be at a position. It reports the same as
+// applyHeartbeatLocked.
+func (s *Scheduler) applyResponseLocked(m *machine, heartbeat *wire.Heartbeat, sent fleet.Position) bool {
 	if s.machines[m.Name] != m || heartbeat.Machine != m.Name {
 		return false
 	}
-	events, fresh := apply(heartbeat, time.Now())
-	if !fresh {
+	events, result := m.ApplyResponse(heartbeat, sent, time.Now())
+	return s.handleResultLocked(m, heartbeat, events, result)
+}
+
+// handleResultLocked handles what a heartbeat has shown.
+func (s *Scheduler) handleResultLocked(m *machine, heartbeat *wire.Heartbeat, events []fleet.Event, result fleet.Result) bool {
+	if result == fleet.Outdated {
 		return false
 	}
 	m.MarkAlive()
 	if m.Type == nil {
 		m.Type = s.types[m.TypeName]
 	}
+	if result == fleet.Restarted {
+		s.beginRestartLocked(m, heartbeat)
+	}
 	s.handleEventsLocked(m, events)
 	if len(events) > 0 {
 		s.wakeLoop()
@@ -189,7 +199,7 @@
 	if s.needsDirectCommandLocked(m) {
 		s.sendCommandsLocked(m)
 	}
-	return true
+	return result == fleet.Applied
 }
 
 // handleEventsLocked applies the changes to attempts on a machine that follow from a
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -67,8 +67,10 @@
 }
 
 // synced reports whether the worker has sent a heartbeat under the scheduler's
-// fencing token. Only then are all attempts on the machine known.
-func (s *Scheduler) synced(m *machine) bool { return m.HeartbeatSeen && m.FencingToken >= m.syncToken }
+// fencing token, and since it restarted. Only then are all attempts on the machine known.
+func (s *Scheduler) synced(m *machine) bool {
+	return m.HeartbeatSeen && m.FencingToken >= m.syncToken && !m.RestartPending()
+}
 
 // acceptsLocked reports whether new tasks may be placed on the machine if it has
 // room.
--- a/internal/scheduler/probes.go
+++ b/internal/scheduler/probes.go
@@ -6,7 +6,6 @@
 
 	"golang.org/x/time/rate"
 
-	"heronwick/internal/autoscale"
 	"heronwick/internal/detector"
 	"heronwick/wire"
 )
@@ -46,19 +45,16 @@
 		return
 	}
 	m.BeginProbe(now)
-	address, incarnation, seq := m.Address, m.Incarnation, m.Seq
+	address, sent := m.Address, m.Position()
 	s.spawn(func(ctx context.Context) {
 		heartbeat, err := s.probe(ctx, address)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		m.EndRequest()
-		switch {
-		case !s.recordAnswerLocked(m, err):
+		if s.recordAnswerLocked(m, err) {
+			s.applyResponseLocked(m, heartbeat, sent)
+		} else {
 			s.probeFailedLocked(m, err, now)
-		case heartbeat.Machine == m.Name && (heartbeat.Incarnation < incarnation || heartbeat.Incarnation == incarnation && heartbeat.Seq < seq):
-			s.returnRestartedLocked(m)
-		default:
-			s.applyResponseLocked(m, heartbeat)
 		}
 	})
 }
@@ -80,15 +76,6 @@
 	}
 }
 
-// returnRestartedLocked returns a machine whose worker answers with an incarnation or
-// a sequence number older than its last heartbeat: the worker has restarted without
-// its tasks. Commands sent to it before the restart may still arrive, and a task that
-// they start can run for as long as the lease with which the worker started.
-func (s *Scheduler) returnRestartedLocked(m *machine) {
-	m.IncarnationSeenAt = time.Now()
-	s.returnLocked([]*machine{m}, autoscale.ReasonRestarted)
-}
-
 // probeSampleLocked probes some workers of each zone that have not been heard from
 // recently. Their answers show whether one worker is dead, or a zone or this
 // controller is partitioned.
--- /dev/null
+++ b/internal/scheduler/restarts.go
@@ -0,0 +1,43 @@
+package scheduler
+
+import (
+	"time"
+
+	"heronwick/wire"
+)
+
+// beginRestartLocked handles the restart of a machine's worker, which a heartbeat has
+// shown. Commands from before the restart may still arrive, and the worker rejects them
+// once it has seen a higher fencing token. Until then nothing is placed on the machine,
+// and what was on it is not placed elsewhere.
+func (s *Scheduler) beginRestartLocked(m *machine, heartbeat *wire.Heartbeat) {
+	now := time.Now()
+	fence := s.opts.Authority.Token() + 1
+	s.log.Info("worker has restarted", "machine", m.Name, "tasks", m.ActiveCount(), "fence", fence,
+		"known_incarnation", m.Incarnation, "known_seq", m.Seq, "known_token", m.FencingToken,
+		"incarnation", heartbeat.Incarnation, "seq", heartbeat.Seq, "token", heartbeat.FencingToken)
+	m.BeginRestart(heartbeat, fence, now)
+	m.packing.RoomChanged()
+	s.incrementTokenLocked(now)
+}
+
+// fenceRestartLocked sends the worker of a machine with a pending restart the fencing
+// token that ends it, once that token is issued.
+func (s *Scheduler) fenceRestartLocked(m *machine, token uint64) {
+	if m.RestartPending() && m.RestartFence() <= token && !m.RequestPending() {
+		s.queueTokenSyncLocked(m)
+	}
+}
+
+// replyRestartedLocked completes the reply to a worker whose restart is pending. The
+// heartbeat may be from before the restart, so the only commands are stops of tasks that
+// must not run in any case. It returns nil if the worker's lease must expire.
+func (s *Scheduler) replyRestartedLocked(m *machine, heartbeat *wire.Heartbeat, reply *wire.HeartbeatReply, now time.Time) *wire.HeartbeatReply {
+	if s.unknownTasksPastGraceLocked(heartbeat, now) {
+		return nil
+	}
+	m.LastReply = now
+	m.RecordUnsolicited(heartbeat, false, now)
+	reply.Commands = s.stopCommandsForEndedJobsLocked(heartbeat)
+	return reply
+}
--- a/internal/scheduler/startcopies_test.go
+++ b/internal/scheduler/startcopies_test.go
@@ -127,3 +127,53 @@
 		})
 	}
 }
+
+// Guards against a restarted worker's tasks that start elsewhere while a command from
+// before the restart can still start them on it (rule ran_twice), and against a machine
+// that stays unused or is returned for a restart: its worker is fenced by a higher token
+// as soon as that is issued, without the cloud.
+func TestRestartedWorkerIsFencedByToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestScheduler(t)
+		running := wire.TaskStatus{Task: "wk-1/0", Attempt: 9, State: wire.TaskRunning}
+		a := &fleet.Attempt{Key: fleet.Key{Task: running.Task, Attempt: running.Attempt}, Job: "wk-1", Recorded: true, SizeKnown: true}
+		worker := struct{ seq, token uint64 }{seq: 2, token: 5}
+		s.opts.Workers = &scriptedWorker{answer: func(req *wire.CommandRequest) (*wire.Heartbeat, error) {
+			if req != nil {
+				worker.token = max(worker.token, req.FencingToken)
+			}
+			worker.seq++
+			return workerHeartbeat(worker.seq, worker.token), nil
+		}}
+		s.mu.Lock()
+		m.Add(a, time.Now())
+		m.DirectRequestDone(m.DirectRequest(5), true)
+		s.mu.Unlock()
+		s.HandleHeartbeat(workerHeartbeat(2, 5, running))
+
+		worker.seq, worker.token = 0, 0 // the worker restarts; its first heartbeat causes a probe
+		worker.seq++
+		s.HandleHeartbeat(workerHeartbeat(worker.seq, worker.token))
+		synctest.Wait()
+		if !m.RestartPending() || p.epochAdvances.Load() != 1 || m.returning {
+			t.Fatalf("got restart pending %v, token incremented %d times, returning %v; want true, 1 and false",
+				m.RestartPending(), p.epochAdvances.Load(), m.returning)
+		}
+		late := s.HandleHeartbeat(workerHeartbeat(900, 5))
+		s.mu.Lock()
+		if late == nil || len(late.Commands) > 0 || m.Attempts.Get(a.Key) != a || s.usableLocked(m, time.Now()) {
+			t.Errorf("got reply %+v, attempt kept %v, machine usable %v while the restart is pending; want no commands, true and false",
+				late, m.Attempts.Get(a.Key) == a, s.usableLocked(m, time.Now()))
+		}
+		p.epoch.Token = 6
+		s.watchMachinesLocked(time.Now())
+		s.mu.Unlock()
+		synctest.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if m.RestartPending() || m.Attempts.Get(a.Key) != nil || !s.usableLocked(m, time.Now()) || m.returning {
+			t.Errorf("got restart pending %v, attempt kept %v, machine usable %v, returning %v under the new token; want false, false, true, false",
+				m.RestartPending(), m.Attempts.Get(a.Key) != nil, s.usableLocked(m, time.Now()), m.returning)
+		}
+	})
+}
--- a/internal/scheduler/tokensync.go
+++ b/internal/scheduler/tokensync.go
@@ -101,7 +101,7 @@
 func (s *Scheduler) sendTokenLocked(m *machine) {
 	m.BeginRequest()
 	s.tokenSync.requests++
-	address := m.Address
+	address, sent := m.Address, m.Position()
 	req := &wire.CommandRequest{FencingToken: s.opts.Authority.Token(), Incarnation: m.Incarnation, Commands: []wire.Command{}}
 	s.spawn(func(ctx context.Context) {
 		heartbeat, err := s.command(ctx, address, req)
@@ -110,7 +110,7 @@
 		m.EndRequest()
 		s.tokenSync.requests--
 		if s.recordAnswerLocked(m, err) {
-			s.applyResponseLocked(m, heartbeat)
+			s.applyResponseLocked(m, heartbeat, sent)
 		}
 		if ctx.Err() == nil {
 			s.syncNextWorkersLocked()
