--- a/internal/queue/teams.go
+++ b/internal/queue/teams.go
@@ -10,29 +10,77 @@
 // Teams tracks the resource usage of each team against its guarantee and limit. A
 // task counts as used as long as it may be on a machine.
 type Teams struct {
-	settings map[string]config.Team
-	used     map[string]placement.Resources
+	settings map[string]teamSettings
+	used     map[string]teamResources
+}
+
+// teamResources are the resources that guarantees and limits are about. Tasks are added
+// to usage and subtracted from it for as long as a controller runs, so it must be exact.
+type teamResources struct {
+	cpus, gpus placement.Quantity
+}
+
+// teamSettings are the guarantee and the limit of a team. A limit of 0 means none.
+type teamSettings struct {
+	guarantee, limit teamResources
+}
+
+// taskResources returns what the given number of tasks of a size use.
+func taskResources(size placement.Resources, tasks int) teamResources {
+	return teamResources{
+		cpus: placement.QuantityOf(size.CPUs).Times(tasks),
+		gpus: placement.QuantityOf(size.GPUs).Times(tasks),
+	}
+}
+
+func (r teamResources) plus(other teamResources) teamResources {
+	return teamResources{cpus: r.cpus.Plus(other.cpus), gpus: r.gpus.Plus(other.gpus)}
+}
+
+func (r teamResources) minus(other teamResources) teamResources {
+	return teamResources{cpus: r.cpus - other.cpus, gpus: r.gpus - other.gpus}
+}
+
+// exceeds reports whether r exceeds a guarantee in any resource.
+func (r teamResources) exceeds(guarantee teamResources) bool {
+	return r.cpus.Exceeds(guarantee.cpus) || r.gpus.Exceeds(guarantee.gpus)
+}
+
+// exceedsLimit is exceeds for a limit, of which a resource without a limit is 0.
+func (r teamResources) exceedsLimit(limit teamResources) bool {
+	return r.cpus.ExceedsLimit(limit.cpus) || r.gpus.ExceedsLimit(limit.gpus)
 }
 
 // NewTeams returns the teams with no usage.
 func NewTeams(settings []config.Team) *Teams {
-	t := &Teams{settings: map[string]config.Team{}, used: map[string]placement.Resources{}}
+	t := &Teams{settings: map[string]teamSettings{}, used: map[string]teamResources{}}
 	for _, team := range settings {
-		t.settings[team.Name] = team
+		t.settings[team.Name] = teamSettings{
+			guarantee: teamResources{cpus: placement.QuantityOf(team.CPUs), gpus: placement.QuantityOf(team.GPUs)},
+			limit:     teamResources{cpus: placement.QuantityOf(team.CPUsMax), gpus: placement.QuantityOf(team.GPUsMax)},
+		}
 	}
 	return t
 }
 
 // Add adds a task of the size to the team's usage.
-func (t *Teams) Add(team string, size placement.Resources) { t.used[team] = t.used[team].Plus(size) }
+func (t *Teams) Add(team string, size placement.Resources) {
+	t.used[team] = t.used[team].plus(taskResources(size, 1))
+}
 
 // Remove subtracts from the team's usage a task that can no longer be on a machine.
 func (t *Teams) Remove(team string, size placement.Resources) {
-	t.used[team] = t.used[team].Minus(size)
+	t.used[team] = t.used[team].minus(taskResources(size, 1))
 }
 
-// Used returns the team's usage.
-func (t *Teams) Used(team string) placement.Resources { return t.used[team] }
+// UsedCPUs returns how many CPUs the team uses.
+func (t *Teams) UsedCPUs(team string) placement.Quantity { return t.used[team].cpus }
+
+// usedWith returns the usage of the job's team with the given number of additional tasks
+// of the job.
+func (t *Teams) usedWith(j *Job, tasks int) teamResources {
+	return t.used[j.Record.Job.Team].plus(taskResources(j.Size, tasks))
+}
 
 // Guaranteed reports whether one more task of the job stays within its team's
 // guarantee. For a hosted job it returns what the job's owner reported.
@@ -40,24 +88,20 @@
 	if j.Hosted {
 		return j.OwnerGuaranteed
 	}
-	team := t.settings[j.Record.Job.Team]
-	after := t.used[j.Record.Job.Team].Plus(j.Size)
-	return after.CPUs <= team.CPUs && after.GPUs <= team.GPUs
+	return !t.usedWith(j, 1).exceeds(t.settings[j.Record.Job.Team].guarantee)
 }
 
 // WithinLimit reports whether the given number of additional tasks of the job stays
 // within its team's limit.
 func (t *Teams) WithinLimit(j *Job, tasks int) bool {
-	team := t.settings[j.Record.Job.Team]
-	after := t.used[j.Record.Job.Team].Plus(j.Size.Times(float64(tasks)))
-	return (team.CPUsMax == 0 || after.CPUs <= team.CPUsMax) && (team.GPUsMax == 0 || after.GPUs <= team.GPUsMax)
+	return !t.usedWith(j, tasks).exceedsLimit(t.settings[j.Record.Job.Team].limit)
 }
 
 // AboveGuarantee reports whether the team uses more CPUs than its guarantee. It is
 // false for a team with neither a guarantee nor a limit on CPUs.
 func (t *Teams) AboveGuarantee(name string) bool {
 	team := t.settings[name]
-	return (team.CPUs > 0 || team.CPUsMax > 0) && t.used[name].CPUs > team.CPUs
+	return (team.guarantee.cpus > 0 || team.limit.cpus > 0) && t.used[name].cpus.Exceeds(team.guarantee.cpus)
 }
 
 // AnyAboveGuarantee reports whether AboveGuarantee is true for any team.
@@ -74,7 +118,7 @@
 func (t *Teams) Limited() iter.Seq[string] {
 	return func(yield func(string) bool) {
 		for name, team := range t.settings {
-			if (team.CPUsMax > 0 || team.GPUsMax > 0) && !yield(name) {
+			if (team.limit.cpus > 0 || team.limit.gpus > 0) && !yield(name) {
 				return
 			}
 		}
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -125,12 +125,12 @@
 	if !known {
 		return &wire.FieldError{Field: wire.FieldTeam, Reason: "no such team"}
 	}
-	concurrent := 1.0 // number of tasks that have to run at the same time
+	concurrent := 1 // number of tasks that have to run at the same time
 	if job.Kind != wire.KindArray {
-		concurrent = float64(job.Tasks)
+		concurrent = job.Tasks
 	}
-	needed := placement.TaskResources(job).Times(concurrent)
-	if team.CPUsMax > 0 && needed.CPUs > team.CPUsMax || team.GPUsMax > 0 && needed.GPUs > team.GPUsMax {
+	cpus, gpus := placement.QuantityOf(job.CPUs).Times(concurrent), placement.QuantityOf(job.GPUs).Times(concurrent)
+	if cpus.ExceedsLimit(placement.QuantityOf(team.CPUsMax)) || gpus.ExceedsLimit(placement.QuantityOf(team.GPUsMax)) {
 		return &wire.FieldError{Field: wire.FieldTasks, Reason: "the job needs more than its team's limit"}
 	}
 	return nil
