--- a/cmd/heronwick/controller.go
+++ b/cmd/heronwick/controller.go
@@ -72,8 +72,8 @@
 	c.latency = c.overload.Latency
 	c.transport = state.NewFailoverTransport(external.state, c.statePeers)
 	c.budget = state.NewBudget(settings.StateRequestRate*nonMemberFraction, settings.StateWriteRate*nonMemberFraction, settings.MaxTxnOps)
-	c.client = state.NewClient(c.transport, c.budget)
-	c.committer = state.NewCommitter(c.client, settings.MaxTxnOps)
+	c.client = state.NewClient(c.transport, c.budget, state.NewTxnLimits(settings.MaxTxnOps, log))
+	c.committer = state.NewCommitter(c.client)
 	c.jobs = job.NewStore(job.Options{
 		Client:              c.client,
 		Committer:           c.committer,
--- a/cmd/heronwick/duties.go
+++ b/cmd/heronwick/duties.go
@@ -31,7 +31,7 @@
 		RecordCache: d.recordCache,
 		Ready:       func() bool { return c.members.Supports(cluster.LevelDuties) },
 		Membership:  c.dutyMembership,
-		MaxChanges:  c.settings.MaxTxnOps,
+		Limits:      c.client.Limits(),
 		History:     d.history,
 		Log:         c.log,
 	})
--- a/cmd/heronwick/membership.go
+++ b/cmd/heronwick/membership.go
@@ -64,6 +64,7 @@
 		Jobs:           c.jobs,
 		Records:        c.client,
 		Committer:      c.committer,
+		TxnLimits:      c.client.Limits(),
 		Types:          c.machineTypes.Types(),
 		Resign:         c.members.StepDown,
 		WorkersAtPeers: c.members.MaxWorkersHeardByPeer,
--- a/cmd/heronwick/metrics.go
+++ b/cmd/heronwick/metrics.go
@@ -11,6 +11,7 @@
 	gauges := c.duties.gauges()
 	gauges = append(gauges, c.schedulerGauges()...)
 	gauges = append(gauges, c.membershipGauges()...)
+	gauges = append(gauges, c.storeGauges()...)
 	return append(gauges, c.dagMonitor.gauges()...)
 }
 
@@ -53,6 +54,16 @@
 	}
 }
 
+// storeGauges returns the metrics of this controller's use of the key-value store.
+func (c *controller) storeGauges() []server.Gauge {
+	return []server.Gauge{
+		{Name: "heronwick_store_rejected_transactions", Help: "Transactions that the key-value store has rejected for their size since this controller started.",
+			Value: func() float64 { return float64(c.client.Limits().Rejections()) }},
+		{Name: "heronwick_store_max_changes", Help: "Changes that a transaction may have: the settings' limit, or a lower one after rejections.",
+			Value: func() float64 { return float64(c.client.Limits().Changes()) }},
+	}
+}
+
 // gauges returns the metrics of the dependency graphs of jobs.
 func (m *dagMonitor) gauges() []server.Gauge {
 	return []server.Gauge{
--- a/internal/checkpoint/scheduler.go
+++ b/internal/checkpoint/scheduler.go
@@ -62,6 +62,7 @@
 	Node      string
 	Settings  *config.Settings
 	Limit     *ValueLimit
+	TxnLimits *state.TxnLimits
 	Scheduler Scheduler
 	// Lock guards the Writer, the ValueLimit and the Scheduler. The Writer acquires it
 	// when a write has completed. Callers of the Writer's methods hold it.
--- a/internal/cluster/transfercleanup.go
+++ b/internal/cluster/transfercleanup.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return // another controller may remove them and will do so
 	}
-	obsolete, ok := c.obsoleteTransfers()
+	obsolete, ok := c.obsoleteTransfers(c.maxRemovals(len(guard)))
 	if !ok {
 		return
 	}
@@ -70,13 +70,22 @@
 // in an epoch.
 type obsoleteTransfers struct {
 	epoch          wire.Condition
-	removable      []wire.Condition // conditions on transfers of older epochs, at most maxRemovalsPerTxn
+	removable      []wire.Condition // conditions on transfers of older epochs, at most as many as one transaction may remove
 	inCurrentEpoch int              // number of transfers that cannot be removed before the next epoch
 }
 
-// obsoleteTransfers returns the obsolete transfers. ok is false if this controller is
-// not the leader or may not know every transfer yet.
-func (c *Cluster) obsoleteTransfers() (obsolete obsoleteTransfers, ok bool) {
+// maxRemovals returns the maximum number of removals in one transaction that also has the
+// given number of conditions, and one on the epoch. Each removal takes a change and a
+// condition.
+func (c *Cluster) maxRemovals(conditions int) int {
+	limits := c.opts.Client.Limits()
+	return min(maxRemovalsPerTxn, limits.Changes(), limits.Conditions()-conditions-1)
+}
+
+// obsoleteTransfers returns the obsolete transfers, with at most maxRemovable that can be
+// removed. ok is false if this controller is not the leader or may not know every transfer
+// yet.
+func (c *Cluster) obsoleteTransfers(maxRemovable int) (obsolete obsoleteTransfers, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isLeaderLocked() || !c.freshLocked() {
@@ -89,7 +98,7 @@
 		case !c.obsoleteLocked(key, t, oldest):
 		case t.Token >= c.epoch.Token:
 			obsolete.inCurrentEpoch++
-		case len(obsolete.removable) < maxRemovalsPerTxn:
+		case len(obsolete.removable) < maxRemovable:
 			obsolete.removable = append(obsolete.removable, wire.Condition{Key: key, Version: t.version})
 		}
 	}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -18,11 +18,12 @@
 	minMaxConnections   = 32
 )
 
-// The minimum limits of the key-value store that heronwick's records can comply with.
+// The minimum limits of the key-value store that heronwick's records and transactions can
+// comply with.
 const (
 	minStateRequestRate = 0.1
-	minValueKB          = 1
-	minTxnOps           = 4
+	MinValueKB          = 1
+	MinTxnOps           = 4
 )
 
 // Load reads and validates the settings file at path. The error joins a *KeyError for
@@ -97,8 +98,8 @@
 	const key, nextKey = "cluster.state.", "cluster.state.next."
 	s.StateRequestRate = c.number(key+"rps", f.RPS, minStateRequestRate)
 	s.StateWriteRate = c.number(key+"write_rps", f.WriteRPS, minStateRequestRate)
-	valueKB := c.number(key+"value_kb", f.ValueKB, minValueKB)
-	s.MaxTxnOps = int(c.integer(key+"txn_ops", f.TxnOps, minTxnOps))
+	valueKB := c.number(key+"value_kb", f.ValueKB, MinValueKB)
+	s.MaxTxnOps = int(c.integer(key+"txn_ops", f.TxnOps, MinTxnOps))
 
 	next := &f.Next
 	if next.RPS != nil {
@@ -108,10 +109,10 @@
 		s.StateWriteRate = min(s.StateWriteRate, c.number(nextKey+"write_rps", next.WriteRPS, minStateRequestRate))
 	}
 	if next.ValueKB != nil {
-		valueKB = min(valueKB, c.number(nextKey+"value_kb", next.ValueKB, minValueKB))
+		valueKB = min(valueKB, c.number(nextKey+"value_kb", next.ValueKB, MinValueKB))
 	}
 	if next.TxnOps != nil {
-		s.MaxTxnOps = min(s.MaxTxnOps, int(c.integer(nextKey+"txn_ops", next.TxnOps, minTxnOps)))
+		s.MaxTxnOps = min(s.MaxTxnOps, int(c.integer(nextKey+"txn_ops", next.TxnOps, MinTxnOps)))
 	}
 	s.MaxValueBytes = int(valueKB * 1024)
 }
--- a/internal/duty/acquire.go
+++ b/internal/duty/acquire.go
@@ -44,7 +44,7 @@
 		if !free {
 			continue
 		}
-		if len(txn.Then) == mgr.opts.MaxChanges {
+		if len(txn.Then) >= mgr.opts.Limits.Changes() {
 			mgr.TriggerReconcile() // acquires the remaining ones in another transaction
 			break
 		}
@@ -90,6 +90,10 @@
 		if h.Node != mgr.opts.Node || h.Session != s.version {
 			continue
 		}
+		if len(txn.Then) >= mgr.opts.Limits.Changes() {
+			mgr.TriggerReconcile() // resigns the remaining ones in another transaction
+			break
+		}
 		txn.If = append(txn.If, wire.Condition{Key: holderKey(id), Version: h.token})
 		txn.Then = append(txn.Then, wire.Change{Put: holderKey(id), Value: encode(holderRecord{})})
 	}
--- a/internal/duty/manager.go
+++ b/internal/duty/manager.go
@@ -48,7 +48,7 @@
 	// Ready reports whether all controllers can decode the records of this package.
 	Ready      func() bool
 	Membership func() Membership
-	MaxChanges int // the store's limit on the changes in a transaction
+	Limits     *state.TxnLimits
 	History    *History
 	Log        *slog.Logger
 }
--- a/internal/failovertest/node.go
+++ b/internal/failovertest/node.go
@@ -78,15 +78,15 @@
 // NewNode returns a Node that does nothing until Run is called.
 func NewNode(opts NodeOptions) *Node {
 	n := &Node{opts: opts, cache: duty.NewRecordCache(opts.Log), random: rand.New(rand.NewPCG(opts.Seed, 1))}
-	n.client = state.NewClient(opts.State, state.NewBudget(requestRate, requestRate, maxChanges))
+	n.client = state.NewClient(opts.State, state.NewBudget(requestRate, requestRate, maxChanges), state.NewTxnLimits(maxChanges, opts.Log))
 	history := duty.NewHistory()
 	n.manager = duty.NewManager(duty.ManagerOptions{
 		Node: opts.Name, Incarnation: opts.Seed, Lease: opts.Lease, Store: n.client, RecordCache: n.cache,
-		Ready: func() bool { return true }, Membership: n.membership, MaxChanges: maxChanges, History: history, Log: opts.Log,
+		Ready: func() bool { return true }, Membership: n.membership, Limits: n.client.Limits(), History: history, Log: opts.Log,
 	})
 	n.actions = duty.NewActions(duty.ActionsOptions{
 		Node: opts.Name, Provider: opts.Provider, Manager: n.manager, RecordCache: n.cache,
-		Committer: state.NewCommitter(n.client, maxChanges), Membership: n.membership, MaxValueBytes: valueBytes, History: history, Log: opts.Log,
+		Committer: state.NewCommitter(n.client), Membership: n.membership, MaxValueBytes: valueBytes, History: history, Log: opts.Log,
 	})
 	return n
 }
--- a/internal/job/dependencies.go
+++ b/internal/job/dependencies.go
@@ -48,7 +48,7 @@
 func (s *Store) newActiveCheck(r *Record) activeCheck {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	maxConditions := maxConditionsPerTxnChange * s.committer.MaxChanges()
+	maxConditions := maxConditionsPerTxnChange * s.client.Limits().Changes()
 	check := activeCheck{conditions: []wire.Condition{r.Condition()}}
 	for _, id := range s.graph.allUnfinishedDependencies(r.Job.ID) {
 		dependency := s.active[id]
--- a/internal/scheduler/checkpoints.go
+++ b/internal/scheduler/checkpoints.go
@@ -12,7 +12,7 @@
 // scheduler's machines. It shares the scheduler's lock.
 func (s *Scheduler) newCheckpointWriter() *checkpoint.Writer {
 	return checkpoint.NewWriter(checkpoint.Options{
-		Node: s.opts.Node, Settings: s.opts.Settings, Limit: s.valueLimit,
+		Node: s.opts.Node, Settings: s.opts.Settings, Limit: s.valueLimit, TxnLimits: s.opts.TxnLimits,
 		Scheduler: checkpointScheduler{recordWriter{s}}, Lock: &s.mu,
 		Committer: s.opts.Committer, Reader: s.opts.Records,
 		Go: s.spawn, Wake: s.wakeLoop, Log: s.log,
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -136,6 +136,7 @@
 	Jobs      Jobs
 	Records   Records
 	Committer Committer
+	TxnLimits *state.TxnLimits // of the Committer's transactions
 
 	// PlaceRequests holds the placement requests received from peers. It outlives a
 	// Scheduler.
--- a/internal/standin/state_conn.go
+++ b/internal/standin/state_conn.go
@@ -96,11 +96,15 @@
 		s.heldTransactions = append(s.heldTransactions, txn)
 		return state.Response{}, errNoResponse
 	}
+	leaseMissing := s.leaseMissingLocked(txn)
 	status, reply := s.txnLocked(txn)
 	if s.dropResponses > 0 {
 		s.dropResponses--
 		return state.Response{}, errNoResponse
 	}
+	if status == http.StatusBadRequest && leaseMissing {
+		return state.Response{Status: status, Body: encode(wire.Error{Error: wire.NoSuchLease})}, nil
+	}
 	return state.Response{Status: status, Body: encode(reply)}, nil
 }
 
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -6,12 +6,14 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/segmentio/encoding/json"
 
+	"heronwick/internal/config"
 	"heronwick/wire"
 )
 
@@ -39,14 +41,18 @@
 type Client struct {
 	transport Transport
 	budget    *Budget
+	limits    *TxnLimits
 }
 
 // NewClient returns a client that sends its requests through transport at the
-// rates that budget allows.
-func NewClient(transport Transport, budget *Budget) *Client {
-	return &Client{transport: transport, budget: budget}
+// rates that budget allows. limits are those of its transactions.
+func NewClient(transport Transport, budget *Budget, limits *TxnLimits) *Client {
+	return &Client{transport: transport, budget: budget, limits: limits}
 }
 
+// Limits returns the limits of the client's transactions.
+func (c *Client) Limits() *TxnLimits { return c.limits }
+
 // Get reads one key. The error is ErrNotFound if the key does not exist.
 func (c *Client) Get(ctx context.Context, p Priority, key string) (wire.Item, error) {
 	var item wire.Item
@@ -92,13 +98,23 @@
 	return target
 }
 
-// Txn runs one transaction and returns its revision. The error is a *Conflict if a
-// condition did not hold.
+// Txn runs one transaction, which must keep to Limits, and returns its revision. The
+// error is a *Conflict if a condition did not hold.
 func (c *Client) Txn(ctx context.Context, p Priority, txn wire.Txn) (revision uint64, err error) {
 	if err := c.budget.Acquire(ctx, p, len(txn.Then)); err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	return c.sendTxn(ctx, txn)
+	revision, err = c.sendTxn(ctx, txn)
+	if isSizeRejection(err) && !hasLargeValue(&txn) {
+		c.limits.lowerBelow(len(txn.Then), len(txn.If))
+	}
+	return revision, err
+}
+
+// hasLargeValue reports whether a transaction may have been rejected for the size of one
+// of its values.
+func hasLargeValue(txn *wire.Txn) bool {
+	return slices.ContainsFunc(txn.Then, func(c wire.Change) bool { return len(c.Value) > config.MinValueKB*1024 })
 }
 
 // sendTxn sends a transaction for which the caller has acquired budget.
@@ -112,6 +128,9 @@
 	}
 	var reply wire.TxnReply
 	status, err := c.do(ctx, http.MethodPost, wire.PathTxn, txn, &reply)
+	if isSizeRejection(err) {
+		c.limits.recordRejection(&txn, err)
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -204,6 +223,10 @@
 func (c *Client) statusError(response Response) error {
 	switch response.Status {
 	case http.StatusBadRequest:
+		var reply wire.Error
+		if json.Unmarshal(response.Body, &reply) == nil && reply.Error == wire.NoSuchLease {
+			return fmt.Errorf("%w: %w", ErrRejected, ErrNotFound)
+		}
 		return fmt.Errorf("%w: %.200s", ErrRejected, response.Body)
 	case http.StatusNotFound:
 		return ErrNotFound
--- a/internal/state/commit.go
+++ b/internal/state/commit.go
@@ -28,24 +28,15 @@
 // transaction: at low load writes are not delayed, and at high load few
 // transactions are needed. It is safe for concurrent use.
 type Committer struct {
-	client     *Client
-	maxChanges int // limit per transaction
+	client *Client
 
 	mu          sync.Mutex
 	comparisons writeQueue
 	changes     writeQueue
 }
 
-// NewCommitter returns a Committer whose transactions have at most maxChanges
-// changes and conditionsPerChange times as many conditions.
-func NewCommitter(client *Client, maxChanges int) *Committer {
-	return &Committer{client: client, maxChanges: maxChanges}
-}
-
-// MaxChanges returns the maximum number of changes in a transaction.
-func (c *Committer) MaxChanges() int { return c.maxChanges }
-
-func (c *Committer) maxConditions() int { return conditionsPerChange * c.maxChanges }
+// NewCommitter returns a Committer whose transactions keep to the limits of the client.
+func NewCommitter(client *Client) *Committer { return &Committer{client: client} }
 
 // Commit carries out a write, in one transaction with other queued writes, and
 // returns its revision. The error is a *Conflict with the keys of this write's
@@ -108,7 +99,7 @@
 		switch {
 		case err == nil:
 			for _, w := range batch {
-				w.done <- commitResult{revision: revision}
+				w.end(commitResult{revision: revision})
 			}
 			return
 		case errors.As(err, &conflict):
@@ -160,8 +151,8 @@
 func (c *Committer) planBatch(q *writeQueue) []*queuedWrite {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	q.dropStale()
-	planned := q.peekBatch(c.maxChanges, c.maxConditions())
+	q.dropStale(c.client.limits)
+	planned := q.peekBatch(c.client.limits.Changes(), c.client.limits.Conditions())
 	if len(planned) == 0 {
 		q.awaitingBudget = false
 	}
@@ -174,8 +165,8 @@
 func (c *Committer) takeBatch(q *writeQueue, maxChanges int) []*queuedWrite {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	q.dropStale()
-	batch := q.takeBatch(maxChanges, c.maxConditions())
+	q.dropStale(c.client.limits)
+	batch := q.takeBatch(maxChanges, c.client.limits.Conditions())
 	q.awaitingBudget = false
 	c.startLocked(q)
 	return batch
--- a/internal/state/failures.go
+++ b/internal/state/failures.go
@@ -21,7 +21,7 @@
 			retries = append(retries, w)
 			continue
 		}
-		w.done <- commitResult{err: w.finalError(err)}
+		w.end(commitResult{err: w.finalError(err)})
 	}
 	return retries
 }
@@ -43,8 +43,10 @@
 		c.resolveRejected(batch[0], err)
 		return
 	}
+	txn := mergeWrites(batch)
+	rejected := &rejectedBatch{limits: c.client.limits, changes: len(txn.Then), conditions: len(txn.If), pending: len(batch)}
 	for _, w := range batch {
-		w.sendAlone = true
+		w.sendAlone, w.rejectedBatch = true, rejected
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -59,11 +61,11 @@
 func (c *Committer) resolveRejected(w *queuedWrite, err error) {
 	if w.mayHaveApplied() {
 		if result := c.readBack(w, nil); result.err == nil {
-			w.done <- result
+			w.end(result)
 			return
 		}
 	}
-	w.done <- commitResult{err: err}
+	w.end(commitResult{err: err})
 }
 
 // resolveConflict ends the writes whose conditions failed and returns the others,
@@ -79,9 +81,9 @@
 		case len(failed) == 0:
 			retries = append(retries, w)
 		case !w.mayHaveApplied():
-			w.done <- commitResult{err: &Conflict{Failed: failed}}
+			w.end(commitResult{err: &Conflict{Failed: failed}})
 		default:
-			w.done <- c.readBack(w, failed)
+			w.end(c.readBack(w, failed))
 		}
 	}
 	if len(retries) < len(batch) {
@@ -90,7 +92,7 @@
 	// The failed keys belong to no write's conditions. Retrying all writes could
 	// loop forever, so they all fail.
 	for _, w := range retries {
-		w.done <- commitResult{err: conflict}
+		w.end(commitResult{err: conflict})
 	}
 	return nil
 }
--- a/internal/state/queue.go
+++ b/internal/state/queue.go
@@ -5,14 +5,6 @@
 	"time"
 )
 
-// maxTxnBytes is the maximum size of the changes and conditions of a transaction.
-// The store's limit is 64 KiB; the difference is for the JSON around them.
-const maxTxnBytes = 56 << 10
-
-// conditionsPerChange is the ratio of the maximum number of conditions in a
-// transaction to the maximum number of changes.
-const conditionsPerChange = 4
-
 // writeQueue holds queued writes of one of two kinds: comparisons, which have
 // conditions only, and writes with changes. The kinds have separate queues and
 // transactions for two reasons. A comparison that fails would make the changes in its
@@ -33,29 +25,29 @@
 	q.writes = slices.Insert(q.writes, i, w)
 }
 
-// dropStale removes the writes that must no longer be sent and ends them with an
-// error.
-func (q *writeQueue) dropStale() {
+// dropStale removes the writes that must not be sent, because they are outdated or exceed
+// the limits by themselves, and ends them with an error.
+func (q *writeQueue) dropStale(limits *TxnLimits) {
 	q.writes = slices.DeleteFunc(q.writes, func(w *queuedWrite) bool {
-		reason := w.dropReason()
+		reason := w.dropReason(limits)
 		if reason != nil {
-			w.done <- commitResult{err: reason}
+			w.end(commitResult{err: reason})
 		}
 		return reason != nil
 	})
 }
 
 // peekBatch returns the writes of a transaction within the limits and leaves them in
-// the queue. The first write is included even if it exceeds the limits by itself.
+// the queue.
 func (q *writeQueue) peekBatch(maxChanges, maxConditions int) []*queuedWrite {
-	batch, _ := q.selectBatch(newBatchBuilder(maxChanges, maxConditions, true))
+	batch, _ := q.selectBatch(newBatchBuilder(maxChanges, maxConditions))
 	return batch
 }
 
 // takeBatch removes the writes of a transaction within the limits from the queue and
 // returns them.
 func (q *writeQueue) takeBatch(maxChanges, maxConditions int) []*queuedWrite {
-	batch, rest := q.selectBatch(newBatchBuilder(maxChanges, maxConditions, false))
+	batch, rest := q.selectBatch(newBatchBuilder(maxChanges, maxConditions))
 	q.writes = rest
 	return batch
 }
@@ -92,15 +84,13 @@
 // batchBuilder gathers the writes of one transaction.
 type batchBuilder struct {
 	maxChanges, maxConditions  int
-	allowOversized             bool // accept a first write that exceeds the limits
 	batch                      []*queuedWrite
 	changedKeys                map[string]bool
 	changes, conditions, bytes int
 }
 
-func newBatchBuilder(maxChanges, maxConditions int, allowOversized bool) *batchBuilder {
-	return &batchBuilder{maxChanges: maxChanges, maxConditions: maxConditions, allowOversized: allowOversized,
-		changedKeys: map[string]bool{}}
+func newBatchBuilder(maxChanges, maxConditions int) *batchBuilder {
+	return &batchBuilder{maxChanges: maxChanges, maxConditions: maxConditions, changedKeys: map[string]bool{}}
 }
 
 // accepts reports whether the write may be added to the batch. A transaction must
@@ -113,8 +103,7 @@
 	if !first && (w.sendAlone || b.batch[0].sendAlone) {
 		return false
 	}
-	oversizedAllowed := first && b.allowOversized
-	return (oversizedAllowed || b.fits(w)) && !w.dependsOn(b.changedKeys)
+	return b.fits(w) && !w.dependsOn(b.changedKeys)
 }
 
 func (b *batchBuilder) fits(w *queuedWrite) bool {
--- a/internal/state/write.go
+++ b/internal/state/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -81,11 +82,20 @@
 type queuedWrite struct {
 	Write
 	ctx            context.Context
-	outcomeUnknown bool // an earlier attempt had no response
-	sendAlone      bool // a transaction of this and other writes was rejected
+	outcomeUnknown bool           // an earlier attempt had no response
+	sendAlone      bool           // a transaction of this and other writes was rejected
+	rejectedBatch  *rejectedBatch // that transaction; nil if there was none
 	done           chan commitResult
 }
 
+// end passes the result of the write to the caller of Commit. It is called once.
+func (w *queuedWrite) end(result commitResult) {
+	if w.rejectedBatch != nil {
+		w.rejectedBatch.record(result.err)
+	}
+	w.done <- result
+}
+
 // commitResult holds what Commit returns for a write.
 type commitResult struct {
 	revision uint64
@@ -98,7 +108,10 @@
 
 // dropReason returns the error with which the write must end without being sent, or
 // nil if it may be sent.
-func (w *queuedWrite) dropReason() error {
+func (w *queuedWrite) dropReason(limits *TxnLimits) error {
+	if !limits.allows(&w.Write) {
+		return fmt.Errorf("%w: %d changes, %d conditions and %d bytes are more than a transaction may have", ErrRejected, len(w.Then), len(w.If), w.bytes())
+	}
 	if w.StillValid != nil && !w.StillValid() {
 		return &Conflict{}
 	}
--- a/wire/spellings_test.go
+++ b/wire/spellings_test.go
@@ -23,6 +23,7 @@
 		{PathLeases, "/leases"},
 		{PathWatch, "/follow"},
 		{SuffixRenew, "extend"},
+		{NoSuchLease, "no such lease"},
 		{PathJobs, "/submissions"},
 		{PathReady, "/ready"},
 		{SuffixCancel, "withdraw"},
--- a/wire/state.go
+++ b/wire/state.go
@@ -11,6 +11,10 @@
 	SuffixRenew = "extend"
 )
 
+// NoSuchLease is the error in the response to a transaction that attaches a key to a lease
+// that has expired (HTTP 400).
+const NoSuchLease = "no such lease"
+
 // Item is a key with its value. Version is the revision of its last change. Lease is the
 // lease to which the key is attached, or 0 if there is none.
 type Item struct {
