--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -52,14 +52,10 @@
 	Hosted bool
 	Epoch  uint64
 
-	incarnation          uint64 // incarnation of the worker that the attempt was placed on
-	lastSeenHeartbeat    uint64 // Machine.heartbeatsApplied at the last heartbeat that showed the attempt
-	beforeRestart        bool   // only heartbeats from before the last restart of the worker have shown the attempt
-	startSentInReply     bool   // a heartbeat reply has contained the start
-	startReplySeq        uint64 // sequence number of the last heartbeat whose reply contained the start
-	startReplyToken      uint64 // fencing token of that reply
-	directStartsInFlight int    // number of direct requests in flight that contain the start
-	maxDirectStartToken  uint64 // highest token of the direct requests with the start that were sent before
+	incarnation       uint64 // incarnation of the worker that the attempt was placed on
+	lastSeenHeartbeat uint64 // Machine.heartbeatsApplied at the last heartbeat that showed the attempt
+	beforeRestart     bool   // only heartbeats from before the last restart of the worker have shown the attempt
+	starts            sentStarts
 }
 
 // Exited reports whether a heartbeat has shown that the attempt exited.
@@ -114,5 +110,5 @@
 
 // NeverSent reports whether the start of the attempt has never been sent to a worker.
 func (a *Attempt) NeverSent() bool {
-	return a.State == "" && !a.RestoredFromRecord && !a.startSentInReply && a.directStartsInFlight == 0 && a.maxDirectStartToken == 0
+	return a.State == "" && !a.RestoredFromRecord && a.starts.none()
 }
--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -11,9 +11,7 @@
 // under a fencing token, and records the starts among them as sent.
 func (m *Machine) ReplyCommands(token uint64) []wire.Command {
 	commands := m.commands(token)
-	m.forEachStart(commands, func(a *Attempt) {
-		a.startSentInReply, a.startReplySeq, a.startReplyToken = true, m.HeartbeatSeq, token
-	})
+	m.forEachStart(commands, func(a *Attempt) { a.starts.sentInReply(m.HeartbeatSeq, token) })
 	return commands
 }
 
@@ -25,7 +23,7 @@
 	if len(commands) == 0 {
 		return nil
 	}
-	m.forEachStart(commands, func(a *Attempt) { a.directStartsInFlight++ })
+	m.forEachStart(commands, func(a *Attempt) { a.starts.inFlight++ })
 	return &wire.CommandRequest{FencingToken: token, Incarnation: m.Incarnation, Commands: commands}
 }
 
@@ -33,12 +31,7 @@
 // certainly was not sent. Otherwise the worker may execute the commands later or again, as
 // long as it has the incarnation of the request and has seen no higher token.
 func (m *Machine) DirectRequestDone(req *wire.CommandRequest, sent bool) {
-	m.forEachStart(req.Commands, func(a *Attempt) {
-		a.directStartsInFlight--
-		if sent {
-			a.maxDirectStartToken = max(a.maxDirectStartToken, req.FencingToken)
-		}
-	})
+	m.forEachStart(req.Commands, func(a *Attempt) { a.starts.directRequestDone(req.FencingToken, sent) })
 }
 
 // forEachStart calls f for each attempt that the commands start, except for attempts
@@ -86,14 +79,11 @@
 
 // canForget reports whether the worker may be told under a fencing token to forget an
 // attempt that has exited. A worker that has forgotten an attempt executes any copy of its
-// start that arrives later, under the token of the copy or a higher one. So the token must
-// be higher than that of every direct request with the start: the worker has then seen it
-// and rejects the copies. A reply with the start must not be on its way under the same
-// token either. The exit reason makes no difference: a copy starts even a task that is
-// done, whose job may have been cancelled and whose team may be at its quota.
+// start that arrives later. So no copy must be able to arrive once the worker has seen the
+// token, as it has when it forgets. The exit reason makes no difference: a copy starts even
+// a task that is done, whose job may have been cancelled and whose team may be at its quota.
 func (m *Machine) canForget(a *Attempt, token uint64) bool {
-	return a.Exited() && a.ExitProcessed && a.directStartsInFlight == 0 && a.maxDirectStartToken < token &&
-		!a.replyStartMayArrive(m.HeartbeatSeq, token)
+	return a.Exited() && a.ExitProcessed && !a.starts.mayArrive(m.HeartbeatSeq, token)
 }
 
 // needsStop reports whether the worker has the attempt and must be sent a stop. An
@@ -120,7 +110,7 @@
 		return true
 	}
 	for _, a := range m.Attempts.All() {
-		if a.Stop && a.State == "" && a.directStartsInFlight == 0 && a.maxDirectStartToken >= token {
+		if a.Stop && a.State == "" && a.starts.inFlight == 0 && a.starts.directMayArrive(token) {
 			return true
 		}
 	}
@@ -132,7 +122,7 @@
 func (m *Machine) UnforgettableExits(token uint64) int {
 	n := 0
 	for _, a := range m.Attempts.All() {
-		if a.Exited() && a.ExitProcessed && a.maxDirectStartToken >= token {
+		if a.Exited() && a.ExitProcessed && a.starts.maxDirectToken >= token {
 			n++
 		}
 	}
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -190,7 +190,7 @@
 	switch {
 	case a.lastSeenHeartbeat == m.heartbeatsApplied || startPending:
 		return unproven
-	case m.directStartMayArrive(a) || a.replyStartMayArrive(m.HeartbeatSeq, m.FencingToken):
+	case a.starts.mayArrive(m.HeartbeatSeq, m.FencingToken):
 		return unproven
 	case a.beforeRestart:
 		return RestartFenced
@@ -199,20 +199,3 @@
 	}
 	return StartExcluded
 }
-
-// directStartMayArrive reports whether the worker may still execute a direct start of
-// the attempt: a request is in flight, or a copy of one may arrive and the worker has not
-// seen a higher token than that of the request.
-func (m *Machine) directStartMayArrive(a *Attempt) bool {
-	return a.directStartsInFlight > 0 || a.maxDirectStartToken > 0 && a.maxDirectStartToken >= m.FencingToken
-}
-
-// replyStartMayArrive reports whether a worker may still execute a start of the attempt
-// from a reply to a heartbeat, given the sequence number of its newest unsolicited
-// heartbeat and a fencing token that it has seen. It sends the next unsolicited heartbeat
-// only after it has executed the reply or has given up waiting for it, and it drops a
-// reply with a lower token. The response to a direct request proves nothing of that kind:
-// the worker may send it while the reply is still on its way.
-func (a *Attempt) replyStartMayArrive(heartbeatSeq, token uint64) bool {
-	return a.startSentInReply && heartbeatSeq <= a.startReplySeq && token <= a.startReplyToken
-}
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -173,6 +173,6 @@
 		key := Key{task, attempt}
 		// An earlier leader may have sent the start directly, under any earlier token.
 		m.Attempts.Put(&Attempt{Key: key, Job: job, Index: index, Recorded: true, incarnation: r.Incarnation,
-			PlacedAt: now, RestoredFromRecord: true, maxDirectStartToken: token - 1})
+			PlacedAt: now, RestoredFromRecord: true, starts: sentStarts{maxDirectToken: token - 1}})
 	}
 }
