--- a/internal/state/queue.go
+++ b/internal/state/queue.go
@@ -16,13 +16,20 @@
 	awaitingBudget bool           // one of them is waiting for the budget of its first attempt
 }
 
-// insert puts a write behind those that were queued at the same time or earlier.
+// insert puts a write behind those of its priority that were queued at the same time or
+// earlier, and before those that were queued later.
 func (q *writeQueue) insert(w *queuedWrite) {
-	i := len(q.writes)
-	for i > 0 && q.writes[i-1].QueuedAt.After(w.QueuedAt) {
-		i--
+	position := len(q.writes)
+	for i, other := range slices.Backward(q.writes) {
+		if other.Priority != w.Priority {
+			continue
+		}
+		if !other.QueuedAt.After(w.QueuedAt) {
+			break
+		}
+		position = i
 	}
-	q.writes = slices.Insert(q.writes, i, w)
+	q.writes = slices.Insert(q.writes, position, w)
 }
 
 // dropStale removes the writes that must not be sent, because they are outdated or exceed
