--- a/internal/completion/table.go
+++ b/internal/completion/table.go
@@ -76,10 +76,10 @@
 	}
 }
 
-// TakeOver adds a bucket whose owner has left the cluster to the table, with the
+// AdoptBucket adds a bucket whose owner has left the cluster to the table, with the
 // bitmaps of jobs that are still active. queued returns the Job of an ID if the
 // scheduler owns the job; such jobs are written to this bucket from now on.
-func (t *Table) TakeOver(written *job.DoneBucket, active func(id string) *job.Record, queued func(id string) *Job) {
+func (t *Table) AdoptBucket(written *job.DoneBucket, active func(id string) *job.Record, queued func(id string) *Job) {
 	for _, b := range t.takeOver(written, active) {
 		for id, blocks := range b.jobs {
 			j := queued(id)
--- a/internal/scheduler/rebuild.go
+++ b/internal/scheduler/rebuild.go
@@ -98,7 +98,7 @@
 	}
 	for i := range done {
 		if owner, ok := job.DoneBucketOwner(done[i].Key); !ok || s.epoch.Members[owner.Node].Since != owner.Since {
-			s.completions.TakeOver(&done[i], s.opts.Jobs.Active, s.completionOf)
+			s.completions.AdoptBucket(&done[i], s.opts.Jobs.Active, s.completionOf)
 		}
 	}
 }
