--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -55,12 +55,17 @@
 	incarnation       uint64 // incarnation of the worker that the attempt was placed on
 	lastSeenHeartbeat uint64 // Machine.heartbeatsApplied at the last heartbeat that showed the attempt
 	beforeRestart     bool   // only heartbeats from before the last restart of the worker have shown the attempt
+	forgetSent        bool   // the worker was told to forget the attempt
 	starts            sentStarts
 }
 
 // Exited reports whether a heartbeat has shown that the attempt exited.
 func (a *Attempt) Exited() bool { return a.State == wire.TaskExited }
 
+// lastIncarnation returns the latest incarnation of the worker in which the attempt may run
+// or start.
+func (a *Attempt) lastIncarnation() uint64 { return max(a.incarnation, a.starts.maxDirectIncarnation) }
+
 // SetJobDetails copies the details of the job that the attempt needs, and sets the rank
 // of the job's priority.
 func (a *Attempt) SetJobDetails(j *wire.Job, rank int) {
--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -11,7 +11,8 @@
 // under a fencing token, and records the starts among them as sent.
 func (m *Machine) ReplyCommands(token uint64) []wire.Command {
 	commands := m.commands(token)
-	m.forEachStart(commands, func(a *Attempt) { a.starts.sentInReply(m.HeartbeatSeq, token) })
+	m.forEach(wire.OpStart, commands, func(a *Attempt) { a.starts.sentInReply(m.HeartbeatSeq, token) })
+	m.forEach(wire.OpForget, commands, func(a *Attempt) { a.forgetSent = true })
 	return commands
 }
 
@@ -23,7 +24,8 @@
 	if len(commands) == 0 {
 		return nil
 	}
-	m.forEachStart(commands, func(a *Attempt) { a.starts.inFlight++ })
+	m.forEach(wire.OpStart, commands, func(a *Attempt) { a.starts.sendingDirectly(m.Incarnation) })
+	m.forEach(wire.OpForget, commands, func(a *Attempt) { a.forgetSent = true })
 	return &wire.CommandRequest{FencingToken: token, Incarnation: m.Incarnation, Commands: commands}
 }
 
@@ -31,14 +33,14 @@
 // certainly was not sent. Otherwise the worker may execute the commands later or again, as
 // long as it has the incarnation of the request and has seen no higher token.
 func (m *Machine) DirectRequestDone(req *wire.CommandRequest, sent bool) {
-	m.forEachStart(req.Commands, func(a *Attempt) { a.starts.directRequestDone(req.FencingToken, sent) })
+	m.forEach(wire.OpStart, req.Commands, func(a *Attempt) { a.starts.directRequestDone(req.FencingToken, sent) })
 }
 
-// forEachStart calls f for each attempt that the commands start, except for attempts
-// that were removed meanwhile.
-func (m *Machine) forEachStart(commands []wire.Command, f func(a *Attempt)) {
+// forEach calls f for the attempt of each command of one kind, except for attempts that
+// were removed meanwhile.
+func (m *Machine) forEach(op wire.Op, commands []wire.Command, f func(a *Attempt)) {
 	for _, c := range commands {
-		if c.Op != wire.OpStart {
+		if c.Op != op {
 			continue
 		}
 		if a := m.Attempts.Get(Key{c.Task, c.Attempt}); a != nil {
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -38,6 +38,7 @@
 	if !sent.precedes(h) {
 		return nil, Restarted
 	}
+	m.settleDoubt(sent)
 	return m.apply(h, response, now)
 }
 
@@ -49,15 +50,18 @@
 	if m.RestartPending() {
 		m.endRestart(h, now)
 	}
-	changes := changes{events: m.beginIncarnation(h, now)}
+	if h.Incarnation > m.Incarnation {
+		m.beginIncarnation(from, now)
+	}
 	if from == unsolicited {
 		m.HeartbeatSeq = h.Seq
 	}
 	m.applyHeader(h, now)
+	var changes changes
 	for _, status := range h.Tasks {
 		m.applyTaskStatus(&changes, status, now)
 	}
-	changes.restarted = changes.restarted || m.missesLiveAttempt()
+	changes.restarted = changes.restarted || m.missesAttempt()
 	changes.events = append(changes.events, m.removeLost(m.provenGone)...)
 	if changes.restarted {
 		return changes.events, Restarted
@@ -77,28 +81,24 @@
 
 // applyOutdated keeps what an outdated heartbeat nevertheless shows.
 func (m *Machine) applyOutdated(h *wire.Heartbeat, from source, now time.Time) {
-	switch {
-	case from == unsolicited && !m.RestartPending() && m.overtaken(h):
+	if from == response {
+		if m.RestartPending() {
+			m.followRestarted(h, now)
+		}
+		return
+	}
+	if !m.RestartPending() && m.overtaken(h) {
 		m.HeartbeatSeq = h.Seq
-	case from == response && m.RestartPending():
-		m.followRestarted(h, now)
 	}
+	m.raiseDoubt(h.Incarnation, now)
 }
 
-// beginIncarnation removes the attempts of earlier incarnations if the heartbeat is the
-// first one of an incarnation: their lease expired, and the worker stopped its tasks.
-func (m *Machine) beginIncarnation(h *wire.Heartbeat, now time.Time) []Event {
-	if h.Incarnation <= m.Incarnation {
-		return nil
-	}
-	m.IncarnationSeenAt = now
-	m.HeartbeatSeq = 0
-	return m.removeLost(func(a *Attempt) Evidence {
-		if a.incarnation < h.Incarnation {
-			return NewIncarnation
-		}
-		return unproven
-	})
+// beginIncarnation handles the first heartbeat of an incarnation.
+func (m *Machine) beginIncarnation(from source, now time.Time) {
+	m.IncarnationSeenAt, m.HeartbeatSeq = now, 0
+	if from == unsolicited && m.Incarnation > 0 {
+		m.raiseDoubt(m.Incarnation, now)
+	}
 }
 
 // overtaken reports whether an outdated heartbeat is no copy, but the newest unsolicited
@@ -153,7 +153,7 @@
 		return
 	}
 	a.lastSeenHeartbeat, a.beforeRestart = m.heartbeatsApplied, false
-	if a.Exited() {
+	if a.Exited() || status.State == wire.TaskExited && m.Doubted() {
 		return
 	}
 	a.State, a.ExitReason = status.State, status.Reason
@@ -186,10 +186,13 @@
 // provenGone returns the evidence that an attempt that the newest heartbeat does not show
 // is not on the machine and can no longer start there, or unproven.
 func (m *Machine) provenGone(a *Attempt) Evidence {
-	startPending := a.State == "" && !a.Stop && !a.RestoredFromRecord // it will be sent again
 	switch {
-	case a.lastSeenHeartbeat == m.heartbeatsApplied || startPending:
+	case a.lastSeenHeartbeat == m.heartbeatsApplied || m.Doubted():
 		return unproven
+	case a.lastIncarnation() < m.Incarnation:
+		return NewIncarnation // the lease of its incarnation expired, and the worker stopped its tasks
+	case a.State == "" && !a.Stop && !a.RestoredFromRecord:
+		return unproven // its start will be sent again
 	case a.starts.mayArrive(m.HeartbeatSeq, m.FencingToken):
 		return unproven
 	case a.beforeRestart:
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -32,6 +32,7 @@
 
 	expiredIncarnation uint64 // newest incarnation whose lease is certain to have expired
 	restartFence       uint64 // lowest fencing token that ends the last restart of the worker that was detected; 0 if there was none
+	doubt              doubt
 	heartbeatsApplied  uint64 // number of heartbeats applied
 }
 
@@ -108,10 +109,21 @@
 	return m.removeLost(func(*Attempt) Evidence { return MachineReleased })
 }
 
-// MarkLeaseExpired removes all attempts because the lease of the current incarnation
-// is certain to have expired. Heartbeats of this incarnation that arrive later were
-// delayed and are ignored as outdated.
+// MarkLeaseExpired removes the attempts of the current incarnation and earlier ones because
+// its lease is certain to have expired. Heartbeats of this incarnation that arrive later
+// were delayed and are ignored as outdated. If the worker has restarted, or may have, only
+// the incarnations up to the one that it was in since then have ended: it may reach the
+// later ones again, and commands for them.
 func (m *Machine) MarkLeaseExpired() []Event {
-	m.expiredIncarnation = max(m.expiredIncarnation, m.Incarnation)
-	return m.removeLost(func(*Attempt) Evidence { return LeaseExpired })
+	ended := m.Incarnation
+	if m.Doubted() {
+		ended = min(ended, m.doubt.incarnation)
+	}
+	m.expiredIncarnation = max(m.expiredIncarnation, ended)
+	return m.removeLost(func(a *Attempt) Evidence {
+		if a.lastIncarnation() <= ended {
+			return LeaseExpired
+		}
+		return unproven
+	})
 }
--- /dev/null
+++ b/internal/fleet/model_test.go
@@ -0,0 +1,549 @@
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"heronwick/wire"
+)
+
+// modelRunsVariable is the environment variable with the number of runs of
+// TestModelOfMachineAndWorker, for long runs by hand.
+const modelRunsVariable = "FLEET_MODEL_RUNS"
+
+// Guards against orders of messages that no other test covers: a Machine and the model of
+// a worker exchange heartbeats, replies, direct requests and responses that are slow, lost,
+// late or repeated, while tokens rise, leases expire and the worker restarts. An attempt
+// that the Machine considers gone or exited must never start any more (rules ran_twice and
+// ran_cancelled). Exempt is only what no controller can prevent, see model.started. Some
+// time after all troubles, no attempt that was stopped is left. Each run is named by its
+// seed.
+func TestModelOfMachineAndWorker(t *testing.T) {
+	runs := 400
+	if text := os.Getenv(modelRunsVariable); text != "" {
+		var err error
+		if runs, err = strconv.Atoi(text); err != nil {
+			t.Fatalf("%s: %v", modelRunsVariable, err)
+		}
+	}
+	var total modelCounts
+	for seed := range uint64(runs) {
+		m := newModel(seed)
+		m.run(3 * time.Minute)
+		m.endTroubles()
+		m.run(time.Minute)
+		if left := m.machine.Attempts.Len(); left > 0 {
+			m.violations = append(m.violations, fmt.Sprintf("%d attempts left after a minute without troubles", left))
+		}
+		total.add(m.counts)
+		if len(m.violations) > 0 {
+			t.Errorf("seed %d: got %s, want none; last events:\n%s", seed, m.violations[0], strings.Join(m.recentEvents, "\n"))
+		}
+	}
+	t.Logf("%+v", total)
+	// Without these the test would show little.
+	if total.gone == 0 || total.restarts == 0 || total.copiesExecuted == 0 || total.copiesRejected == 0 || total.leasesExpired == 0 || total.unpreventable > total.gone/5 {
+		t.Errorf("got %+v, want some of each kind, and few starts that cannot be prevented", total)
+	}
+}
+
+// modelCounts count what happened in runs of the model.
+type modelCounts struct {
+	gone, restarts, leasesExpired, copiesExecuted, copiesRejected, unpreventable int
+}
+
+func (c *modelCounts) add(other modelCounts) {
+	c.gone += other.gone
+	c.restarts += other.restarts
+	c.leasesExpired += other.leasesExpired
+	c.copiesExecuted += other.copiesExecuted
+	c.copiesRejected += other.copiesRejected
+	c.unpreventable += other.unpreventable
+}
+
+// The times of the model.
+const (
+	modelTick           = 200 * time.Millisecond
+	modelReplyTimeout   = 4 * time.Second
+	modelRequestTimeout = 2 * time.Second
+	modelLease          = 16 * time.Second
+	modelLeaseMargin    = 300 * time.Millisecond
+	modelSilence        = 5 * time.Second // from then on a worker counts as silent
+	modelTokenInterval  = 2 * time.Second
+	modelTokenAge       = 15 * time.Second
+	modelMaxAttempts    = 4
+)
+
+// modelWorker is the model of a worker.
+type modelWorker struct {
+	life                    int // how often it has restarted
+	lifeBegan               time.Time
+	incarnation, seq, token uint64
+	leaseRenewed            time.Time
+	awaitedSeq              uint64 // sequence number of the heartbeat that waits for its reply; 0 if none does
+	tasks                   map[Key]wire.TaskStatus
+}
+
+// model is one run: a Machine with the owner's part of the protocol, and its worker.
+type model struct {
+	random *rand.Rand
+	now    time.Time
+	events modelEvents
+	counts modelCounts
+
+	// The owner.
+	machine         *Machine
+	token           uint64
+	tokenRaisedAt   time.Time
+	lastReply       time.Time
+	commandPending  bool
+	requestPending  bool
+	attempts        int               // number of attempts added
+	gone            map[Key]time.Time // attempts that the owner considers gone, since when
+	lifeSeenAt      map[int]time.Time // when the owner first heard from each life of the worker
+	lifeSettled     map[int]bool      // whether the owner knows the state of that life
+	cutUntil        [2]time.Time      // until when messages to and from the worker are lost
+	slow            time.Duration     // maximum delay of a message
+	ticksPerRestart int               // mean number of ticks between two restarts of the worker
+	calm            bool              // the troubles have ended
+	worker          modelWorker
+	violations      []string
+	recentEvents    []string
+}
+
+func newModel(seed uint64) *model {
+	start := time.Unix(1000, 0)
+	m := &model{
+		random: rand.New(rand.NewPCG(seed, 7)), now: start, machine: NewMachine("m"), token: 5, tokenRaisedAt: start,
+		gone: map[Key]time.Time{}, lifeSeenAt: map[int]time.Time{}, lifeSettled: map[int]bool{},
+	}
+	m.slow = []time.Duration{5 * time.Millisecond, 300 * time.Millisecond, 1500 * time.Millisecond}[m.random.IntN(3)]
+	m.ticksPerRestart = []int{400, 100, 40}[m.random.IntN(3)]
+	m.worker = modelWorker{life: 1, lifeBegan: start, incarnation: 1, leaseRenewed: start, tasks: map[Key]wire.TaskStatus{}}
+	m.sendHeartbeat()
+	m.tick()
+	return m
+}
+
+// modelEvent is something that happens at a time. Events at the same time happen in the
+// order in which they were added.
+type modelEvent struct {
+	at     time.Time
+	serial int
+	happen func()
+}
+
+type modelEvents struct {
+	queue  []modelEvent
+	serial int
+}
+
+func (e *modelEvents) Len() int { return len(e.queue) }
+func (e *modelEvents) Less(i, j int) bool {
+	a, b := &e.queue[i], &e.queue[j]
+	return a.at.Before(b.at) || a.at.Equal(b.at) && a.serial < b.serial
+}
+func (e *modelEvents) Swap(i, j int) { e.queue[i], e.queue[j] = e.queue[j], e.queue[i] }
+func (e *modelEvents) Push(x any)    { e.queue = append(e.queue, x.(modelEvent)) }
+func (e *modelEvents) Pop() any {
+	last := e.queue[len(e.queue)-1]
+	e.queue = e.queue[:len(e.queue)-1]
+	return last
+}
+
+func (m *model) after(delay time.Duration, happen func()) {
+	m.events.serial++
+	heap.Push(&m.events, modelEvent{m.now.Add(delay), m.events.serial, happen})
+}
+
+// run plays the model for a time.
+func (m *model) run(duration time.Duration) {
+	end := m.now.Add(duration)
+	for m.now.Before(end) && m.events.Len() > 0 && len(m.violations) == 0 {
+		event := heap.Pop(&m.events).(modelEvent)
+		m.now = event.at
+		event.happen()
+	}
+}
+
+// endTroubles ends all troubles and stops all attempts.
+func (m *model) endTroubles() {
+	m.logf("troubles end")
+	m.calm, m.slow, m.cutUntil = true, 5*time.Millisecond, [2]time.Time{}
+	for _, a := range m.machine.Attempts.All() {
+		a.Stop = true
+	}
+}
+
+func (m *model) logf(format string, args ...any) {
+	const kept = 60
+	line := fmt.Sprintf("%8.3f ", m.now.Sub(time.Unix(1000, 0)).Seconds()) + fmt.Sprintf(format, args...)
+	m.recentEvents = append(m.recentEvents, line)
+	m.recentEvents = m.recentEvents[max(0, len(m.recentEvents)-kept):]
+}
+
+// trouble is true once in n times, and never after the troubles have ended.
+func (m *model) trouble(n int) bool { return m.chance(n) && !m.calm }
+
+// chance is true once in n times.
+func (m *model) chance(n int) bool { return m.random.IntN(n) == 0 }
+
+// between returns a random duration.
+func (m *model) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(m.random.Int64N(int64(high-low)+1))
+}
+
+// The directions of messages.
+const (
+	toWorker = iota
+	fromWorker
+)
+
+// deliver delivers a message after a delay, unless it is lost.
+func (m *model) deliver(direction int, receive func()) {
+	if m.trouble(50) {
+		return
+	}
+	m.after(m.between(0, m.slow), func() {
+		if !m.now.Before(m.cutUntil[direction]) {
+			receive()
+		}
+	})
+}
+
+// The worker's part.
+
+func (m *model) heartbeat() *wire.Heartbeat {
+	w := &m.worker
+	w.seq++
+	h := &wire.Heartbeat{Machine: "m", Address: "m", Type: "t", Incarnation: w.incarnation, Seq: w.seq, FencingToken: w.token}
+	for _, status := range w.tasks {
+		h.Tasks = append(h.Tasks, status)
+	}
+	return h
+}
+
+// expireLease begins the next incarnation if the lease of the current one has expired.
+func (m *model) expireLease() {
+	w := &m.worker
+	if m.now.Sub(w.leaseRenewed) <= modelLease {
+		return
+	}
+	m.logf("worker: incarnation %d expires", w.incarnation)
+	w.incarnation, w.seq, w.leaseRenewed, w.awaitedSeq = w.incarnation+1, 0, m.now, 0
+	clear(w.tasks)
+}
+
+func (m *model) restart() {
+	m.logf("worker: restarts")
+	m.counts.restarts++
+	m.worker = modelWorker{life: m.worker.life + 1, lifeBegan: m.now, incarnation: 1, leaseRenewed: m.now, tasks: map[Key]wire.TaskStatus{}}
+}
+
+// sendHeartbeat sends an unsolicited heartbeat, unless another one waits for its reply, and
+// schedules the next one.
+func (m *model) sendHeartbeat() {
+	m.after(m.between(500*time.Millisecond, 3*time.Second), m.sendHeartbeat)
+	m.expireLease()
+	w := &m.worker
+	if w.awaitedSeq != 0 {
+		return
+	}
+	h, life, sent := m.heartbeat(), w.life, m.now
+	w.awaitedSeq = h.Seq
+	m.after(modelReplyTimeout, func() {
+		if m.worker.life == life && m.worker.incarnation == h.Incarnation && m.worker.awaitedSeq == h.Seq {
+			m.worker.awaitedSeq = 0
+		}
+	})
+	m.deliver(fromWorker, func() {
+		reply := m.receiveHeartbeat(h, life)
+		m.deliver(toWorker, func() { m.receiveReply(h, life, sent, reply) })
+	})
+	if m.trouble(8) {
+		m.after(m.between(time.Second, 40*time.Second), func() { m.receiveHeartbeat(h, life) }) // a late copy; nobody waits for the reply
+	}
+}
+
+func (m *model) receiveReply(h *wire.Heartbeat, life int, sent time.Time, reply *wire.HeartbeatReply) {
+	w := &m.worker
+	if w.life != life || w.incarnation != h.Incarnation || w.awaitedSeq != h.Seq {
+		return
+	}
+	w.awaitedSeq = 0
+	if reply.FencingToken < w.token {
+		return
+	}
+	m.logf("worker: reply to %d under %d: %v", h.Seq, reply.FencingToken, reply.Commands)
+	w.token, w.leaseRenewed = reply.FencingToken, sent
+	m.execute(reply.Commands)
+}
+
+// receiveRequest executes a direct request, or a copy of one, and returns the response.
+func (m *model) receiveRequest(req *wire.CommandRequest, isCopy bool) *wire.Heartbeat {
+	m.expireLease()
+	w := &m.worker
+	rejected := req != nil && (req.FencingToken < w.token || req.Incarnation != w.incarnation)
+	if isCopy && rejected {
+		m.counts.copiesRejected++
+	}
+	if req != nil && !rejected {
+		m.logf("worker: request under %d, copy %v: %v", req.FencingToken, isCopy, req.Commands)
+		if isCopy {
+			m.counts.copiesExecuted++
+		}
+		w.token = req.FencingToken
+		m.execute(req.Commands)
+	}
+	return m.heartbeat()
+}
+
+func (m *model) execute(commands []wire.Command) {
+	w := &m.worker
+	for _, c := range commands {
+		key := Key{c.Task, c.Attempt}
+		status, known := w.tasks[key]
+		switch {
+		case c.Op == wire.OpStart && !known:
+			w.tasks[key] = wire.TaskStatus{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning}
+			m.started(key)
+			if m.chance(2) {
+				life := w.life
+				m.after(m.between(0, 5*time.Second), func() { m.exit(key, life, []wire.ExitReason{wire.ExitDone, wire.ExitError}[m.random.IntN(2)]) })
+			}
+		case c.Op == wire.OpStop && known && status.State != wire.TaskExited:
+			m.exit(key, w.life, wire.ExitStopped)
+		case c.Op == wire.OpForget && known && status.State == wire.TaskExited:
+			delete(w.tasks, key)
+		}
+	}
+}
+
+func (m *model) exit(key Key, life int, reason wire.ExitReason) {
+	status, known := m.worker.tasks[key]
+	if known && m.worker.life == life && status.State != wire.TaskExited {
+		status.State, status.Reason = wire.TaskExited, reason
+		m.worker.tasks[key] = status
+	}
+}
+
+// started checks the start of an attempt. A start of an attempt that is gone breaks the
+// rule, unless no controller can prevent it: the worker has restarted, and either the owner
+// had not heard from it since when it considered the attempt gone, or the attempt was gone
+// before the restart, and the worker has not been fenced since.
+func (m *model) started(key Key) {
+	goneAt, gone := m.gone[key]
+	if !gone {
+		return
+	}
+	w := &m.worker
+	seenAt, seen := m.lifeSeenAt[w.life]
+	unseen := !seen || seenAt.After(goneAt)
+	goneBefore := goneAt.Before(w.lifeBegan) && !m.lifeSettled[w.life]
+	if w.life > 1 && (unseen && !m.lifeSettled[w.life] || goneBefore) {
+		m.counts.unpreventable++
+		return
+	}
+	m.violations = append(m.violations, fmt.Sprintf("%s/%d starts, which is gone since %v", key.Task, key.Attempt, m.now.Sub(goneAt)))
+	m.logf("VIOLATION: %+v starts", key)
+}
+
+// The owner's part.
+
+// noteGone records which attempts the owner has removed during an action.
+func (m *model) noteGone(action func()) {
+	before := map[Key]bool{}
+	for _, a := range m.machine.Attempts.All() {
+		before[a.Key] = true
+	}
+	action()
+	for key := range maps.Keys(before) {
+		if m.machine.Attempts.Get(key) == nil {
+			m.markGone(key)
+		}
+	}
+}
+
+// markGone records that the owner considers an attempt gone: from now on it may place its
+// task again.
+func (m *model) markGone(key Key) {
+	if _, gone := m.gone[key]; !gone {
+		m.logf("owner: %+v is gone", key)
+		m.gone[key] = m.now
+		m.counts.gone++
+	}
+}
+
+// see records that the owner has received a message from a life of the worker.
+func (m *model) see(life int) {
+	if _, seen := m.lifeSeenAt[life]; !seen {
+		m.lifeSeenAt[life] = m.now
+	}
+}
+
+func (m *model) handle(h *wire.Heartbeat, life int, events []Event, result Result) {
+	m.logf("owner: heartbeat %d/%d token %d of life %d: %v, %d events", h.Incarnation, h.Seq, h.FencingToken, life, result, len(events))
+	if result == Restarted {
+		m.machine.BeginRestart(h, m.token+1, m.now)
+		m.raiseToken()
+	}
+	if result == Applied && life == m.worker.life {
+		m.lifeSettled[life] = true
+	}
+	for _, e := range events {
+		if e.Kind == Exited {
+			m.markGone(e.Attempt.Key)
+		}
+		if e.Kind == Exited || e.Kind == Found && e.Attempt.Exited() {
+			m.after(m.between(0, 3*time.Second), func() { e.Attempt.ExitProcessed = true })
+		}
+		if e.Kind == Found && !e.Attempt.Exited() {
+			e.Attempt.Stop = true
+		}
+	}
+}
+
+func (m *model) receiveHeartbeat(h *wire.Heartbeat, life int) *wire.HeartbeatReply {
+	m.see(life)
+	reply := &wire.HeartbeatReply{FencingToken: m.token}
+	m.noteGone(func() {
+		events, result := m.machine.ApplyHeartbeat(h, m.now)
+		m.handle(h, life, events, result)
+		if result == Applied {
+			reply.Commands = m.machine.ReplyCommands(m.token)
+		} else if !m.machine.RestartPending() {
+			m.request(nil)
+		}
+	})
+	m.lastReply = m.now
+	return reply
+}
+
+// request sends a probe, or a request with the token and no commands.
+func (m *model) request(req *wire.CommandRequest) {
+	if m.requestPending {
+		return
+	}
+	m.requestPending = true
+	m.send(req, func() { m.requestPending = false }, func(bool) {})
+}
+
+// sendCommands sends the commands that are due.
+func (m *model) sendCommands() {
+	if m.commandPending || !m.machine.HeartbeatSeen {
+		return
+	}
+	req := m.machine.DirectRequest(m.token)
+	if req == nil {
+		return
+	}
+	m.commandPending = true
+	m.send(req, func() { m.commandPending = false }, func(sent bool) { m.machine.DirectRequestDone(req, sent) })
+}
+
+// send sends a direct request. It may be slow, held up for long, lost, or repeated.
+func (m *model) send(req *wire.CommandRequest, ended func(), done func(sent bool)) {
+	sent, over := m.machine.Position(), false
+	m.after(modelRequestTimeout, func() {
+		if !over {
+			over = true
+			ended()
+			done(true)
+		}
+	})
+	receive := func() {
+		h, life := m.receiveRequest(req, false), m.worker.life
+		m.deliver(fromWorker, func() {
+			if over {
+				return
+			}
+			over = true
+			ended()
+			done(true)
+			m.see(life)
+			m.noteGone(func() {
+				events, result := m.machine.ApplyResponse(h, sent, m.now)
+				m.handle(h, life, events, result)
+			})
+		})
+	}
+	if m.trouble(8) {
+		m.after(m.between(time.Second, 20*time.Second), receive)
+	} else {
+		m.deliver(toWorker, receive)
+	}
+	if req != nil && m.trouble(3) {
+		m.after(m.between(100*time.Millisecond, 60*time.Second), func() { m.receiveRequest(req, true) })
+	}
+}
+
+func (m *model) raiseToken() {
+	if m.now.Sub(m.tokenRaisedAt) > modelTokenInterval {
+		m.tokenRaisedAt = m.now
+		m.after(m.between(5*time.Millisecond, 200*time.Millisecond), func() { m.token++ })
+	}
+}
+
+// tick does what the owner does periodically, and what happens by chance.
+func (m *model) tick() {
+	m.after(modelTick, m.tick)
+	machine := m.machine
+	aged := m.now.Sub(m.tokenRaisedAt) > modelTokenAge
+	if machine.NeedsHigherFencingToken(m.token) || aged && machine.UnforgettableExits(m.token) > 0 || m.chance(300) {
+		m.raiseToken()
+	}
+	if machine.RestartPending() && machine.RestartFence() <= m.token {
+		m.request(&wire.CommandRequest{FencingToken: m.token, Incarnation: machine.Incarnation, Commands: []wire.Command{}})
+	}
+	m.expireMachineLease()
+	m.changeAttempts()
+	if m.chance(3) {
+		m.sendCommands()
+	}
+	if m.chance(5) || machine.Doubted() {
+		m.request(nil)
+	}
+	switch {
+	case m.trouble(m.ticksPerRestart):
+		m.restart()
+	case m.trouble(200):
+		m.cutUntil[m.random.IntN(2)] = m.now.Add(m.between(time.Second, 25*time.Second))
+	}
+}
+
+func (m *model) expireMachineLease() {
+	last := m.lastReply
+	if m.machine.IncarnationSeenAt.After(last) {
+		last = m.machine.IncarnationSeenAt
+	}
+	silent := m.now.Sub(m.machine.LastHeartbeat) > modelSilence
+	if silent && m.machine.HeartbeatSeen && m.machine.ActiveCount() > 0 && m.now.Sub(last) > modelLease+modelLeaseMargin {
+		m.counts.leasesExpired++
+		m.logf("owner: lease of incarnation %d has expired", m.machine.Incarnation)
+		m.noteGone(func() { m.machine.MarkLeaseExpired() })
+	}
+}
+
+// changeAttempts adds an attempt or stops one, by chance. Like a scheduler, it adds none
+// while the worker is silent.
+func (m *model) changeAttempts() {
+	machine := m.machine
+	responsive := machine.HeartbeatSeen && m.now.Sub(machine.LastHeartbeat) < modelSilence
+	if responsive && !machine.RestartPending() && machine.ActiveCount() < modelMaxAttempts && m.trouble(8) {
+		m.attempts++
+		a := &Attempt{Key: Key{wire.TaskID("wk-1", m.attempts), uint64(m.attempts)}, Job: "wk-1", Index: m.attempts, Recorded: true}
+		machine.Add(a, m.now)
+	}
+	for _, a := range machine.Attempts.All() {
+		if !a.Exited() && m.chance(40) {
+			a.Stop = true
+		}
+	}
+}
--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -18,8 +18,13 @@
 //   - A response to a direct request is sent after the request. A worker that has not
 //     restarted in between answers with higher numbers than those known when the request
 //     was sent, see Position. Unsolicited heartbeats may be late copies and show nothing.
-//   - A worker drops a task that has not exited, or runs one again that has, only by
-//     restarting.
+//   - A worker drops a task that it was not told to forget, or runs one again that has
+//     exited, only by restarting.
+//   - An unsolicited heartbeat that is not newer than what is known may be a late copy, or
+//     from a worker that has restarted; one of a new incarnation may be a late copy from
+//     before a restart. Both raise a doubt, which only the response to a request that was
+//     sent afterwards settles. Until then, no task counts as exited or gone: a heartbeat
+//     that shows that may be from before the restart.
 //   - A fencing token that was issued after the restart was detected cannot be in a
 //     heartbeat from before the restart. Until the worker shows one, the restart is
 //     pending: its heartbeats prove nothing about the attempts, no matter what their
@@ -29,11 +34,43 @@
 // Position is what is known of a worker when a direct request is sent to it.
 type Position struct {
 	incarnation, seq, token, expiredIncarnation uint64
+	doubts                                      uint64
 }
 
 // Position returns what is known of the worker now.
 func (m *Machine) Position() Position {
-	return Position{incarnation: m.Incarnation, seq: m.Seq, token: m.FencingToken, expiredIncarnation: m.expiredIncarnation}
+	return Position{
+		incarnation: m.Incarnation, seq: m.Seq, token: m.FencingToken, expiredIncarnation: m.expiredIncarnation,
+		doubts: m.doubt.raised,
+	}
+}
+
+// doubt is the doubt whether the worker has restarted without being known to have.
+type doubt struct {
+	raised      uint64 // number of unsolicited heartbeats that may be from another life of the worker
+	settled     uint64 // value of raised when the last request was sent whose response settled the doubt
+	incarnation uint64 // lowest incarnation that the worker may be in
+}
+
+// Doubted reports whether the worker may have restarted since the last request to it that
+// was answered.
+func (m *Machine) Doubted() bool { return m.doubt.raised != m.doubt.settled }
+
+// raiseDoubt records an unsolicited heartbeat that may be from another life of the worker
+// than what is known. The worker may be in the incarnation then, and its lease may have
+// begun now.
+func (m *Machine) raiseDoubt(incarnation uint64, now time.Time) {
+	if !m.Doubted() || incarnation < m.doubt.incarnation {
+		m.doubt.incarnation = incarnation
+	}
+	m.doubt.raised++
+	m.IncarnationSeenAt = now
+}
+
+// settleDoubt records a response from the worker as it is known, to a request that was
+// sent at a position.
+func (m *Machine) settleDoubt(sent Position) {
+	m.doubt.settled = max(m.doubt.settled, sent.doubts)
 }
 
 // precedes reports whether a worker that has not restarted since it was known to be at
@@ -52,6 +89,7 @@
 	m.restartFence = max(m.restartFence, fence, m.FencingToken+1)
 	m.Incarnation, m.Seq, m.HeartbeatSeq, m.FencingToken = h.Incarnation, h.Seq, 0, h.FencingToken
 	m.expiredIncarnation = 0
+	m.doubt.settled = m.doubt.raised
 	m.IncarnationSeenAt, m.LastHeartbeat = now, now
 	for _, a := range m.Attempts.All() {
 		a.beforeRestart = a.State != ""
@@ -83,11 +121,13 @@
 	}
 }
 
-// missesLiveAttempt reports whether an attempt that the worker has had since its last
-// known restart, and that had not exited, is missing in the newest heartbeat.
-func (m *Machine) missesLiveAttempt() bool {
+// missesAttempt reports whether an attempt that the worker has had in its current
+// incarnation, since its last known restart, is missing in the newest heartbeat, although
+// the worker was not told to forget it.
+func (m *Machine) missesAttempt() bool {
 	for _, a := range m.Attempts.All() {
-		if a.State != "" && !a.Exited() && !a.beforeRestart && a.lastSeenHeartbeat != m.heartbeatsApplied {
+		expected := a.State != "" && !a.forgetSent && !a.beforeRestart && a.incarnation >= m.Incarnation
+		if expected && a.lastSeenHeartbeat != m.heartbeatsApplied {
 			return true
 		}
 	}
--- a/internal/fleet/starts.go
+++ b/internal/fleet/starts.go
@@ -9,8 +9,9 @@
 	replyToken uint64 // fencing token of that reply
 
 	// Direct requests.
-	inFlight       int    // number of requests in flight that contain the start
-	maxDirectToken uint64 // highest fencing token of those that were sent before
+	inFlight             int    // number of requests in flight that contain the start
+	maxDirectToken       uint64 // highest fencing token of those that were sent before
+	maxDirectIncarnation uint64 // highest incarnation that any of them was for
 }
 
 // none reports whether the start has never been sent.
@@ -21,6 +22,13 @@
 	s.inReply, s.replySeq, s.replyToken = true, heartbeatSeq, token
 }
 
+// sendingDirectly records that a direct request with the start is being sent to an
+// incarnation of the worker. directRequestDone must follow.
+func (s *sentStarts) sendingDirectly(incarnation uint64) {
+	s.inFlight++
+	s.maxDirectIncarnation = max(s.maxDirectIncarnation, incarnation)
+}
+
 // directRequestDone records the end of a direct request with the start. sent is false if
 // the request certainly was not sent.
 func (s *sentStarts) directRequestDone(token uint64, sent bool) {
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -51,6 +51,7 @@
 	}
 	m.LastReply = now
 	m.RecordUnsolicited(heartbeat, fresh, now)
+	s.settleDoubtLocked(m, now)
 	if fresh {
 		reply.Commands = append(reply.Commands, m.ReplyCommands(reply.FencingToken)...)
 		s.logForgets(m, reply.FencingToken, reply.Commands)
@@ -58,10 +59,7 @@
 	}
 	// The heartbeat is late or a duplicate: the worker drops the reply, which must not
 	// carry commands that are meant for the worker's current state. Or the worker has
-	// restarted, and its numbers start over. A probe shows which.
-	if !m.ProbedRecently(now) {
-		s.probeLocked(m, now)
-	}
+	// restarted, and its numbers start over.
 	return reply
 }
 
--- a/internal/scheduler/machinewatch.go
+++ b/internal/scheduler/machinewatch.go
@@ -43,6 +43,7 @@
 	returned := map[autoscale.ReturnReason][]*machine{}
 	for _, m := range s.machines {
 		s.probeIfDueLocked(m, now)
+		s.settleDoubtLocked(m, now)
 		s.fenceRestartLocked(m, token)
 		s.expireLeaseIfDueLocked(m, now)
 		if reason := s.returnReasonLocked(m, assessment, now); reason != autoscale.ReasonNone {
@@ -80,15 +81,17 @@
 }
 
 // expireLeaseIfDueLocked settles the attempts on a machine once the lease of its
-// silent worker has provably expired. That proves nothing while a restart is pending: the
-// worker may reach incarnations again that commands from before the restart are for.
+// silent worker has provably expired.
 func (s *Scheduler) expireLeaseIfDueLocked(m *machine, now time.Time) {
-	if m.ActiveCount() == 0 || m.RestartPending() || !s.detector.Suspected(&m.Worker, now) {
+	if m.ActiveCount() == 0 || !s.detector.Suspected(&m.Worker, now) {
 		return
 	}
 	if expiry, ok := s.leaseExpiryLocked(m); ok && !now.Before(expiry) {
-		s.log.Info("lease expired", "machine", m.Name, "tasks", m.ActiveCount())
-		s.handleEventsLocked(m, m.MarkLeaseExpired())
+		tasks := m.ActiveCount()
+		if events := m.MarkLeaseExpired(); len(events) > 0 {
+			s.log.Info("lease expired", "machine", m.Name, "tasks", tasks, "left", m.ActiveCount())
+			s.handleEventsLocked(m, events)
+		}
 	}
 }
 
--- a/internal/scheduler/restarts.go
+++ b/internal/scheduler/restarts.go
@@ -21,6 +21,14 @@
 	s.incrementTokenLocked(now)
 }
 
+// settleDoubtLocked probes a worker if there is a doubt whether it has restarted. The
+// answer shows that.
+func (s *Scheduler) settleDoubtLocked(m *machine, now time.Time) {
+	if m.Doubted() && !m.RestartPending() && !m.ProbedRecently(now) && s.probeRate.Allow() {
+		s.probeLocked(m, now)
+	}
+}
+
 // fenceRestartLocked sends the worker of a machine with a pending restart the fencing
 // token that ends it, once that token is issued.
 func (s *Scheduler) fenceRestartLocked(m *machine, token uint64) {
