--- a/review/world/world.go
+++ b/review/world/world.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -89,9 +91,21 @@
 	for range o.Workers {
 		w.Fleet.Add(false)
 	}
+	go w.closeOnSignal()
 	return w, nil
 }
 
+// closeOnSignal ends all controllers and this process if it is told to end, for example because
+// a script has taken too long. The case then counts as one that could not run.
+func (w *World) closeOnSignal() {
+	const cannotRun = 2
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	w.Close()
+	os.Exit(cannotRun)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Event writes a line with the time since the start to the record.
