--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -149,6 +149,7 @@
 		return epochClaim{}, false
 	}
 	next := c.epoch.next()
+	next.beginAssignment()
 	delete(next.Members, c.epoch.Leader) // the previous leader joins again once it answers heartbeats
 	next.Leader, next.Incarnation = c.opts.Node, c.incarnation
 	if next.Members[c.opts.Node].Incarnation != c.incarnation {
--- a/internal/cluster/epoch.go
+++ b/internal/cluster/epoch.go
@@ -19,6 +19,40 @@
 	// Teams maps each team to the member that owns it. A job whose team is not
 	// listed belongs to the member that its ID hashes to.
 	Teams map[string]string `json:"teams"`
+	// Assignment identifies the assignment that Leader, Members and Teams make up.
+	Assignment Assignment `json:"assignment,omitzero"`
+}
+
+// Assignment identifies an assignment of jobs and machines to members, which one or more
+// successive epochs share. Only its identity shows whether it has changed: between two
+// epochs with equal members and teams there may have been others in which another member
+// owned a team, placed its tasks and left. The controller that writes an epoch knows the
+// one before it, and so whether it begins a new assignment.
+type Assignment struct {
+	Token    uint64 `json:"token"`              // of the epoch that began the assignment
+	Version  uint64 `json:"version,omitempty"`  // of the epoch's key as of that epoch; the epoch itself cannot contain it
+	Previous uint64 `json:"previous,omitempty"` // Token of the assignment before this one; 0 if it is not known
+}
+
+// Succeeds reports whether no other assignment was in force between an earlier one and
+// this one.
+func (a Assignment) Succeeds(earlier Assignment) bool {
+	return a.Token == earlier.Token || a.Previous == earlier.Token
+}
+
+// assignmentAt returns the assignment of the epoch, whose key has the given version. An
+// epoch that does not name one was written by a version of the software that knows no
+// assignments. It may have changed anything, so it begins an assignment that succeeds no
+// known one.
+func (e *Epoch) assignmentAt(version uint64) Assignment {
+	a := e.Assignment
+	if a.Token == 0 {
+		a.Token = e.Token
+	}
+	if a.Token == e.Token {
+		a.Version = version
+	}
+	return a
 }
 
 // Member is a controller that runs a scheduler. A controller that joins again,
@@ -51,7 +85,13 @@
 	return best
 }
 
-// next returns a deep copy of the epoch with the token incremented.
+// beginAssignment makes a new epoch, returned by next, begin a new assignment.
+func (e *Epoch) beginAssignment() {
+	e.Assignment = Assignment{Token: e.Token, Previous: e.Assignment.Token}
+}
+
+// next returns a deep copy of the epoch with the token incremented. It has the same
+// assignment.
 func (e *Epoch) next() Epoch {
 	next := *e
 	next.Token++
@@ -79,7 +119,10 @@
 	for _, team := range teams {
 		owners[team] = longest
 	}
-	value, err := json.Marshal(Epoch{Token: math.MaxUint64, Leader: longest, Incarnation: math.MaxUint64, Members: members, Teams: owners})
+	value, err := json.Marshal(Epoch{
+		Token: math.MaxUint64, Leader: longest, Incarnation: math.MaxUint64, Members: members, Teams: owners,
+		Assignment: Assignment{Token: math.MaxUint64, Version: math.MaxUint64, Previous: math.MaxUint64},
+	})
 	if err != nil {
 		panic(err) // cannot happen: every Epoch can be encoded
 	}
--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -93,6 +93,7 @@
 		return nil
 	}
 	proposal := &epochProposal{next: c.epoch.next(), version: c.version}
+	proposal.next.beginAssignment()
 	now := time.Now()
 	changed := false
 	for _, p := range c.peers {
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -185,6 +185,7 @@
 func (c *Cluster) setEpochLocked(e Epoch, version uint64) {
 	wasMember, since := c.isMemberLocked(), c.epoch.Members[c.opts.Node].Since
 	sameSince := e.Members[c.opts.Node].Since == since
+	e.Assignment = e.assignmentAt(version)
 	if e.Token > c.epoch.Token {
 		c.resetConfirmationsLocked(wasMember && sameSince)
 	}
--- a/internal/scheduler/epoch.go
+++ b/internal/scheduler/epoch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"heronwick/internal/cluster"
@@ -17,20 +16,10 @@
 // recorded under another.
 type epochState struct {
 	cluster.Epoch
-	condition wire.Condition
-	// assigned and assignedToken are the condition and the token of the epoch with the
-	// last new shard assignment. The fencing token may have been incremented since,
-	// which changes no owner.
-	assigned      wire.Condition
-	assignedToken uint64
+	condition     wire.Condition
 	incrementedAt time.Time // when the token was last incremented
 }
 
-// sameAssignment reports whether two epochs have the same shard assignment.
-func sameAssignment(a, b *cluster.Epoch) bool {
-	return a.Leader == b.Leader && a.Incarnation == b.Incarnation && maps.Equal(a.Members, b.Members) && maps.Equal(a.Teams, b.Teams)
-}
-
 // ownsJobLocked reports whether the scheduler owns a job in its epoch.
 func (s *Scheduler) ownsJobLocked(j *wire.Job) bool {
 	return s.epoch.OwnerOf(j.Team, j.ID) == s.opts.Node
@@ -53,8 +42,12 @@
 	if !owners.Fresh {
 		return // a transfer of the previous epoch may be missing; the watch will deliver it
 	}
-	if s.loaded && epoch.Token != s.epoch.Token && sameAssignment(epoch, &s.epoch.Epoch) {
+	switch {
+	case !s.loaded || epoch.Token == s.epoch.Token:
+	case epoch.Assignment == s.epoch.Assignment:
 		s.applyIncrementedTokenLocked(view)
+	default:
+		s.dropLostJobsLocked(epoch)
 	}
 	if epoch.Leader != s.opts.Node {
 		owners.Orphans = nil // only the leader adopts them
@@ -117,7 +110,7 @@
 // under its current shard assignment. In that case no other scheduler can have placed
 // tasks of the job, so the records need not be read for it.
 func (s *Scheduler) acceptedInEpochLocked(record *job.Record) bool {
-	return s.loaded && record.Version > s.epoch.assigned.Version
+	return s.loaded && record.Version > s.epoch.Assignment.Version
 }
 
 // becomesLeaderLocked reports whether this controller leads in an epoch but not in
@@ -131,19 +124,18 @@
 	if s.becomesLeaderLocked(&view.Epoch) {
 		s.leaderSince = time.Now()
 	}
-	if !s.loaded || !sameAssignment(&view.Epoch, &s.epoch.Epoch) {
-		s.epoch.assigned, s.epoch.assignedToken = view.Condition, view.Epoch.Token
-	}
 	s.epoch.Epoch, s.epoch.condition, s.epoch.incrementedAt = view.Epoch, view.Condition, time.Now()
 }
 
-// dropLostJobsLocked removes the jobs that other schedulers own in an epoch. Their
-// attempts on this scheduler's machines become hosted attempts; an attempt that is
-// not recorded yet never starts.
+// dropLostJobsLocked removes the jobs that other schedulers own in an epoch, or may have
+// owned since the scheduler's epoch: all jobs if the scheduler has not followed the
+// assignment before the epoch's. Their attempts on this scheduler's machines become hosted
+// attempts; an attempt that is not recorded yet never starts.
 func (s *Scheduler) dropLostJobsLocked(epoch *cluster.Epoch) {
+	followed := epoch.Assignment.Succeeds(s.epoch.Assignment)
 	lost := map[string]bool{}
 	for id, queued := range s.jobs {
-		if epoch.OwnerOf(queued.Record.Job.Team, id) == s.opts.Node {
+		if followed && epoch.OwnerOf(queued.Record.Job.Team, id) == s.opts.Node {
 			continue
 		}
 		lost[id] = true
--- a/internal/scheduler/fakes_test.go
+++ b/internal/scheduler/fakes_test.go
@@ -44,6 +44,7 @@
 	latency       time.Duration     // scheduling latency
 }
 
+// View returns the epoch. A test that increments only its token changes no assignment.
 func (p *fakeEnvironment) View() cluster.View {
 	return cluster.View{Epoch: p.epoch, Condition: wire.Condition{Key: "epoch", Version: p.epoch.Token}}
 }
@@ -141,6 +142,8 @@
 		Token: 5, Leader: "me",
 		Members: map[string]cluster.Member{"me": {Incarnation: 1, Since: 3}, "peer": {Incarnation: 2, Since: 4}},
 		Teams:   map[string]string{"ours": "me", "theirs": "peer"},
+		// The version of the key equals the token in all epochs here, see View.
+		Assignment: cluster.Assignment{Token: 5, Version: 5, Previous: 4},
 	}}
 	s := New(Options{
 		Node: "me", Authority: p, Workers: p, Jobs: p, Committer: p, TxnLimits: state.NewTxnLimits(maxTxnOps, slog.New(slog.DiscardHandler)), Records: p, PlaceRequests: &remote.RequestHistory{}, Actions: unfencedActions(),
@@ -160,6 +163,13 @@
 	return s, p, m
 }
 
+// beginAssignment changes the epoch to the next one, which begins a new assignment.
+func (p *fakeEnvironment) beginAssignment(change func(e *cluster.Epoch)) {
+	p.epoch.Token++
+	p.epoch.Assignment = cluster.Assignment{Token: p.epoch.Token, Version: p.epoch.Token, Previous: p.epoch.Assignment.Token}
+	change(&p.epoch)
+}
+
 // add adds an active array job and returns its record.
 func (p *fakeEnvironment) add(id, team string, priority wire.Priority, tasks int, cpus float64) *job.Record {
 	r := &job.Record{Job: wire.Job{ID: id, Team: team, Kind: wire.KindArray, Priority: priority, Tasks: tasks, CPUs: cpus, Image: "i"}, Version: 1}
--- a/internal/scheduler/hostedattempts.go
+++ b/internal/scheduler/hostedattempts.go
@@ -81,7 +81,7 @@
 // reply is that they are not here.
 func (s *Scheduler) dropStaleHostedLocked(m *machine) {
 	for _, a := range m.Attempts.All() {
-		if a.Hosted && !a.Recorded && a.Epoch < s.epoch.assignedToken {
+		if a.Hosted && !a.Recorded && a.Epoch < s.epoch.Assignment.Token {
 			m.Attempts.Delete(a.Key)
 		}
 	}
--- a/internal/scheduler/hosting.go
+++ b/internal/scheduler/hosting.go
@@ -46,7 +46,7 @@
 // mayHostLocked reports whether this scheduler may place tasks for the sender of a
 // request: both must have the same assignment of jobs and machines to controllers.
 func (s *Scheduler) mayHostLocked(req *peerpb.PlaceRequest) bool {
-	return s.loaded && s.permitted() && req.Token <= s.epoch.Token && req.Token >= s.epoch.assignedToken &&
+	return s.loaded && s.permitted() && req.Token <= s.epoch.Token && req.Token >= s.epoch.Assignment.Token &&
 		s.opts.Authority.Token() == s.epoch.Token
 }
 
--- a/internal/scheduler/rebuild.go
+++ b/internal/scheduler/rebuild.go
@@ -9,14 +9,14 @@
 	"heronwick/internal/recovery"
 )
 
-// rebuild adapts the scheduler to a new epoch. It drops jobs that the scheduler no
-// longer owns, adopts machines without an owner, and reads from the records which
+// rebuild adapts the scheduler, which has dropped the jobs that it no longer owns, to a
+// new epoch. It adopts machines without an owner, and reads from the records which
 // attempts may be on which machines before any task of the gained jobs is placed.
 func (s *Scheduler) rebuild(ctx context.Context, view cluster.View, gained []*job.Record, adopt []string) {
 	epoch := &view.Epoch
 	var records recovery.Records
 	var err error
-	if s.beginRebuild(epoch) || len(adopt) > 0 || len(gained) > 0 {
+	if s.needsRecords(epoch) || len(adopt) > 0 || len(gained) > 0 {
 		records, err = recovery.Read(ctx, s.opts.Records, s.opts.Jobs)
 	}
 
@@ -41,16 +41,13 @@
 	}
 }
 
-// beginRebuild drops the jobs that the scheduler does not own in an epoch, and
-// reports whether the records must be read even if it gains no jobs or machines. A
-// new leader must read them because it also takes over what the previous leader owned
-// without a transfer being written.
-func (s *Scheduler) beginRebuild(epoch *cluster.Epoch) (needsRecords bool) {
+// needsRecords reports whether the records must be read for a rebuild even if the
+// scheduler gains no jobs or machines. A new leader must read them because it also takes
+// over what the previous leader owned without a transfer being written.
+func (s *Scheduler) needsRecords(epoch *cluster.Epoch) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	needsRecords = !s.loaded || s.becomesLeaderLocked(epoch) || s.gainsLimitLocked(epoch)
-	s.dropLostJobsLocked(epoch)
-	return needsRecords
+	return !s.loaded || s.becomesLeaderLocked(epoch) || s.gainsLimitLocked(epoch)
 }
 
 // restoreLocked adds the jobs that the scheduler gains, and restores from the records
@@ -108,8 +105,9 @@
 // of a team in an epoch. All tasks of the team that may still run count against the
 // limit, including those of ended jobs.
 func (s *Scheduler) gainsLimitLocked(epoch *cluster.Epoch) bool {
+	followed := epoch.Assignment.Succeeds(s.epoch.Assignment)
 	for name := range s.teams.Limited() {
-		if epoch.Teams[name] == s.opts.Node && s.epoch.Teams[name] != s.opts.Node {
+		if epoch.Teams[name] == s.opts.Node && !(followed && s.epoch.Teams[name] == s.opts.Node) {
 			return true
 		}
 	}
