--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -20,6 +20,9 @@
 const (
 	// Outdated means that the heartbeat was ignored.
 	Outdated Result = iota
+	// Overtaken means that the heartbeat was ignored, since the response to a later direct
+	// request has arrived before it, but that it is no copy: the worker awaits the reply.
+	Overtaken
 	// Applied means that the heartbeat was newer than what was known.
 	Applied
 	// Restarted means that the heartbeat shows a restart of the worker. The caller must
@@ -44,8 +47,7 @@
 
 func (m *Machine) apply(h *wire.Heartbeat, from source, now time.Time) ([]Event, Result) {
 	if m.outdated(h) {
-		m.applyOutdated(h, from, now)
-		return nil, Outdated
+		return nil, m.applyOutdated(h, from, now)
 	}
 	if m.RestartPending() {
 		m.endRestart(h, now)
@@ -80,17 +82,19 @@
 }
 
 // applyOutdated keeps what an outdated heartbeat nevertheless shows.
-func (m *Machine) applyOutdated(h *wire.Heartbeat, from source, now time.Time) {
+func (m *Machine) applyOutdated(h *wire.Heartbeat, from source, now time.Time) Result {
 	if from == response {
 		if m.RestartPending() {
 			m.followRestarted(h, now)
 		}
-		return
-	}
-	if !m.RestartPending() && m.overtaken(h) {
-		m.HeartbeatSeq = h.Seq
+		return Outdated
 	}
 	m.raiseDoubt(h.Incarnation, now)
+	if m.RestartPending() || !m.overtaken(h) {
+		return Outdated
+	}
+	m.HeartbeatSeq = h.Seq
+	return Overtaken
 }
 
 // beginIncarnation handles the first heartbeat of an incarnation.
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -42,7 +42,7 @@
 // commands for the worker to the reply. It returns nil if the worker's lease must
 // expire.
 func (s *Scheduler) replyLocked(m *machine, heartbeat *wire.Heartbeat, reply *wire.HeartbeatReply, now time.Time) *wire.HeartbeatReply {
-	fresh := s.applyHeartbeatLocked(m, heartbeat)
+	awaited := s.applyHeartbeatLocked(m, heartbeat)
 	if m.RestartPending() {
 		return s.replyRestartedLocked(m, heartbeat, reply, now)
 	}
@@ -50,9 +50,9 @@
 		return nil
 	}
 	m.LastReply = now
-	m.RecordUnsolicited(heartbeat, fresh, now)
+	m.RecordUnsolicited(heartbeat, awaited, now)
 	s.settleDoubtLocked(m, now)
-	if fresh {
+	if awaited {
 		reply.Commands = append(reply.Commands, m.ReplyCommands(reply.FencingToken)...)
 		s.logForgets(m, reply.FencingToken, reply.Commands)
 		return reply
@@ -157,31 +157,31 @@
 	return stops
 }
 
-// applyHeartbeatLocked applies an unsolicited heartbeat. It reports whether the heartbeat
-// was newer than the known state of the worker, which has not restarted since.
+// applyHeartbeatLocked applies an unsolicited heartbeat. It reports whether the worker, which
+// has not restarted, awaits the reply.
 func (s *Scheduler) applyHeartbeatLocked(m *machine, heartbeat *wire.Heartbeat) bool {
 	if s.machines[m.Name] != m || heartbeat.Machine != m.Name {
 		return false
 	}
 	events, result := m.ApplyHeartbeat(heartbeat, time.Now())
-	return s.handleResultLocked(m, heartbeat, events, result)
+	s.handleResultLocked(m, heartbeat, events, result)
+	return result == fleet.Applied || result == fleet.Overtaken
 }
 
 // applyResponseLocked applies the heartbeat in the response to a direct request, which was
-// sent when the worker was known to be at a position. It reports the same as
-// applyHeartbeatLocked.
-func (s *Scheduler) applyResponseLocked(m *machine, heartbeat *wire.Heartbeat, sent fleet.Position) bool {
+// sent when the worker was known to be at a position.
+func (s *Scheduler) applyResponseLocked(m *machine, heartbeat *wire.Heartbeat, sent fleet.Position) {
 	if s.machines[m.Name] != m || heartbeat.Machine != m.Name {
-		return false
+		return
 	}
 	events, result := m.ApplyResponse(heartbeat, sent, time.Now())
-	return s.handleResultLocked(m, heartbeat, events, result)
+	s.handleResultLocked(m, heartbeat, events, result)
 }
 
 // handleResultLocked handles what a heartbeat has shown.
-func (s *Scheduler) handleResultLocked(m *machine, heartbeat *wire.Heartbeat, events []fleet.Event, result fleet.Result) bool {
-	if result == fleet.Outdated {
-		return false
+func (s *Scheduler) handleResultLocked(m *machine, heartbeat *wire.Heartbeat, events []fleet.Event, result fleet.Result) {
+	if result == fleet.Outdated || result == fleet.Overtaken {
+		return
 	}
 	m.MarkAlive()
 	if m.Type == nil {
@@ -197,7 +197,6 @@
 	if s.needsDirectCommandLocked(m) {
 		s.sendCommandsLocked(m)
 	}
-	return result == fleet.Applied
 }
 
 // handleEventsLocked applies the changes to attempts on a machine that follow from a
