--- a/cmd/heronwick/jobs_test.go
+++ b/cmd/heronwick/jobs_test.go
@@ -96,17 +96,19 @@
 	})
 }
 
-// Guards against a task that starts because its start command is delivered only after
-// its job was cancelled: the worker must reject the command, because the fencing token has
-// been incremented since.
+// Guards against a task that starts because commands reach its worker only after its job was
+// cancelled: no direct command starts it, and no reply does any more.
 func TestCancelWithLateStart(t *testing.T) {
 	withCluster(t, 1, nil, func(tc *testCluster) {
 		tc.fleet.HoldCommands(machineName(1), true)
+		tc.fleet.DropHeartbeats(machineName(1), true)
+		time.Sleep(time.Second) // until no reply is held
 		tc.expectAccepted(0, 1)
 		time.Sleep(100 * time.Millisecond)
 		tc.expectCancel(1, 1, wire.JobCancelled)
 		time.Sleep(10 * time.Second)
 		tc.fleet.HoldCommands(machineName(1), false)
+		tc.fleet.DropHeartbeats(machineName(1), false)
 		time.Sleep(3 * time.Second)
 		tc.expectStarts(taskID(1, 0), 0)
 		tc.expectStateEverywhere(1, wire.JobCancelled)
--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -56,16 +56,12 @@
 	lastSeenHeartbeat uint64 // Machine.heartbeatsApplied at the last heartbeat that showed the attempt
 	beforeRestart     bool   // only heartbeats from before the last restart of the worker have shown the attempt
 	forgetSent        bool   // the worker was told to forget the attempt
-	starts            sentStarts
+	start             sentStart
 }
 
 // Exited reports whether a heartbeat has shown that the attempt exited.
 func (a *Attempt) Exited() bool { return a.State == wire.TaskExited }
 
-// lastIncarnation returns the latest incarnation of the worker in which the attempt may run
-// or start.
-func (a *Attempt) lastIncarnation() uint64 { return max(a.incarnation, a.starts.maxDirectIncarnation) }
-
 // SetJobDetails copies the details of the job that the attempt needs, and sets the rank
 // of the job's priority.
 func (a *Attempt) SetJobDetails(j *wire.Job, rank int) {
@@ -115,5 +111,5 @@
 
 // NeverSent reports whether the start of the attempt has never been sent to a worker.
 func (a *Attempt) NeverSent() bool {
-	return a.State == "" && !a.RestoredFromRecord && a.starts.none()
+	return a.State == "" && !a.RestoredFromRecord && !a.start.sent
 }
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -59,16 +59,16 @@
 		m.HeartbeatSeq = h.Seq
 	}
 	m.applyHeader(h, now)
+	m.recordRequests(h.Tasks)
 	var changes changes
 	for _, status := range h.Tasks {
 		m.applyTaskStatus(&changes, status, now)
 	}
-	changes.restarted = changes.restarted || m.missesAttempt()
-	changes.events = append(changes.events, m.removeLost(m.provenGone)...)
-	if changes.restarted {
+	if changes.restarted || m.missesAttempt() {
+		// The heartbeat may be from before the restart, so what it does not show is not gone.
 		return changes.events, Restarted
 	}
-	return changes.events, Applied
+	return append(changes.events, m.removeLost(m.provenGone)...), Applied
 }
 
 // changes is what a heartbeat has changed.
@@ -97,6 +97,12 @@
 	return Overtaken
 }
 
+// IsNewest reports whether a heartbeat is the newest unsolicited one of the worker, which has
+// not restarted since.
+func (m *Machine) IsNewest(h *wire.Heartbeat) bool {
+	return !m.RestartPending() && h.Incarnation == m.Incarnation && h.Seq == m.HeartbeatSeq
+}
+
 // beginIncarnation handles the first heartbeat of an incarnation.
 func (m *Machine) beginIncarnation(from source, now time.Time) {
 	m.IncarnationSeenAt, m.HeartbeatSeq = now, 0
@@ -193,11 +199,11 @@
 	switch {
 	case a.lastSeenHeartbeat == m.heartbeatsApplied || m.Doubted():
 		return unproven
-	case a.lastIncarnation() < m.Incarnation:
+	case a.incarnation < m.Incarnation:
 		return NewIncarnation // the lease of its incarnation expired, and the worker stopped its tasks
 	case a.State == "" && !a.Stop && !a.RestoredFromRecord:
 		return unproven // its start will be sent again
-	case a.starts.mayArrive(m.HeartbeatSeq, m.FencingToken):
+	case a.start.mayArrive(m.HeartbeatSeq, m.FencingToken):
 		return unproven
 	case a.beforeRestart:
 		return RestartFenced
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -34,6 +34,8 @@
 	restartFence       uint64 // lowest fencing token that ends the last restart of the worker that was detected; 0 if there was none
 	doubt              doubt
 	heartbeatsApplied  uint64 // number of heartbeats applied
+	heartbeatDue       bool   // a heartbeat was requested since the last reply, or that reply contained starts
+	refusedRequests    []Key  // heartbeat requests that the newest heartbeat shows
 }
 
 // NewMachine returns a machine without attempts.
@@ -121,7 +123,7 @@
 	}
 	m.expiredIncarnation = max(m.expiredIncarnation, ended)
 	return m.removeLost(func(a *Attempt) Evidence {
-		if a.lastIncarnation() <= ended {
+		if a.incarnation <= ended {
 			return LeaseExpired
 		}
 		return unproven
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -171,9 +171,8 @@
 			continue // heronwick writes no record with such a task ID
 		}
 		key := Key{task, attempt}
-		// An earlier leader may have sent the start directly, under any earlier token.
 		m.Attempts.Put(&Attempt{Key: key, Job: job, Index: index, Recorded: true,
-			PlacedAt: now, RestoredFromRecord: true, starts: sentStarts{maxDirectToken: token - 1}})
+			PlacedAt: now, RestoredFromRecord: true, start: sentBefore(token)})
 	}
 	// A record with a higher incarnation may be the older one, if the worker has restarted
 	// between the two. Only an incarnation above those of all records is a newer one.
--- a/internal/fleet/restart.go
+++ b/internal/fleet/restart.go
@@ -8,8 +8,8 @@
 
 // A worker that has restarted is another worker. Its tasks are gone, it counts
 // incarnations and sequence numbers from the beginning, and it has seen no fencing token.
-// So it executes direct commands from before the restart, if they arrive late or again,
-// until it has seen a higher token than theirs.
+// So it executes direct commands from before the restart, if they arrive late or again; none
+// of them starts a task, see sentStart.
 //
 // Its numbers may reach those from before the restart and pass them, so comparing them
 // does not show which of two heartbeats is the later one. What shows that cannot be
@@ -28,8 +28,7 @@
 //   - A fencing token that was issued after the restart was detected cannot be in a
 //     heartbeat from before the restart. Until the worker shows one, the restart is
 //     pending: its heartbeats prove nothing about the attempts, no matter what their
-//     numbers are, and it gets no commands. Once it shows one, it also rejects all
-//     commands from before the restart, so what it does not have is gone.
+//     numbers are, and it gets no commands. What it does not have once it shows one is gone.
 
 // Position is what is known of a worker when a direct request is sent to it.
 type Position struct {
--- a/internal/scheduler/checkpoints.go
+++ b/internal/scheduler/checkpoints.go
@@ -96,7 +96,7 @@
 // AttemptsRecorded implements checkpoint.Scheduler.
 func (s checkpointScheduler) AttemptsRecorded(m *checkpoint.Machine) {
 	if owned := s.owned(m); owned != nil {
-		s.sendCommandsLocked(owned)
+		s.sendStartsLocked(owned)
 	}
 }
 
--- a/internal/scheduler/commands.go
+++ b/internal/scheduler/commands.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"time"
 
-	"heronwick/internal/fleet"
 	"heronwick/wire"
 )
 
@@ -23,7 +21,7 @@
 }
 
 // logForgets logs which attempts a worker is told to forget, and the fencing token under
-// which it is told. Once it has seen that token, it rejects copies of their starts.
+// which it is told.
 func (s *Scheduler) logForgets(m *machine, token uint64, commands []wire.Command) {
 	if !s.log.Enabled(s.ctx, slog.LevelDebug) {
 		return
@@ -47,9 +45,9 @@
 	return false
 }
 
-// sendCommandsLocked sends a worker its pending commands without waiting for its next
-// heartbeat. Only one request is in flight at a time; commands that become due meanwhile
-// are sent after it.
+// sendCommandsLocked sends a worker its pending commands, or for starts a request for a
+// heartbeat, without waiting for its next heartbeat. Only one request is in flight at a time;
+// commands that become due meanwhile are sent after it.
 func (s *Scheduler) sendCommandsLocked(m *machine) {
 	if m.commandPending {
 		m.commandQueued = true
@@ -71,8 +69,8 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		m.commandPending = false
-		m.DirectRequestDone(req, !errors.Is(err, fleet.ErrNoSocket))
 		if !s.recordAnswerLocked(m, err) {
+			m.DirectRequestFailed()
 			m.commandQueued = false
 			return
 		}
--- a/internal/scheduler/epoch.go
+++ b/internal/scheduler/epoch.go
@@ -16,8 +16,7 @@
 // recorded under another.
 type epochState struct {
 	cluster.Epoch
-	condition     wire.Condition
-	incrementedAt time.Time // when the token was last incremented
+	condition wire.Condition
 }
 
 // ownsJobLocked reports whether the scheduler owns a job in its epoch.
@@ -67,7 +66,7 @@
 	if s.adoptedToken == s.epoch.Token {
 		s.adoptedToken = view.Epoch.Token
 	}
-	s.epoch.Epoch, s.epoch.condition, s.epoch.incrementedAt = view.Epoch, view.Condition, time.Now()
+	s.epoch.Epoch, s.epoch.condition = view.Epoch, view.Condition
 }
 
 // machinesToAdoptLocked returns the machines, owned by this scheduler or without an
@@ -124,7 +123,7 @@
 	if s.becomesLeaderLocked(&view.Epoch) {
 		s.leaderSince = time.Now()
 	}
-	s.epoch.Epoch, s.epoch.condition, s.epoch.incrementedAt = view.Epoch, view.Condition, time.Now()
+	s.epoch.Epoch, s.epoch.condition = view.Epoch, view.Condition
 }
 
 // dropLostJobsLocked removes the jobs that other schedulers own in an epoch, or may have
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -136,6 +136,7 @@
 		batch.records[m.Name] = record
 		s.packer.Open.Close(m.packing)
 		s.checkpoints.RemoveMachine(&m.record)
+		m.releaseReply()
 		delete(s.machines, m.Name)
 		s.transfers.BeginMove(m.Name)
 	}
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -9,28 +9,29 @@
 )
 
 // HandleHeartbeat applies a worker's heartbeat and returns the reply, or nil if this
-// scheduler must not answer the worker.
+// scheduler must not answer the worker. It may wait for starts to include in the reply.
 func (s *Scheduler) HandleHeartbeat(heartbeat *wire.Heartbeat) *wire.HeartbeatReply {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	token, permitted := s.opts.Authority.FencingToken()
-	if !permitted {
+	token, ok := s.replyTokenLocked(heartbeat.Machine)
+	if !ok {
 		return nil
 	}
-	if node, owned := s.opts.Authority.HeartbeatTarget(heartbeat.Machine); owned && node != s.opts.Node {
-		return nil // handed over, though this scheduler may not have applied that yet
-	}
 	m, adopting := s.machines[heartbeat.Machine], false
 	if m == nil {
 		m, adopting = s.admitMachineLocked(heartbeat, now)
 	}
-	reply := &wire.HeartbeatReply{FencingToken: token, Commands: []wire.Command{}}
 	switch {
 	case m != nil:
-		return s.replyLocked(m, heartbeat, reply, now)
+		awaited := s.receiveLocked(m, heartbeat)
+		token, ok = s.replyTokenLocked(heartbeat.Machine)
+		if !ok || s.machines[heartbeat.Machine] != m {
+			return nil // the right to answer was lost while the reply was held
+		}
+		return s.replyLocked(m, heartbeat, awaited, newReply(token))
 	case adopting:
-		return s.replyUnadoptedLocked(heartbeat, reply, now)
+		return s.replyUnadoptedLocked(heartbeat, newReply(token), now)
 	default:
 		// Answering the worker of another controller's machine would renew a lease that the
 		// machine's owner considers expired.
@@ -38,11 +39,37 @@
 	}
 }
 
-// replyLocked applies a heartbeat of one of the scheduler's machines and adds the
-// commands for the worker to the reply. It returns nil if the worker's lease must
-// expire.
-func (s *Scheduler) replyLocked(m *machine, heartbeat *wire.Heartbeat, reply *wire.HeartbeatReply, now time.Time) *wire.HeartbeatReply {
-	awaited := s.applyHeartbeatLocked(m, heartbeat)
+// replyTokenLocked returns the fencing token under which the worker of a machine may be
+// answered now. ok is false if this scheduler may not answer it.
+func (s *Scheduler) replyTokenLocked(machine string) (token uint64, ok bool) {
+	if node, owned := s.opts.Authority.HeartbeatTarget(machine); owned && node != s.opts.Node {
+		return 0, false // handed over, though this scheduler may not have applied that yet
+	}
+	return s.opts.Authority.FencingToken()
+}
+
+// newReply returns a reply without commands.
+func newReply(token uint64) *wire.HeartbeatReply {
+	return &wire.HeartbeatReply{FencingToken: token, Commands: []wire.Command{}}
+}
+
+// receiveLocked applies a heartbeat of one of the scheduler's machines. If the machine may
+// get starts, it waits for them for a short time. It reports whether the worker still
+// awaits the reply then, as far as known.
+func (s *Scheduler) receiveLocked(m *machine, heartbeat *wire.Heartbeat) (awaited bool) {
+	if !s.applyHeartbeatLocked(m, heartbeat) {
+		return false
+	}
+	if s.awaitsStartsLocked(m) {
+		s.holdReplyLocked(m)
+	}
+	return m.IsNewest(heartbeat)
+}
+
+// replyLocked completes the reply to the worker of one of the scheduler's machines: it adds
+// the commands if the worker awaits the reply. It returns nil if the worker's lease must expire.
+func (s *Scheduler) replyLocked(m *machine, heartbeat *wire.Heartbeat, awaited bool, reply *wire.HeartbeatReply) *wire.HeartbeatReply {
+	now := time.Now()
 	if m.RestartPending() {
 		return s.replyRestartedLocked(m, heartbeat, reply, now)
 	}
@@ -55,10 +82,9 @@
 	if awaited {
 		reply.Commands = append(reply.Commands, m.ReplyCommands(reply.FencingToken)...)
 		s.logForgets(m, reply.FencingToken, reply.Commands)
-		return reply
 	}
-	// The heartbeat is late or a duplicate: the worker drops the reply, which must not
-	// carry commands that are meant for the worker's current state. Or the worker has
+	// Otherwise the heartbeat is late or a duplicate: the worker drops the reply, which must
+	// not carry commands that are meant for the worker's current state. Or the worker has
 	// restarted, and its numbers start over.
 	return reply
 }
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -21,6 +21,8 @@
 	commandPending bool // a direct command is in flight
 	commandQueued  bool // another direct command is sent after it
 
+	heldReply chan struct{} // closing it lets a reply go that waits for starts; nil if none waits
+
 	idleSince      time.Time       // when its last task ended
 	placeNotBefore time.Time       // no placements before this time, since its worker refused a start
 	failedJobs     map[string]bool // jobs that have failed on it since a task last succeeded there
@@ -44,7 +46,7 @@
 		Worker: detector.NewWorker(fleetMachine, now), record: checkpoint.Machine{Machine: fleetMachine},
 		failedJobs: map[string]bool{}, idleSince: now,
 	}
-	m.packing = packing.NewMachine(fleetMachine, func(now time.Time) bool { return s.acceptsLocked(m, now) })
+	m.packing = packing.NewMachine(fleetMachine, func(now time.Time) bool { return s.acceptsLocked(m, now) && m.getsReplies() })
 	m.Type = s.types[m.TypeName]
 	m.syncToken, m.fenceToken = s.epoch.Token, s.epoch.Token
 	m.returnIntent = s.opts.Actions.HasReturnIntent(m.Name)
@@ -81,6 +83,11 @@
 		!s.detector.HeartbeatsMissing(&m.Worker, now)
 }
 
+// getsReplies reports whether the worker sends its heartbeats to this scheduler, as far as
+// known, so that starts reach it soon. After a takeover, a worker may wait for the reply of the
+// previous owner for some seconds; one whose machine was handed over is redirected at once.
+func (m *machine) getsReplies() bool { return m.HeartbeatSeq > 0 || m.syncToken == 0 }
+
 // usableLocked reports whether the machine accepts new tasks and its free capacity is
 // known.
 func (s *Scheduler) usableLocked(m *machine, now time.Time) bool {
@@ -138,6 +145,7 @@
 	s.handleEventsLocked(m, m.MarkReleased())
 	s.packer.Open.Close(m.packing)
 	s.checkpoints.RemoveMachine(&m.record)
+	m.releaseReply()
 	delete(s.machines, m.Name)
 	if _, named := s.opts.Authority.OwnerOf(m.Name); named {
 		// A controller that takes over this scheduler's machines must not expect this one
--- a/internal/scheduler/machinewatch.go
+++ b/internal/scheduler/machinewatch.go
@@ -12,11 +12,6 @@
 	// electionSettleTime is how long after an election workers still send heartbeats to
 	// controllers other than the leader, even workers that the leader reaches.
 	electionSettleTime = 10 * time.Second
-	// exitedAttemptsTokenAge is the time that must have passed since the token was last
-	// incremented before exited attempts that a worker cannot forget under it cause it to
-	// be incremented. Until then they lengthen the worker's heartbeats and keep an idle
-	// machine from being handed over.
-	exitedAttemptsTokenAge = 15 * time.Second
 	// overdueMargin is how long before the deadline of a cancelled task its machine is
 	// returned, if no lease expiry will prove the task gone in time.
 	overdueMargin = 3 * time.Second
@@ -29,8 +24,8 @@
 
 // watchMachinesLocked probes silent workers, settles the attempts of workers whose
 // leases have expired, returns failed machines, drains machines that are about to be
-// taken away or whose heartbeats are missing, and increments the fencing token if
-// attempts cannot be settled otherwise.
+// taken away or whose heartbeats are missing, and increments the fencing token for workers
+// that have restarted.
 func (s *Scheduler) watchMachinesLocked(now time.Time) {
 	if !s.loaded || !s.permitted() {
 		return
@@ -39,7 +34,6 @@
 	s.resignIfPartitionedLocked(assessment, now)
 	increment := false
 	token := s.opts.Authority.Token()
-	tokenAged := now.Sub(s.epoch.incrementedAt) > exitedAttemptsTokenAge
 	returned := map[autoscale.ReturnReason][]*machine{}
 	for _, m := range s.machines {
 		s.probeIfDueLocked(m, now)
@@ -52,7 +46,7 @@
 		if !m.ReclaimAt.IsZero() || assessment.HeartbeatsMissing(&m.Worker) {
 			s.drainLocked(m)
 		}
-		increment = increment || m.NeedsHigherFencingToken(token) || tokenAged && m.UnforgettableExits(token) > 0
+		increment = increment || m.NeedsHigherFencingToken(token)
 	}
 	for reason, machines := range returned {
 		s.returnLocked(machines, reason)
--- a/internal/scheduler/rebuild.go
+++ b/internal/scheduler/rebuild.go
@@ -107,7 +107,8 @@
 func (s *Scheduler) gainsLimitLocked(epoch *cluster.Epoch) bool {
 	followed := epoch.Assignment.Succeeds(s.epoch.Assignment)
 	for name := range s.teams.Limited() {
-		if epoch.Teams[name] == s.opts.Node && !(followed && s.epoch.Teams[name] == s.opts.Node) {
+		owned := followed && s.epoch.Teams[name] == s.opts.Node
+		if epoch.Teams[name] == s.opts.Node && !owned {
 			return true
 		}
 	}
--- a/internal/scheduler/restarts.go
+++ b/internal/scheduler/restarts.go
@@ -7,8 +7,8 @@
 )
 
 // beginRestartLocked handles the restart of a machine's worker, which a heartbeat has
-// shown. Commands from before the restart may still arrive, and the worker rejects them
-// once it has seen a higher fencing token. Until then nothing is placed on the machine,
+// shown. Heartbeats from before the restart may still arrive; none of them shows a fencing
+// token that was issued after it. Until the worker shows one, nothing is placed on the machine,
 // and what was on it is not placed elsewhere.
 func (s *Scheduler) beginRestartLocked(m *machine, heartbeat *wire.Heartbeat) {
 	now := time.Now()
@@ -17,6 +17,7 @@
 		"known_incarnation", m.Incarnation, "known_seq", m.Seq, "known_token", m.FencingToken,
 		"incarnation", heartbeat.Incarnation, "seq", heartbeat.Seq, "token", heartbeat.FencingToken)
 	m.BeginRestart(heartbeat, fence, now)
+	m.releaseReply()
 	m.packing.RoomChanged()
 	s.incrementTokenLocked(now)
 }
--- a/internal/standin/task.go
+++ b/internal/standin/task.go
@@ -39,10 +39,14 @@
 	w.wake()
 }
 
-// startLocked adds a task and starts to fetch its image.
+// startLocked adds a task and starts to fetch its image, or refuses a task without a job.
 func (w *Worker) startLocked(attempt string, command wire.Command) {
 	t := &task{TaskStatus: wire.TaskStatus{Task: command.Task, Attempt: command.Attempt, State: wire.TaskFetching}}
 	w.tasks[attempt] = t
+	if w.fleet.Checker.Job(t.Task) == nil {
+		t.State, t.Reason = wire.TaskExited, wire.ExitUnknown
+		return
+	}
 	t.timer = time.AfterFunc(w.fleet.ImageFetchTime, func() { w.imageFetched(t) })
 }
 
--- a/wire/ids.go
+++ b/wire/ids.go
@@ -27,3 +27,7 @@
 	}
 	return job, index, true
 }
+
+// NoTask is the ID of a task that cannot exist, since that of its job is not valid. Every
+// worker refuses to start it (ExitUnknown).
+const NoTask = "none/0"
