--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -150,8 +150,7 @@
 	if err != nil {
 		s.log.Info("failed to hand over machines", "peer", node, "err", err)
 	}
-	var conflict *state.Conflict
-	refused := errors.As(err, &conflict) || err != nil && ctx.Err() == nil
+	refused := err != nil && !errors.Is(err, state.ErrUnknown) && ctx.Err() == nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range batch.machines {
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -37,14 +37,10 @@
 	{"reports-late", onMachines(func(s *site, m string, on bool) { s.fleet.HoldHeartbeats(m, on) })},
 	{"links-slow", slowLinks},
 	{"commands-repeated", repeatCommands},
-	{RestartMachines, restartMachines},
+	{"restart-machines", restartMachines},
 	{"machine-gone", endMachine},
 }
 
-// RestartMachines is the trouble in which machines are back at once. A copy of a start that
-// reaches such a machine before its first report breaks rules, see KNOWN-RED.txt.
-const RestartMachines = "restart-machines"
-
 // Names returns the names of all kinds of faults.
 func Names() []string {
 	names := make([]string, len(troubles))
--- a/internal/state/failures.go
+++ b/internal/state/failures.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"reflect"
+	"time"
 )
 
 // keepRetryable returns the writes to retry after an attempt without a definite
@@ -108,10 +109,22 @@
 	return failed
 }
 
-// readBack determines whether an earlier attempt of w was carried out, by reading
-// the keys that w changes. If one of them does not have the value that w gives it,
-// the result is a Conflict on the failed keys.
+// readBack determines whether an earlier attempt of w was carried out, see readBackOnce. For
+// a write that is retried until it is answered, it reads until that shows.
 func (c *Committer) readBack(w *queuedWrite, failed []string) commitResult {
+	result := c.readBackOnce(w, failed)
+	for backoff := minBackoff; w.RetryUntilAnswered && errors.Is(result.err, ErrUnknown) && w.ctx.Err() == nil; {
+		time.Sleep(backoff)
+		backoff = min(2*backoff, maxBackoff)
+		result = c.readBackOnce(w, failed)
+	}
+	return result
+}
+
+// readBackOnce determines whether an earlier attempt of w was carried out, by reading
+// the keys that w changes. If one of them does not have the value that w gives it,
+// the result is a Conflict on the failed keys. It is ErrUnknown if a read fails.
+func (c *Committer) readBackOnce(w *queuedWrite, failed []string) commitResult {
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
 	var revision uint64
--- a/internal/state/failures_test.go
+++ b/internal/state/failures_test.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"heronwick/internal/standin"
@@ -58,6 +61,39 @@
 	})
 }
 
+// failingReads is a connection to the store on which the first reads of single keys fail.
+type failingReads struct {
+	state.Transport
+	failures int
+}
+
+// Do implements state.Transport.
+func (f *failingReads) Do(ctx context.Context, method, target string, body []byte) (state.Response, error) {
+	if method == http.MethodGet && strings.HasPrefix(target, wire.PathKeys+"/") && f.failures > 0 {
+		f.failures--
+		return state.Response{Status: http.StatusServiceUnavailable}, nil
+	}
+	return f.Transport.Do(ctx, method, target, body)
+}
+
+// Guards against a handover that counts as refused though it was written: its response is lost,
+// the retry conflicts with it, and the key cannot be read back at first. The machine then had
+// two owners.
+func TestRetriedWriteIsReadBackUntilAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := standin.NewState()
+		transport := &failingReads{service.Connect("a"), 2}
+		limits := usualLimits
+		client := state.NewClient(transport, state.NewBudget(limits.requests, limits.writes, limits.txnChanges), state.NewTxnLimits(limits.txnChanges, slog.New(slog.DiscardHandler)))
+		service.DropResponses(1)
+		w := put("k", 0, 1)
+		w.RetryUntilAnswered = true
+		if revision, err := state.NewCommitter(client).Commit(context.Background(), w); err != nil || revision != service.Version("k") || transport.failures > 0 {
+			t.Errorf("got revision %d and error %v with %d failures left, want %d and none", revision, err, transport.failures, service.Version("k"))
+		}
+	})
+}
+
 // A write without RetryUntilAnswered whose response is lost is retried once, since
 // the retry may use another path. A write with conditions only has nothing that the
 // first attempt could have carried out, so a failed condition is reported as a
