--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -79,10 +79,11 @@
 // call sends a user's request to a controller, which the checker observes.
 func (u *users) call(c *controller, method, path string, body []byte) (status int, job wire.JobStatus) {
 	u.site.checker.ObserveRequest(method, path, body)
+	sent := time.Now()
 	status, text := c.call(method, path, body, userTimeout)
 	_ = json.Unmarshal(text, &job) // not every response is a job's status
 	if status != 0 {
-		u.site.checker.ObserveResponse(path, body, status, job)
+		u.site.checker.ObserveResponseTo(sent, path, body, status, job)
 	}
 	return status, job
 }
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -64,6 +64,7 @@
 	accepted         bool
 	cancelRequested  bool
 	lastReported     wire.JobState   // in the last response to a user
+	finalReportedAt  time.Time       // when a response first reported a final state; zero if none did
 	cancelReportedAt time.Time       // when a response first reported the job as cancelled; zero if none did
 	done             map[string]bool // IDs of the tasks that are done
 	dependencies     []*trackedJob
