--- a/internal/standin/checker_responses.go
+++ b/internal/standin/checker_responses.go
@@ -98,9 +98,11 @@
 		return
 	}
 	j.accepted = true
+	if !state.Final() && sent.Before(j.finalReportedAt) {
+		return // the response may have been given before the job ended
+	}
 	if j.lastReported.Final() && state != j.lastReported {
-		c.recordViolationLocked(ruleWentBack, "%s was %s and is %s, in the response to a request that was sent %v after the other response",
-			id, j.lastReported, state, sent.Sub(j.finalReportedAt))
+		c.recordViolationLocked(ruleWentBack, "%s was %s and is %s", id, j.lastReported, state)
 	}
 	if state == wire.JobCancelled && !j.selfOrAnyDependency(wasCancelRequested) {
 		c.recordViolationLocked(ruleWentBack, "%s is cancelled without a request of a user", id)
--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -59,6 +59,11 @@
 	d.ObserveResponse(wire.PathJobs+"/"+id, nil, http.StatusOK, wire.JobStatus{ID: id, State: state})
 }
 
+// reportTo is report for the response to a request that was sent at a time.
+func (d driver) reportTo(sent time.Time, id string, state wire.JobState) {
+	d.ObserveResponseTo(sent, wire.PathJobs+"/"+id, nil, http.StatusOK, wire.JobStatus{ID: id, State: state})
+}
+
 // requestCancel sends a user's request to cancel a job, without a response.
 func (d driver) requestCancel(id string) {
 	d.ObserveRequest(http.MethodPost, wire.PathJobs+"/"+id+"/"+wire.SuffixCancel, nil)
@@ -157,6 +162,31 @@
 			d.cancel()
 			d.report(firstJob, wire.JobQueued)
 		}},
+		{"queued after cancelled, requested before", "", func(d driver) {
+			d.submit(firstJob, nil)
+			sent := time.Now()
+			time.Sleep(time.Second)
+			d.cancel()
+			d.reportTo(sent, firstJob, wire.JobQueued)
+		}},
+		{"done after cancelled, requested before", ruleWentBack, func(d driver) {
+			d.submit(firstJob, nil)
+			d.start(zoneA, firstJob, 0, 1)
+			d.end(firstJob, 0, true)
+			d.end(firstJob, 1, true)
+			sent := time.Now()
+			time.Sleep(time.Second)
+			d.cancel()
+			d.reportTo(sent, firstJob, wire.JobDone)
+		}},
+		{"queued, requested after cancelled and after an overlapping response", ruleWentBack, func(d driver) {
+			d.submit(firstJob, nil)
+			sent := time.Now()
+			time.Sleep(time.Second)
+			d.cancel()
+			d.reportTo(sent, firstJob, wire.JobQueued)
+			d.report(firstJob, wire.JobQueued)
+		}},
 		{"cancelled without a request", ruleWentBack, func(d driver) {
 			d.submit(firstJob, nil)
 			d.report(firstJob, wire.JobCancelled)
