--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -115,7 +115,7 @@
 // its lease is certain to have expired. Heartbeats of this incarnation that arrive later
 // were delayed and are ignored as outdated. If the worker has restarted, or may have, only
 // the incarnations up to the one that it was in since then have ended: it may reach the
-// later ones again, and commands for them.
+// later ones again, and starts in replies there.
 func (m *Machine) MarkLeaseExpired() []Event {
 	ended := m.Incarnation
 	if m.Doubted() {
