--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -56,6 +56,7 @@
 	rejectedNodes    map[string]bool
 	responseDelay    time.Duration
 	nodeDelays       map[string]time.Duration // further delays of responses, by node
+	watchDelays      map[watchKey]time.Duration
 	dropResponses    int                      // number of upcoming transactions whose responses are dropped
 	holdTransactions int                      // number of upcoming transactions that are held back
 	heldTransactions []wire.Txn
@@ -65,7 +66,7 @@
 // NewState returns an empty store without limits.
 func NewState() *State {
 	return &State{items: map[string]wire.Item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}),
-		rejectedNodes: map[string]bool{}, nodeDelays: map[string]time.Duration{}}
+		rejectedNodes: map[string]bool{}, nodeDelays: map[string]time.Duration{}, watchDelays: map[watchKey]time.Duration{}}
 }
 
 // Count returns the number of keys.
--- a/internal/standin/state_faults.go
+++ b/internal/standin/state_faults.go
@@ -93,3 +93,14 @@
 	defer s.mu.Unlock()
 	s.nodeDelays[node] = delay
 }
+
+// watchKey identifies the watches of one node under one prefix.
+type watchKey struct{ node, prefix string }
+
+// DelayWatch delays the events that a node's watches under a prefix deliver; 0 ends the delay.
+// Reads and the node's other watches are not delayed.
+func (s *State) DelayWatch(node, prefix string, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchDelays[watchKey{node, prefix}] = delay
+}
--- a/internal/standin/state_watch.go
+++ b/internal/standin/state_watch.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"heronwick/internal/state"
+	"heronwick/internal/wait"
 	"heronwick/wire"
 )
 
@@ -25,6 +26,10 @@
 	for {
 		found, changed := s.eventsSince(after, node, query.Get("under"))
 		if len(found.Events) > 0 {
+			s.mu.Lock()
+			delay := s.watchDelays[watchKey{node, query.Get("under")}]
+			s.mu.Unlock()
+			wait.Sleep(ctx, delay)
 			return state.Response{Status: http.StatusOK, Body: encode(found)}, nil
 		}
 		select {
