--- a/internal/placement/quantity.go
+++ b/internal/placement/quantity.go
@@ -27,6 +27,9 @@
 	return Quantity(units)
 }
 
+// Amount returns the amount of the resource that q stands for.
+func (q Quantity) Amount() float64 { return float64(q) * quantityUnit }
+
 // Plus returns the sum of q and other, which must not be negative.
 func (q Quantity) Plus(other Quantity) Quantity { return min(q+other, maxQuantity) }
 
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -7,6 +7,7 @@
 	"heronwick/internal/job"
 	"heronwick/internal/placement"
 	"heronwick/internal/queue"
+	"heronwick/internal/quota"
 	"heronwick/wire"
 )
 
@@ -27,7 +28,7 @@
 	}
 	a.Hosted = false
 	if earlier := s.remoteAttempts.Get(a.Key); earlier != nil {
-		s.untrackRemoteLocked(earlier) // the machine belonged to another scheduler before
+		s.untrackRemoteLocked(earlier, quota.OnOwnMachine) // the machine belonged to another scheduler before
 	}
 	a.SetJobDetails(&queued.Record.Job, queued.EffectivePriority)
 	if a.Exited() {
@@ -47,39 +48,6 @@
 	return placement.Resources{CPUs: outcome.CPUs, GPUs: outcome.GPUs, MemoryGB: outcome.MemoryGB}
 }
 
-// countAttemptLocked adds an attempt that may be on a machine in the zone to the usage
-// of its team and to its job.
-func (s *Scheduler) countAttemptLocked(zone string, a *fleet.Attempt) {
-	if a.CountedInUsage {
-		return
-	}
-	a.CountedInUsage, a.Zone = true, zone
-	s.teams.Add(a.Team, a.Size)
-	if queued := s.jobs[a.Job]; queued != nil {
-		queued.AttemptAdded(a.Index, a.Zone)
-	}
-}
-
-// uncountAttemptLocked reverses countAttemptLocked for an attempt that is proven gone,
-// and wakes the scheduler. The task is queued again unless it is done or another attempt
-// of it may be on a machine.
-func (s *Scheduler) uncountAttemptLocked(a *fleet.Attempt) {
-	s.uncountWithoutWakeLocked(a)
-	s.wakeLoop()
-}
-
-// uncountWithoutWakeLocked is uncountAttemptLocked without waking the scheduler.
-func (s *Scheduler) uncountWithoutWakeLocked(a *fleet.Attempt) {
-	if !a.CountedInUsage {
-		return
-	}
-	a.CountedInUsage = false
-	s.teams.Remove(a.Team, a.Size)
-	if queued := s.jobs[a.Job]; queued != nil {
-		queued.AttemptRemoved(a.Index, a.Zone)
-	}
-}
-
 const (
 	// refusedMachineDelay is how long nothing is placed on a machine after its worker
 	// has refused to start a task.
@@ -117,7 +85,7 @@
 		// The owner of a hosted job settles the attempt and decides what follows. If the
 		// job has ended, nothing follows.
 		a.ExitProcessed = !a.Hosted
-		s.uncountAttemptLocked(a)
+		s.uncountAttemptLocked(a, quota.Exited)
 		return
 	}
 	if a.ExitReason == wire.ExitDone && !a.Service {
@@ -131,14 +99,14 @@
 		s.log.Info("worker refused to start a task", "task", a.Task, "attempt", a.Attempt, "reason", a.ExitReason)
 		queued.NotBefore = now.Add(refusedStartDelay)
 	}
-	s.uncountAttemptLocked(a)
+	s.uncountAttemptLocked(a, quota.Exited)
 }
 
 // markTaskDoneLocked records that the task of an attempt is done.
 func (s *Scheduler) markTaskDoneLocked(queued *queue.Job, a *fleet.Attempt) {
 	queued.Succeeded = true
 	queued.Done.Complete(a)
-	s.uncountAttemptLocked(a)
+	s.uncountAttemptLocked(a, quota.Exited)
 	s.stopDuplicatesLocked(a)
 	s.finishLocked(queued)
 }
--- a/internal/scheduler/checkpoints.go
+++ b/internal/scheduler/checkpoints.go
@@ -6,6 +6,7 @@
 
 	"heronwick/internal/checkpoint"
 	"heronwick/internal/job"
+	"heronwick/internal/quota"
 )
 
 // newCheckpointWriter returns the Writer that records which attempts may be on the
@@ -106,7 +107,7 @@
 		for _, a := range m.Attempts.All() {
 			if a.Job == id && a.NeverSent() {
 				m.Attempts.Delete(a.Key)
-				s.uncountAttemptLocked(a)
+				s.uncountAttemptLocked(a, quota.NeverSent)
 			}
 		}
 		if owned := s.owned(m); owned != nil {
--- a/internal/scheduler/epoch.go
+++ b/internal/scheduler/epoch.go
@@ -6,6 +6,7 @@
 
 	"heronwick/internal/cluster"
 	"heronwick/internal/job"
+	"heronwick/internal/quota"
 	"heronwick/internal/state"
 	"heronwick/wire"
 )
@@ -67,6 +68,7 @@
 		s.adoptedToken = view.Epoch.Token
 	}
 	s.epoch.Epoch, s.epoch.condition = view.Epoch, view.Condition
+	s.teams.SetToken(s.epoch.Token)
 }
 
 // machinesToAdoptLocked returns the machines, owned by this scheduler or without an
@@ -150,13 +152,13 @@
 		for _, a := range m.Attempts.All() {
 			if lost[a.Job] {
 				a.Hosted, a.Epoch = true, 0
-				s.uncountAttemptLocked(a)
+				s.uncountAttemptLocked(a, quota.OwnerChanged)
 			}
 		}
 	}
 	for a := range s.remoteAttempts.All() {
 		if lost[a.Job] {
-			s.untrackRemoteLocked(a)
+			s.untrackRemoteLocked(a, quota.OwnerChanged)
 		}
 	}
 }
--- a/internal/scheduler/fakes_test.go
+++ b/internal/scheduler/fakes_test.go
@@ -19,6 +19,7 @@
 	"heronwick/internal/duty"
 	"heronwick/internal/fleet"
 	"heronwick/internal/job"
+	"heronwick/internal/quota"
 	"heronwick/internal/remote"
 	"heronwick/internal/state"
 	"heronwick/wire"
@@ -161,6 +162,7 @@
 	view := p.View()
 	s.setEpochLocked(view)
 	s.loaded, s.adoptedToken = true, view.Epoch.Token
+	s.teams.SetBasis(quota.Basis{Token: view.Epoch.Token, Assignment: view.Epoch.Assignment.Token, Revision: 1})
 	m := s.addMachineLocked(fleet.NewMachine("m1"), time.Now())
 	if !s.applyHeartbeatLocked(m, &wire.Heartbeat{Machine: "m1", Address: "m1", Type: "m", Zone: "z", Incarnation: 1, Seq: 1, FencingToken: 5}) {
 		t.Fatal("first heartbeat was not applied")
--- a/internal/scheduler/gangs.go
+++ b/internal/scheduler/gangs.go
@@ -6,6 +6,7 @@
 
 	"heronwick/internal/fleet"
 	"heronwick/internal/queue"
+	"heronwick/internal/quota"
 )
 
 // gangBooking is the placement of one task of a gang, which is undone if not all tasks
@@ -21,7 +22,7 @@
 // of an earlier placement may still run. Those end by themselves, since a task of a gang
 // does not run without the others.
 func (s *Scheduler) placeGangLocked(queued *queue.Job, now time.Time) {
-	if queued.LiveTasks() > 0 || !s.teams.WithinLimit(queued, queued.Pending()) {
+	if queued.LiveTasks() > 0 || !s.teams.MayStart(queued, queued.Pending()) {
 		return
 	}
 	var booked []gangBooking
@@ -35,15 +36,15 @@
 		if m == nil {
 			break
 		}
-		queued.Dequeue()
-		wasDirty := m.record.Dirty
-		a := s.placeLocked(queued, index, m, now)
+		a := s.newAttempt(queued, index)
 		if len(booked) > 0 {
-			// Tasks of a gang find each other by their common attempt number.
-			m.Attempts.Delete(a.Key)
-			a.Attempt = booked[0].attempt.Attempt
-			m.Attempts.Put(a)
+			a.Attempt = booked[0].attempt.Attempt // tasks of a gang find each other by their common attempt number
+		}
+		wasDirty := m.record.Dirty
+		if !s.placeLocked(a, m, now) {
+			break
 		}
+		queued.Dequeue()
 		booked = append(booked, gangBooking{m, a, wasDirty})
 	}
 	s.freeBookingsLocked(booked)
@@ -73,7 +74,7 @@
 		b.machine.Attempts.Delete(b.attempt.Key)
 		b.machine.packing.RoomChanged()
 		b.machine.record.Dirty = b.wasDirty
-		s.uncountWithoutWakeLocked(b.attempt)
+		s.uncountWithoutWakeLocked(b.attempt, quota.GangIncomplete)
 		s.updateOpenLocked(b.machine)
 	}
 }
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heronwick/internal/fleet"
+	"heronwick/internal/quota"
 	"heronwick/wire"
 )
 
@@ -253,7 +254,7 @@
 			}
 			log("task lost", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "evidence", e.Evidence,
 				"seq", m.Seq, "heartbeat_seq", m.HeartbeatSeq, "worker_token", m.FencingToken)
-			s.uncountAttemptLocked(a)
+			s.uncountAttemptLocked(a, quota.Lost(e.Evidence))
 		}
 	}
 	s.updateOpenLocked(m)
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -6,6 +6,7 @@
 
 	"heronwick/internal/job"
 	"heronwick/internal/queue"
+	"heronwick/internal/quota"
 	"heronwick/internal/wait"
 	"heronwick/wire"
 )
@@ -148,7 +149,7 @@
 		touched = true
 		if a.NeverSent() {
 			m.Attempts.Delete(a.Key)
-			s.uncountAttemptLocked(a)
+			s.uncountAttemptLocked(a, quota.NeverSent)
 			continue
 		}
 		a.Stop, a.GraceS, a.ExitDeadline = true, 0, stopBy
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -20,7 +20,7 @@
 			}
 			return
 		}
-		if !s.teams.WithinLimit(queued, 1) {
+		if !s.teams.MayStart(queued, 1) {
 			queued.UnplacedSince = time.Time{} // limited by its team, not by room
 			return
 		}
@@ -32,8 +32,10 @@
 			s.handleNoRoomLocked(queued, now)
 			return
 		}
+		if !s.placeLocked(s.newAttempt(queued, index), m, now) {
+			return
+		}
 		queued.Dequeue()
-		s.placeLocked(queued, index, m, now)
 	}
 }
 
@@ -126,15 +128,15 @@
 	return now.Sub(queued.ImageWaitSince) < imageWaitTimeout
 }
 
-// placeLocked assigns a task to a machine under a new attempt number. Numbers increase
-// with each placement, also across controllers and restarts, because their high bits are
-// the fencing token.
-func (s *Scheduler) placeLocked(queued *queue.Job, index int, m *machine, now time.Time) *fleet.Attempt {
-	a := s.newAttempt(queued, index)
+// placeLocked assigns a new attempt of a task to a machine. It returns false if the attempt
+// may not start because of its team's limit.
+func (s *Scheduler) placeLocked(a *fleet.Attempt, m *machine, now time.Time) bool {
+	if !s.reserveLocked(m.Zone, a) {
+		return false
+	}
 	m.Add(a, now)
 	m.packing.RoomChanged()
-	s.countAttemptLocked(m.Zone, a)
 	m.record.Dirty = true
 	s.log.Debug("task placed", "task", a.Task, "attempt", a.Attempt, "machine", m.Name, "image_held", m.HasImage(a.Image))
-	return a
+	return true
 }
--- a/internal/scheduler/rebuild.go
+++ b/internal/scheduler/rebuild.go
@@ -6,6 +6,7 @@
 
 	"heronwick/internal/cluster"
 	"heronwick/internal/job"
+	"heronwick/internal/quota"
 	"heronwick/internal/recovery"
 )
 
@@ -61,6 +62,7 @@
 	isGained := s.addGainedJobsLocked(gained, records.Done)
 	s.countEndedJobsLocked()
 	adopted := s.restoreRecordsLocked(records, adopt, isGained, now)
+	s.teams.SetBasis(quota.Basis{Token: s.epoch.Token, Assignment: s.epoch.Assignment.Token, Revision: records.Revision})
 	if first || len(gained)+adopted > 0 {
 		s.log.Info("scheduler rebuilt", "token", s.epoch.Token, "leader", s.epoch.Leader, "jobs", len(s.jobs), "gained", len(isGained),
 			"machines", len(s.machines), "adopted", adopted, "remote", s.remoteAttempts.Len(),
--- a/internal/scheduler/remoteplacement.go
+++ b/internal/scheduler/remoteplacement.go
@@ -11,6 +11,7 @@
 	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/fleet"
 	"heronwick/internal/queue"
+	"heronwick/internal/quota"
 	"heronwick/internal/remote"
 )
 
@@ -23,21 +24,28 @@
 	maxRequestTasksPerJob = 16
 )
 
-// trackRemoteLocked starts tracking an attempt that may be on another controller's
+// trackRemoteLocked starts tracking an attempt that may already be on another controller's
 // machine, and counts it.
 func (s *Scheduler) trackRemoteLocked(a *fleet.Attempt, host, zone string) {
 	if s.remoteAttempts.Get(a.Key) != nil {
 		return
 	}
-	s.remoteAttempts.Add(&remote.Attempt{Attempt: a, Host: host, HostSince: s.epoch.Members[host].Since})
+	s.addRemoteLocked(a, host)
 	s.countAttemptLocked(zone, a)
 }
 
+// addRemoteLocked adds an attempt to those that may be on another controller's machine.
+func (s *Scheduler) addRemoteLocked(a *fleet.Attempt, host string) *remote.Attempt {
+	added := &remote.Attempt{Attempt: a, Host: host, HostSince: s.epoch.Members[host].Since}
+	s.remoteAttempts.Add(added)
+	return added
+}
+
 // untrackRemoteLocked stops tracking a remote attempt that is proven gone or no longer
 // belongs to one of this scheduler's jobs.
-func (s *Scheduler) untrackRemoteLocked(a *remote.Attempt) {
+func (s *Scheduler) untrackRemoteLocked(a *remote.Attempt, evidence quota.Evidence) {
 	s.remoteAttempts.Delete(a.Key)
-	s.uncountAttemptLocked(a.Attempt)
+	s.uncountAttemptLocked(a.Attempt, evidence)
 }
 
 // setRemoteZoneLocked records the zone that a remote attempt runs in.
@@ -86,7 +94,7 @@
 // canPlaceTaskLocked reports whether a task of the job may be placed now on any
 // controller's machines.
 func (s *Scheduler) canPlaceTaskLocked(queued *queue.Job, now time.Time) bool {
-	return queued.Pending() > 0 && s.teams.WithinLimit(queued, 1) && !now.Before(queued.NotBefore) && !queued.FailsEverywhere()
+	return queued.Pending() > 0 && !now.Before(queued.NotBefore) && !queued.FailsEverywhere() && s.teams.MayStart(queued, 1)
 }
 
 // placementPeersLocked returns the other controllers in the order in which they are sent
@@ -160,16 +168,18 @@
 			wanted.Zones[zone] = uint32(n)
 		}
 	}
-	for len(wanted.Attempts) < min(budget, maxRequestTasksPerJob) && s.teams.WithinLimit(queued, 1) {
+	for len(wanted.Attempts) < min(budget, maxRequestTasksPerJob) && s.teams.MayStart(queued, 1) {
 		index, ok := queued.NextTask()
 		if !ok {
 			break
 		}
+		a := s.newAttempt(queued, index)
+		if !s.reserveLocked("", a) {
+			break
+		}
 		queued.Dequeue()
 		queued.RequestedTasks++
-		a := s.newAttempt(queued, index)
-		s.trackRemoteLocked(a, node, "")
-		s.remoteAttempts.Get(a.Key).RequestInFlight = true
+		s.addRemoteLocked(a, node).RequestInFlight = true
 		wanted.Attempts = append(wanted.Attempts, &peerpb.Attempt{Task: a.Task, Attempt: a.Attempt})
 	}
 	return wanted
@@ -228,5 +238,5 @@
 		s.log.Debug("task placed by a peer", "task", key.Task, "attempt", key.Attempt, "peer", node)
 		return
 	}
-	s.untrackRemoteLocked(a)
+	s.untrackRemoteLocked(a, quota.NotTaken)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -18,6 +18,7 @@
 	"heronwick/internal/ownership"
 	"heronwick/internal/packing"
 	"heronwick/internal/queue"
+	"heronwick/internal/quota"
 	"heronwick/internal/remote"
 	"heronwick/wire"
 )
@@ -102,7 +103,7 @@
 	s := &Scheduler{
 		opts: opts, log: opts.Log, types: map[string]*wire.MachineType{}, wake: make(chan struct{}, 1),
 		preAdoptionReplies: map[string]time.Time{},
-		teams:              queue.NewTeams(opts.Settings.Teams),
+		teams:              &queue.Teams{Ledger: quota.NewLedger(opts.Settings.Teams, opts.Log)},
 		jobs:               map[string]*queue.Job{},
 		hostedJobs:         map[string]*queue.Job{},
 		resolvingJobs:      map[string]bool{},
--- a/internal/scheduler/settle.go
+++ b/internal/scheduler/settle.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"heronwick/internal/cluster/peerpb"
+	"heronwick/internal/quota"
 	"heronwick/internal/remote"
 	"heronwick/internal/wait"
 	"heronwick/wire"
@@ -44,7 +45,7 @@
 			requests.Add(a, recorded)
 		} else if s.loaded && s.adoptedToken == s.epoch.Token {
 			// This scheduler has adopted the machine, and the attempt was not on it.
-			s.untrackRemoteLocked(a)
+			s.untrackRemoteLocked(a, quota.NotOnAdopted)
 		}
 	}
 	return requests.ByHost()
@@ -71,7 +72,7 @@
 	now := time.Now()
 	for _, attempt := range req.Handled {
 		if a := s.remoteAttempts.Get(remote.KeyOf(attempt)); a != nil {
-			s.untrackRemoteLocked(a)
+			s.untrackRemoteLocked(a, quota.Exited)
 		}
 	}
 	for _, hosted := range reply.Hosted {
@@ -93,7 +94,7 @@
 func (s *Scheduler) applySettledLocked(a *remote.Attempt, hosted *peerpb.Hosted, now time.Time) {
 	if !hosted.Known {
 		s.log.Info("task lost", "task", a.Task, "attempt", a.Attempt.Attempt, "peer", a.Host)
-		s.untrackRemoteLocked(a)
+		s.untrackRemoteLocked(a, quota.DeniedByHost)
 		return
 	}
 	s.setRemoteZoneLocked(a, hosted.Zone)
