--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -60,6 +60,9 @@
 // SetToken records that the epoch has a higher token and the same assignment.
 func (l *Ledger) SetToken(token uint64) { l.basis.Token = token }
 
+// Revision returns the revision of the records that the usage rests on.
+func (l *Ledger) Revision() uint64 { return l.basis.Revision }
+
 // Suspend makes the ledger refuse every start until SetBasis.
 func (l *Ledger) Suspend() { l.complete = false }
 
--- a/internal/scheduler/epoch.go
+++ b/internal/scheduler/epoch.go
@@ -58,7 +58,7 @@
 		return
 	}
 	s.rebuilding = true
-	s.spawn(func(ctx context.Context) { s.rebuild(ctx, view, gained, adopt) })
+	s.spawn(func(ctx context.Context) { s.rebuild(ctx, view, len(gained) > 0, adopt) })
 }
 
 // applyIncrementedTokenLocked applies an epoch that differs from the scheduler's epoch
@@ -134,6 +134,9 @@
 // attempts; an attempt that is not recorded yet never starts.
 func (s *Scheduler) dropLostJobsLocked(epoch *cluster.Epoch) {
 	followed := epoch.Assignment.Succeeds(s.epoch.Assignment)
+	if !followed {
+		s.teams.Suspend() // what the teams use is not known before the records are read
+	}
 	lost := map[string]bool{}
 	for id, queued := range s.jobs {
 		if followed && epoch.OwnerOf(queued.Record.Job.Team, id) == s.opts.Node {
--- a/internal/scheduler/rebuild.go
+++ b/internal/scheduler/rebuild.go
@@ -12,12 +12,14 @@
 
 // rebuild adapts the scheduler, which has dropped the jobs that it no longer owns, to a
 // new epoch. It adopts machines without an owner, and reads from the records which
-// attempts may be on which machines before any task of the gained jobs is placed.
-func (s *Scheduler) rebuild(ctx context.Context, view cluster.View, gained []*job.Record, adopt []string) {
+// attempts may be on which machines before any task of the jobs that it gains is placed.
+// gainsJobs tells whether it is known to gain any.
+func (s *Scheduler) rebuild(ctx context.Context, view cluster.View, gainsJobs bool, adopt []string) {
 	epoch := &view.Epoch
 	var records recovery.Records
 	var err error
-	if s.needsRecords(epoch) || len(adopt) > 0 || len(gained) > 0 {
+	read := s.needsRecords(epoch) || len(adopt) > 0 || gainsJobs
+	if read {
 		records, err = recovery.Read(ctx, s.opts.Records, s.opts.Jobs)
 	}
 
@@ -34,7 +36,12 @@
 	}
 	s.dropLostJobsLocked(epoch) // jobs that were added under the old epoch meanwhile
 	s.setEpochLocked(view)
-	s.restoreLocked(records, gained, adopt)
+	if read {
+		s.restoreLocked(records, adopt)
+	} else {
+		s.countEndedJobsLocked()
+	}
+	s.teams.SetBasis(quota.Basis{Token: s.epoch.Token, Assignment: s.epoch.Assignment.Token, Revision: max(records.Revision, s.teams.Revision())})
 	s.adoptedToken, s.loaded = epoch.Token, true
 	s.adoptDoneBucketsLocked(records.Done)
 	for _, queued := range s.jobs {
@@ -53,30 +60,30 @@
 
 // restoreLocked adds the jobs that the scheduler gains, and restores from the records
 // which attempts may be on which machines.
-func (s *Scheduler) restoreLocked(records recovery.Records, gained []*job.Record, adopt []string) {
+func (s *Scheduler) restoreLocked(records recovery.Records, adopt []string) {
 	first := !s.loaded
 	if first {
 		s.startVersion = s.epoch.condition.Version
 	}
 	now := time.Now()
-	isGained := s.addGainedJobsLocked(gained, records.Done)
+	gained := s.addGainedJobsLocked(records.Done)
 	s.countEndedJobsLocked()
-	adopted := s.restoreRecordsLocked(records, adopt, isGained, now)
-	s.teams.SetBasis(quota.Basis{Token: s.epoch.Token, Assignment: s.epoch.Assignment.Token, Revision: records.Revision})
+	adopted := s.restoreRecordsLocked(records, adopt, gained, now)
 	if first || len(gained)+adopted > 0 {
-		s.log.Info("scheduler rebuilt", "token", s.epoch.Token, "leader", s.epoch.Leader, "jobs", len(s.jobs), "gained", len(isGained),
+		s.log.Info("scheduler rebuilt", "token", s.epoch.Token, "leader", s.epoch.Leader, "jobs", len(s.jobs), "gained", len(gained),
 			"machines", len(s.machines), "adopted", adopted, "remote", s.remoteAttempts.Len(),
 			"records_revision", records.Revision, "record_keys", len(records.Buckets), "record_pages", records.Pages)
 	}
 }
 
-// addGainedJobsLocked adds the jobs that the scheduler gains, with their done tasks,
-// if they are still active. It returns the IDs of the jobs that it added.
-func (s *Scheduler) addGainedJobsLocked(gained []*job.Record, done []job.DoneBucket) (added map[string]bool) {
+// addGainedJobsLocked adds the active jobs that the scheduler owns and does not have yet, with
+// their done tasks, and returns their IDs. That includes jobs that became known here only while
+// the records were read: their attempts are in the records and use up their teams' limits.
+func (s *Scheduler) addGainedJobsLocked(done []job.DoneBucket) (added map[string]bool) {
 	added = map[string]bool{}
-	for _, record := range gained {
+	for _, record := range s.opts.Jobs.AllActive() {
 		id := record.Job.ID
-		if s.jobs[id] != nil || s.opts.Jobs.Active(id) == nil {
+		if s.jobs[id] != nil || !s.ownsJobLocked(&record.Job) {
 			continue
 		}
 		added[id] = true
