--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -30,8 +32,10 @@
 	Buckets []Bucket
 	Done    []job.DoneBucket
 	// Outcomes holds, by job ID, the outcomes of the ended jobs of which a bucket still
-	// contains attempts.
+	// contains attempts, and Active the records of the active ones. A job that is active here
+	// may have ended since.
 	Outcomes map[string]job.Outcome
+	Active   map[string]*job.Record
 	// Revision is the store's revision that the buckets are of, and Pages the number of
 	// responses that they were read in.
 	Revision uint64
@@ -50,7 +54,7 @@
 const maxConcurrentLookups = 8
 
 // Read reads all records. It keeps only the newest attempt of each task, and looks up all
-// jobs that have attempts in a bucket but are not active.
+// jobs that have attempts in a bucket.
 func Read(ctx context.Context, store Store, jobs Jobs) (Records, error) {
 	listing, err := store.List(ctx, state.Urgent, fleet.RecordPrefix)
 	if err != nil {
@@ -65,11 +69,9 @@
 		return Records{}, err
 	}
 	dropOutdatedAttempts(buckets)
-	outcomes, err := resolve(ctx, jobs, inactiveJobs(buckets, jobs))
-	if err != nil {
-		return Records{}, err
-	}
-	return Records{Buckets: buckets, Done: done, Outcomes: outcomes, Revision: listing.Revision, Pages: listing.Pages}, nil
+	records := Records{Buckets: buckets, Done: done, Outcomes: map[string]job.Outcome{}, Active: map[string]*job.Record{},
+		Revision: listing.Revision, Pages: listing.Pages}
+	return records, records.lookUpJobs(ctx, jobs)
 }
 
 // decodeBuckets decodes the buckets of machine records.
@@ -108,37 +110,72 @@
 	}
 }
 
-// inactiveJobs returns the jobs that have attempts in the buckets but are not active.
-func inactiveJobs(buckets []Bucket, jobs Jobs) map[string]bool {
-	inactive := map[string]bool{}
-	for _, bucket := range buckets {
+// lookUpJobs looks up all jobs that have attempts in a bucket.
+func (r *Records) lookUpJobs(ctx context.Context, jobs Jobs) error {
+	var mu sync.Mutex
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxConcurrentLookups)
+	for id := range r.jobsWithAttempts() {
+		if record := jobs.Active(id); record != nil {
+			mu.Lock()
+			r.Active[id] = record
+			mu.Unlock()
+			continue
+		}
+		g.Go(func() error {
+			found, err := lookUp(ctx, jobs, id)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case found.record != nil:
+				r.Active[id] = found.record
+			case found.Ended:
+				r.Outcomes[id] = found.Outcome
+			}
+			return err
+		})
+	}
+	return g.Wait()
+}
+
+// jobsWithAttempts returns the IDs of all jobs that have attempts in a bucket.
+func (r *Records) jobsWithAttempts() map[string]bool {
+	ids := map[string]bool{}
+	for _, bucket := range r.Buckets {
 		for _, record := range bucket.Machines {
 			for task := range record.Attempts {
-				if id, _, ok := wire.SplitTaskID(task); ok && jobs.Active(id) == nil {
-					inactive[id] = true
+				if id, _, ok := wire.SplitTaskID(task); ok {
+					ids[id] = true
 				}
 			}
 		}
 	}
-	return inactive
+	return ids
 }
 
-// resolve looks up the jobs and returns the outcomes of those that have ended.
-func resolve(ctx context.Context, jobs Jobs, ids map[string]bool) (map[string]job.Outcome, error) {
-	var mu sync.Mutex
-	outcomes := map[string]job.Outcome{}
-	g, ctx := errgroup.WithContext(ctx)
-	g.SetLimit(maxConcurrentLookups)
-	for id := range ids {
-		g.Go(func() error {
-			resolution, err := jobs.Resolve(ctx, id)
-			if resolution.Ended {
-				mu.Lock()
-				defer mu.Unlock()
-				outcomes[id] = resolution.Outcome
-			}
-			return err
-		})
+// foundJob is what the lookup of a job has found: its record if it is active, its outcome if it
+// has ended, or nothing if it was never accepted.
+type foundJob struct {
+	job.Resolution
+	record *job.Record
+}
+
+// maxLookups is the maximum number of lookups of a job that changes between them.
+const maxLookups = 3
+
+// errUnsettled means that a job changed during each of its lookups.
+var errUnsettled = errors.New("a job is neither active nor ended")
+
+// lookUp looks up a job that is not cached as active.
+func lookUp(ctx context.Context, jobs Jobs, id string) (foundJob, error) {
+	for range maxLookups {
+		resolution, err := jobs.Resolve(ctx, id)
+		if err != nil || resolution.Ended || !resolution.Found {
+			return foundJob{Resolution: resolution}, err
+		}
+		if record := jobs.Active(id); record != nil {
+			return foundJob{Resolution: resolution, record: record}, nil
+		}
 	}
-	return outcomes, g.Wait()
+	return foundJob{}, fmt.Errorf("looking up job %s: %w", id, errUnsettled)
 }
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -78,6 +78,9 @@
 	if want := map[string]job.Outcome{"wk-2": {State: wire.JobDone}}; !maps.Equal(r.Outcomes, want) {
 		t.Errorf("got outcomes %v, want %v", r.Outcomes, want)
 	}
+	if len(r.Active) != 1 || r.Active["wk-1"] == nil {
+		t.Errorf("got active jobs %v, want wk-1", r.Active)
+	}
 	s.err = errors.New("store unavailable")
 	if _, err := Read(t.Context(), s, s); !errors.Is(err, s.err) {
 		t.Errorf("got error %v, want %v", err, s.err)
--- a/internal/scheduler/adoption.go
+++ b/internal/scheduler/adoption.go
@@ -6,13 +6,14 @@
 	"heronwick/internal/checkpoint"
 	"heronwick/internal/fleet"
 	"heronwick/internal/job"
+	"heronwick/internal/placement"
 	"heronwick/internal/recovery"
 )
 
 // adoption collects the machines to adopt while the records are restored.
 type adoption struct {
-	outcomes map[string]job.Outcome // of ended jobs, by job ID
-	gained   map[string]bool        // jobs that the scheduler newly owns, by ID
+	records  recovery.Records
+	gained   map[string]bool // jobs that the scheduler newly owns, by ID
 	machines map[string]*adoptedMachine
 	now      time.Time
 }
@@ -29,7 +30,7 @@
 // machines adopted.
 func (s *Scheduler) restoreRecordsLocked(records recovery.Records, adopt []string, gained map[string]bool, now time.Time) int {
 	s.adoptHostedLocked(gained)
-	adopting := &adoption{outcomes: records.Outcomes, gained: gained, machines: map[string]*adoptedMachine{}, now: now}
+	adopting := &adoption{records: records, gained: gained, machines: map[string]*adoptedMachine{}, now: now}
 	for _, stored := range records.Buckets {
 		bucket := s.adoptBucketLocked(stored)
 		for name, record := range stored.Machines {
@@ -42,7 +43,7 @@
 		}
 	}
 	for _, adopted := range adopting.machines {
-		s.adoptMachineLocked(adopted.machine, adopted.buckets, adopting.outcomes, now)
+		s.adoptMachineLocked(adopted.machine, adopted.buckets, records, now)
 	}
 	return len(adopting.machines)
 }
@@ -119,24 +120,51 @@
 }
 
 // trackRecordLocked tracks the attempts of this scheduler's jobs that may be on
-// another controller's machine.
+// another controller's machine, and those of ended jobs of its teams.
 func (s *Scheduler) trackRecordLocked(adopting *adoption, fleetMachine *fleet.Machine, host string) {
 	for _, a := range fleetMachine.Attempts.All() {
-		if outcome, ended := adopting.outcomes[a.Job]; ended && s.epoch.OwnerOf(outcome.Team, a.Job) == s.opts.Node {
-			a.Team, a.Size, a.SizeKnown = outcome.Team, outcomeTaskSize(outcome), true
-			s.trackRemoteLocked(a, host, fleetMachine.Zone)
-		} else if queued := s.jobs[a.Job]; queued != nil && adopting.gained[a.Job] {
-			a.SetJobDetails(&queued.Record.Job, queued.EffectivePriority)
+		if queued := s.jobs[a.Job]; queued != nil {
+			if adopting.gained[a.Job] {
+				a.SetJobDetails(&queued.Record.Job, queued.EffectivePriority)
+				s.trackRemoteLocked(a, host, fleetMachine.Zone)
+			}
+		} else if s.describeEndedLocked(adopting.records, a) && s.ownsAttemptLocked(a) {
 			s.trackRemoteLocked(a, host, fleetMachine.Zone)
 		}
 	}
 }
 
+// describeEndedLocked sets the team and the size of a recorded attempt whose job has ended,
+// before the records were read or since. It returns false for the attempt of any other job.
+func (s *Scheduler) describeEndedLocked(records recovery.Records, a *fleet.Attempt) bool {
+	if outcome, ended := records.Outcomes[a.Job]; ended {
+		setOutcome(a, outcome)
+		return true
+	}
+	record := records.Active[a.Job]
+	if record == nil || s.opts.Jobs.Active(a.Job) != nil {
+		return false
+	}
+	a.SetJobDetails(&record.Job, record.Job.Priority.Rank())
+	return true
+}
+
+// setOutcome sets the team and the size of an attempt from the outcome of its job.
+func setOutcome(a *fleet.Attempt, outcome job.Outcome) {
+	a.Team = outcome.Team
+	a.Size, a.SizeKnown = placement.Resources{CPUs: outcome.CPUs, GPUs: outcome.GPUs, MemoryGB: outcome.MemoryGB}, true
+}
+
+// ownsAttemptLocked reports whether the scheduler owns the team of an attempt.
+func (s *Scheduler) ownsAttemptLocked(a *fleet.Attempt) bool {
+	return s.epoch.OwnerOf(a.Team, a.Job) == s.opts.Node
+}
+
 // adoptMachineLocked adds a machine with the attempts that its records list. buckets
 // contain these records; the first one becomes the machine's own bucket, unless it is
-// a journal. outcomes are the outcomes of ended jobs.
+// a journal.
 func (s *Scheduler) adoptMachineLocked(
-	adopted *fleet.Machine, buckets []*checkpoint.Bucket, outcomes map[string]job.Outcome, now time.Time,
+	adopted *fleet.Machine, buckets []*checkpoint.Bucket, records recovery.Records, now time.Time,
 ) {
 	answered := s.preAdoptionReplies[adopted.Name]
 	m := s.addMachineLocked(adopted, now)
@@ -144,10 +172,13 @@
 	s.checkpoints.AdoptMachine(&m.record, buckets)
 	ended := map[string]job.Outcome{}
 	for _, a := range m.Attempts.All() {
-		if outcome, ok := outcomes[a.Job]; ok {
+		if outcome, ok := records.Outcomes[a.Job]; ok {
 			ended[a.Job] = outcome
 			continue
 		}
+		if s.jobs[a.Job] == nil && s.describeEndedLocked(records, a) && s.ownsAttemptLocked(a) {
+			s.countAttemptLocked(m.Zone, a)
+		}
 		s.adoptAttemptLocked(m, a)
 	}
 	for id, outcome := range ended {
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"heronwick/internal/fleet"
-	"heronwick/internal/job"
-	"heronwick/internal/placement"
 	"heronwick/internal/queue"
 	"heronwick/internal/quota"
 	"heronwick/wire"
@@ -43,11 +41,6 @@
 	s.updateOpenLocked(m)
 }
 
-// outcomeTaskSize returns the resources that each task of an ended job used.
-func outcomeTaskSize(outcome job.Outcome) placement.Resources {
-	return placement.Resources{CPUs: outcome.CPUs, GPUs: outcome.GPUs, MemoryGB: outcome.MemoryGB}
-}
-
 const (
 	// refusedMachineDelay is how long nothing is placed on a machine after its worker
 	// has refused to start a task.
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -154,8 +154,8 @@
 		}
 		a.Stop, a.GraceS, a.ExitDeadline = true, 0, stopBy
 		if !a.SizeKnown {
-			a.Team, a.Size, a.SizeKnown = outcome.Team, outcomeTaskSize(outcome), true
-			if s.epoch.OwnerOf(outcome.Team, id) == s.opts.Node {
+			setOutcome(a, outcome)
+			if s.ownsAttemptLocked(a) {
 				s.countAttemptLocked(m.Zone, a)
 			}
 		}
--- a/internal/scheduler/rebuild_test.go
+++ b/internal/scheduler/rebuild_test.go
@@ -11,6 +11,7 @@
 	"heronwick/internal/fleet"
 	"heronwick/internal/job"
 	"heronwick/internal/placement"
+	"heronwick/internal/recovery"
 	"heronwick/wire"
 )
 
@@ -172,3 +173,30 @@
 		}
 	})
 }
+
+// Guards against a team that exceeds its limit because a job of it ended between the read of
+// the records and their restoration: its tasks count at once, on adopted and on other machines.
+func TestTasksOfJobThatEndedDuringReadCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newTestScheduler(t)
+		record := p.add("wk-000001", "ours", wire.PriorityNormal, 3, 2)
+		delete(p.active, "wk-000001") // it has ended since
+		p.peerSince = map[string]uint64{"m8": 4}
+		adopted := fleet.Record{Address: "m9", Incarnation: 1, Attempts: map[string]uint64{"wk-000001/0": 7}}
+		others := fleet.Record{Address: "m8", Incarnation: 1, Attempts: map[string]uint64{"wk-000001/1": 8, "wk-000002/0": 9}}
+		records := recovery.Records{
+			Buckets: []recovery.Bucket{{Key: fleet.JournalKey("gone", 3, 0), RecordBucket: fleet.RecordBucket{
+				Machines: map[string]fleet.Record{"m9": adopted, "m8": others}}}},
+			Active: map[string]*job.Record{"wk-000001": record, "wk-000002": {Job: wire.Job{ID: "wk-000002", Team: "theirs", Tasks: 1, CPUs: 2}}},
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.restoreLocked(records, nil)
+		if used := s.teams.Used("ours").CPUs; used != placement.QuantityOf(4) {
+			t.Errorf("got %v CPUs counted for the team, want the 4 of the two tasks of the job that has ended", used.Amount())
+		}
+		if used := s.teams.Used("theirs").CPUs; used != 0 {
+			t.Errorf("got %v CPUs counted for the team of another controller, want none", used.Amount())
+		}
+	})
+}
