--- a/cmd/heronwick/metrics.go
+++ b/cmd/heronwick/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/duty"
+	"heronwick/internal/quota"
 	"heronwick/internal/server"
 )
 
@@ -11,6 +12,7 @@
 	gauges := c.duties.gauges()
 	gauges = append(gauges, c.schedulerGauges()...)
 	gauges = append(gauges, c.membershipGauges()...)
+	gauges = append(gauges, c.teamGauges()...)
 	gauges = append(gauges, c.storeGauges()...)
 	return append(gauges, c.dagMonitor.gauges()...)
 }
@@ -56,6 +58,32 @@
 	}
 }
 
+// teamGauges returns the metrics of what teams use and may use. Only the controller that owns a
+// team knows what it uses, so the usage is 0 at the others.
+func (c *controller) teamGauges() []server.Gauge {
+	var gauges []server.Gauge
+	for _, team := range c.settings.Teams {
+		used := func() quota.Amounts {
+			if s := c.scheduler.Load(); s != nil {
+				return s.UsedBy(team.Name)
+			}
+			return quota.Amounts{}
+		}
+		for _, gauge := range []server.Gauge{
+			{Name: "heronwick_team_used_cpus", Help: "CPUs that tasks of the team may use, at the controller that owns the team; 0 at the others.",
+				Value: func() float64 { return used().CPUs.Amount() }},
+			{Name: "heronwick_team_used_gpus", Help: "GPUs that tasks of the team may use, at the controller that owns the team; 0 at the others.",
+				Value: func() float64 { return used().GPUs.Amount() }},
+			{Name: "heronwick_team_limit_cpus", Help: "The team's limit on CPUs; 0 if it has none.", Value: func() float64 { return team.CPUsMax }},
+			{Name: "heronwick_team_limit_gpus", Help: "The team's limit on GPUs; 0 if it has none.", Value: func() float64 { return team.GPUsMax }},
+		} {
+			gauge.Labels = map[string]string{"team": team.Name}
+			gauges = append(gauges, gauge)
+		}
+	}
+	return gauges
+}
+
 // storeGauges returns the metrics of this controller's use of the key-value store.
 func (c *controller) storeGauges() []server.Gauge {
 	return []server.Gauge{
--- a/cmd/heronwick/quota_test.go
+++ b/cmd/heronwick/quota_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -92,3 +93,26 @@
 		}
 	})
 }
+
+// Guards against metrics from which operators cannot see how close a team is to its limit.
+func TestMetricsShowUsageAndLimitOfTeams(t *testing.T) {
+	withCluster(t, 4, tasksRunUntilStopped, func(tc *testCluster) {
+		tc.expectAccepted(0, 1, withTeam(redTeam), service(3))
+		time.Sleep(3 * time.Second)
+		used := 0
+		for i := range tc.nodes {
+			used += tc.metric(i, fmt.Sprintf("heronwick_team_used_cpus{team=%q}", redTeam))
+			if limit := tc.metric(i, fmt.Sprintf("heronwick_team_limit_cpus{team=%q}", redTeam)); limit != redTeamCPUs {
+				t.Errorf("%s: got a limit of %d CPUs, want %d", tc.nodes[i].name, limit, redTeamCPUs)
+			}
+			for _, name := range []string{"heronwick_team_used_gpus", "heronwick_team_limit_gpus"} {
+				if got := tc.metric(i, fmt.Sprintf("%s{team=%q}", name, redTeam)); got != 0 {
+					t.Errorf("%s: got %s %d, want 0", tc.nodes[i].name, name, got)
+				}
+			}
+		}
+		if used != 6 {
+			t.Errorf("got %d CPUs used at all controllers together, want the 6 of three tasks", used)
+		}
+	})
+}
--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -51,6 +51,8 @@
 	// placement in the epoch with the fencing token Epoch.
 	Hosted bool
 	Epoch  uint64
+	// SettledAt is when the owner of a hosted attempt last requested its state.
+	SettledAt time.Time
 
 	incarnation       uint64 // incarnation of the worker that the attempt was placed on
 	lastSeenHeartbeat uint64 // Machine.heartbeatsApplied at the last heartbeat that showed the attempt
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -144,6 +144,12 @@
 // counted. The team gets no starts while its usage is doubted.
 func (l *Ledger) SetDoubted(name string, doubted bool) { l.team(name).doubted = doubted }
 
+// IsDoubted reports whether the last check has found an attempt of a team that was not counted.
+func (l *Ledger) IsDoubted(name string) bool {
+	t := l.teams[name]
+	return t != nil && t.doubted
+}
+
 // SumMatches reports whether a team's usage is the sum of its counted attempts.
 func (l *Ledger) SumMatches(name string) bool {
 	t := l.team(name)
@@ -202,21 +208,15 @@
 	return t != nil && !t.limit.isZero()
 }
 
-// Usage is what one team uses, for metrics.
-type Usage struct {
-	Team        string
-	Used, Limit Amounts
-}
-
-// Usages returns the usage of every team for which include returns true.
-func (l *Ledger) Usages(include func(team string) bool) []Usage {
-	var usages []Usage
+// UsedByTeam returns, by name, what each team uses for which include returns true.
+func (l *Ledger) UsedByTeam(include func(team string) bool) map[string]Amounts {
+	used := map[string]Amounts{}
 	for name, t := range l.teams {
 		if include(name) {
-			usages = append(usages, Usage{Team: name, Used: t.used, Limit: t.limit})
+			used[name] = t.used
 		}
 	}
-	return usages
+	return used
 }
 
 // logRefusal logs that tasks of a job are refused. A refusal that is repeated in every pass is
--- a/internal/scheduler/epoch.go
+++ b/internal/scheduler/epoch.go
@@ -125,6 +125,9 @@
 	if s.becomesLeaderLocked(&view.Epoch) {
 		s.leaderSince = time.Now()
 	}
+	if view.Epoch.Assignment != s.epoch.Assignment {
+		clear(s.settleSpans)
+	}
 	s.epoch.Epoch, s.epoch.condition = view.Epoch, view.Condition
 }
 
--- a/internal/scheduler/heartbeats.go
+++ b/internal/scheduler/heartbeats.go
@@ -81,6 +81,7 @@
 	m.RecordUnsolicited(heartbeat, awaited, now)
 	s.settleDoubtLocked(m, now)
 	if awaited {
+		s.checkStartsLocked(m)
 		reply.Commands = append(reply.Commands, m.ReplyCommands(reply.FencingToken)...)
 		s.logForgets(m, reply.FencingToken, reply.Commands)
 	}
--- a/internal/scheduler/hostedattempts.go
+++ b/internal/scheduler/hostedattempts.go
@@ -43,6 +43,7 @@
 	}
 	reply.Ready = true
 	now := time.Now()
+	s.recordSettleLocked(req, now)
 	hosted := s.hostedAttemptsLocked(req)
 	for _, attempt := range req.Handled {
 		if found := hosted[remote.KeyOf(attempt)]; found.attempt != nil && found.attempt.Exited() {
@@ -72,6 +73,7 @@
 		s.deniedAttempts.Deny(key, now)
 		return &peerpb.Hosted{Attempt: attempt}
 	}
+	found.attempt.SettledAt = now
 	return &peerpb.Hosted{Attempt: attempt, Known: true, Zone: found.machine.Zone,
 		State: string(found.attempt.State), Why: string(found.attempt.ExitReason)}
 }
--- a/internal/scheduler/hosting.go
+++ b/internal/scheduler/hosting.go
@@ -70,7 +70,7 @@
 // counted, so that this scheduler reserves room for the job in the order of its queue.
 func (s *Scheduler) placeWantedLocked(from string, overloaded bool, wanted *peerpb.Wanted, reply *peerpb.PlaceReply, now time.Time) {
 	record := s.opts.Jobs.Active(wanted.Job)
-	if record == nil || s.epoch.OwnerOf(record.Job.Team, record.Job.ID) != from {
+	if record == nil || s.epoch.OwnerOf(record.Job.Team, record.Job.ID) != from || s.teams.IsDoubted(record.Job.Team) {
 		return
 	}
 	r := &jobRequest{
--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -41,7 +41,7 @@
 // maintenance holds when the less frequent steps of tick last ran. Only the loop uses
 // it.
 type maintenance struct {
-	logged, bucketsRewritten, summarized, returnsClosed time.Time
+	logged, bucketsRewritten, summarized, returnsClosed, usageChecked time.Time
 }
 
 // tick does the periodic work: it checks the machines, writes records that can be
@@ -67,6 +67,10 @@
 		s.maintenance.bucketsRewritten = now
 		s.rewriteStaleBucketsLocked(now)
 	}
+	if now.Sub(s.maintenance.usageChecked) > usageCheckInterval {
+		s.maintenance.usageChecked = now
+		s.checkUsageLocked()
+	}
 	if now.Sub(s.maintenance.logged) > logLoadInterval {
 		s.maintenance.logged = now
 		s.logLoadLocked(now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -84,6 +84,7 @@
 	remoteAttempts *remote.Attempts // attempts of this scheduler's jobs
 	placeThrottle  remote.Throttle
 	deniedAttempts remote.DeniedAttempts // attempts that must not be hosted here any more
+	settleSpans    map[string]settleSpan // by owner, see recordSettleLocked
 
 	// Machines that change owner, are rented or are returned.
 	transfers    ownership.Transfers // changes of ownership that are not written yet
@@ -110,6 +111,7 @@
 		machines:           map[string]*machine{},
 		unknownTasksSince:  map[string]time.Time{},
 		remoteAttempts:     remote.NewAttempts(),
+		settleSpans:        map[string]settleSpan{},
 		inventory:          autoscale.NewInventory(),
 	}
 	for i := range opts.Types {
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -5,6 +5,7 @@
 
 	"heronwick/internal/cluster/peerpb"
 	"heronwick/internal/placement"
+	"heronwick/internal/quota"
 )
 
 // logLoadLocked logs the scheduler's load for operators.
@@ -65,6 +66,7 @@
 	partitioned    bool
 	overloaded     bool
 	wants          []*peerpb.Want
+	used           map[string]quota.Amounts // by team that this scheduler owns
 }
 
 // summarizeInterval is how often the summary is updated. Heartbeats go out this often
@@ -75,7 +77,25 @@
 func (s *Scheduler) summarizeLocked(now time.Time) {
 	available := s.capacityLocked(now)
 	s.summary.Store(&summary{machines: len(s.machines), idle: available.idleMachines, cpus: available.total.CPUs, freeCPUs: available.free.CPUs,
-		partitioned: s.detector.Partitioned(), overloaded: s.overloadedLocked(now), wants: s.wantsLocked(now)})
+		partitioned: s.detector.Partitioned(), overloaded: s.overloadedLocked(now), wants: s.wantsLocked(now), used: s.usedByTeamLocked()})
+}
+
+// usedByTeamLocked returns, by name, what the teams that the scheduler owns use.
+func (s *Scheduler) usedByTeamLocked() map[string]quota.Amounts {
+	if !s.loaded {
+		return nil
+	}
+	return s.teams.UsedByTeam(func(team string) bool { return s.epoch.Teams[team] == s.opts.Node })
+}
+
+// UsedBy returns what a team uses, as of the last summary. It is zero for a team that another
+// controller owns.
+func (s *Scheduler) UsedBy(team string) quota.Amounts {
+	sum := s.summary.Load()
+	if sum == nil {
+		return quota.Amounts{}
+	}
+	return sum.used[team]
 }
 
 // Status fills in the scheduler's part of a heartbeat to a peer from the last
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -11,6 +11,8 @@
 type Gauge struct {
 	// Name and Help are the name and the help text of the Prometheus metric.
 	Name, Help string
+	// Labels distinguish gauges of the same name.
+	Labels map[string]string
 	// Value returns the current value. It must be safe for concurrent use.
 	Value func() float64
 }
@@ -30,7 +32,7 @@
 	}, []string{"request", "status"})}
 	registry.MustRegister(m.responses)
 	for _, gauge := range gauges {
-		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.Name, Help: gauge.Help}, gauge.Value))
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.Name, Help: gauge.Help, ConstLabels: gauge.Labels}, gauge.Value))
 	}
 	m.serve = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	return m
