--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,6 +44,27 @@
 	}
 }
 
+// Guards against a soak that does not notice when teams exceed their limits: the controllers are told
+// higher ones than the checker judges by.
+func TestPlantedBreachOfLimitsIsReported(t *testing.T) {
+	t.Parallel()
+	result, err := soak.Run(context.Background(), soak.Options{
+		Seed: 3, Duration: 5 * time.Second, Workers: 12, Program: buildController(t), Dir: t.TempDir(),
+		Troubles: []string{"links-slow"}, LimitFactor: 2,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, resource := range []string{"CPUs", "GPUs"} {
+		breach := func(violation string) bool {
+			return strings.HasPrefix(violation, "quota:") && strings.HasSuffix(violation, resource)
+		}
+		if !slices.ContainsFunc(result.Violations, breach) {
+			t.Errorf("got violations %q, want a breach of a limit on %s among them", result.Violations, resource)
+		}
+	}
+}
+
 // Invalid options are an error of their own, and nothing is started.
 func TestInvalidOptionsAreRejected(t *testing.T) {
 	valid := soak.Options{Seed: 1, Duration: time.Second, Workers: 1, Program: "/bin/sh", Dir: t.TempDir()}
--- a/internal/soak/controller.go
+++ b/internal/soak/controller.go
@@ -40,8 +40,9 @@
 	process *failovertest.Process // nil while it does not run
 }
 
-// addControllers prepares the controllers, whose settings and logs are kept in dir.
-func (s *site) addControllers(nodes []string, program, dir string) error {
+// addControllers prepares the controllers, whose settings and logs are kept in dir. The teams'
+// limits in the settings are multiplied by a factor.
+func (s *site) addControllers(nodes []string, program, dir string, limitFactor float64) error {
 	for i, name := range nodes {
 		host := controllerHost(s.seed, i)
 		c := &controller{name: name, program: program, settings: filepath.Join(dir, name+".toml"),
@@ -57,7 +58,7 @@
 		s.controllers = append(s.controllers, c)
 	}
 	for _, c := range s.controllers {
-		if err := s.writeSettings(c); err != nil {
+		if err := s.writeSettings(c, limitFactor); err != nil {
 			return err
 		}
 	}
@@ -75,8 +76,9 @@
 // controller.
 const maxClientConnections = 1000
 
-// writeSettings writes a controller's settings file and serves what it names.
-func (s *site) writeSettings(c *controller) error {
+// writeSettings writes a controller's settings file and serves what it names. The teams' limits
+// are multiplied by a factor.
+func (s *site) writeSettings(c *controller, limitFactor float64) error {
 	store, err := s.serve(failovertest.StoreHandler(s.ctx, s.store.Connect(c.name)))
 	if err != nil {
 		return err
@@ -100,8 +102,7 @@
 	}
 	fmt.Fprintf(&text, "[outside]\ncloud = %q\nstate = %q\n", cloud, store)
 	fmt.Fprintf(&text, "[cluster]\nsize = %d\nzones = [%q]\nclock_error_ms = 1000.0\n", len(s.controllers), zone)
-	fmt.Fprintf(&text, "[[cluster.teams]]\nname = %q\ncpus = 8.0\ncpus_max = %d.0\ngpus = 0.0\ngpus_max = 0.0\n", quotaTeam, quotaCPUs)
-	fmt.Fprintf(&text, "[[cluster.teams]]\nname = %q\ncpus = 16.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n", openTeam)
+	writeTeams(&text, s.teams, limitFactor)
 	fmt.Fprintf(&text, "[cluster.workers]\nreport_s = %.1f\nlease_s = %.1f\ngang_wait_s = 45.0\ngang_peer_s = 5.0\ncancel_s = %.1f\n",
 		heartbeatInterval.Seconds(), workerLease.Seconds(), cancelTimeout.Seconds())
 	fmt.Fprintf(&text, "[cluster.state]\nrps = %d.0\nwrite_rps = %d.0\nvalue_kb = %d.0\ntxn_ops = %d\n", storeRequestRate, storeWriteRate, storeValueKB, storeTxnOps)
@@ -149,6 +150,20 @@
 	return machines, err
 }
 
+// violatedInvariants returns the lines of the controller's log that report a violated invariant.
+func (c *controller) violatedInvariants() (lines []string, err error) {
+	log, err := os.ReadFile(c.logPath)
+	if err != nil {
+		return nil, fmt.Errorf("reading the log of %s: %w", c.name, err)
+	}
+	for line := range strings.Lines(string(log)) {
+		if strings.Contains(line, "invariant violated") {
+			lines = append(lines, c.name+" "+strings.TrimSpace(line))
+		}
+	}
+	return lines, nil
+}
+
 // controllerNamed returns the controller with a name, or nil if there is none.
 func (s *site) controllerNamed(name string) *controller {
 	for _, c := range s.controllers {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -21,14 +21,11 @@
 	heartbeatInterval = 2 * time.Second
 	workerLease       = 12 * time.Second
 	cancelTimeout     = 25 * time.Second
-	quotaTeam         = "quota"
-	quotaCPUs         = 24
-	openTeam          = "open"
 )
 
 // machineType is the only type of machines.
 var machineType = wire.MachineType{
-	Name: machineTypeName, CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBPerS: 1,
+	Name: machineTypeName, CPUs: 8, GPUs: 4, MemoryGB: 32, CacheGB: 20, FetchGBPerS: 1,
 	Price: 1, SpotPrice: 0.4, BootS: 3, Zones: []string{zone},
 }
 
@@ -40,6 +37,8 @@
 	store   *standin.State
 	fleet   *standin.Fleet
 	checker *standin.Checker
+	teams   []team
+	users   *users
 
 	controllers []*controller
 
@@ -50,10 +49,11 @@
 
 // newSite returns a site with booted machines and without controllers.
 func newSite(ctx context.Context, seed uint64, record *record, nodes []string, workers int, taskDuration func(string) time.Duration) *site {
-	s := &site{ctx: ctx, seed: seed, record: record, store: standin.NewState(), checker: standin.NewChecker(), addresses: map[string]string{}}
+	s := &site{ctx: ctx, seed: seed, record: record, store: standin.NewState(), checker: standin.NewChecker(),
+		teams: teamsFor(workers), addresses: map[string]string{}}
 	s.store.RequestRate, s.store.WriteRate = storeRequestRate, storeWriteRate
 	s.store.MaxValueBytes, s.store.MaxTxnOps, s.store.MaxListItems = storeValueKB<<10, storeTxnOps, storeListItems
-	s.checker.TeamQuotas = map[string]float64{quotaTeam: quotaCPUs}
+	s.checker.TeamQuotas, s.checker.TeamGPUQuotas = quotas(s.teams)
 	s.checker.CancelTimeout = cancelTimeout
 	s.fleet = &standin.Fleet{
 		Types: []wire.MachineType{machineType}, Capacity: workers + workers/4 + 2,
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +24,9 @@
 	Troubles []string      // names of the faults to draw from; all if empty
 	Program  string        // path of the built controller
 	Dir      string        // directory for the record, the settings and the logs; it must exist
+	// LimitFactor multiplies the teams' limits in the controllers' settings, but not those that
+	// the checker judges by; 0 means 1. A factor above 1 plants a breach of the limits.
+	LimitFactor float64
 }
 
 // ErrOptions means that a run's options are invalid.
@@ -107,17 +111,20 @@
 	record.event("seed %d, %v, %d workers", o.Seed, o.Duration, o.Workers)
 	s := newSite(ctx, o.Seed, record, nodes, o.Workers, taskDuration)
 	defer s.close()
-	if err := s.addControllers(nodes, o.Program, o.Dir); err != nil {
+	if err := s.addControllers(nodes, o.Program, o.Dir, cmp.Or(o.LimitFactor, 1)); err != nil {
 		return Result{}, err
 	}
+	s.users = &users{site: s, random: rand.New(rand.NewPCG(o.Seed, jobStream))}
 	for _, c := range s.controllers {
 		if err := c.start(ctx); err != nil {
 			return Result{}, err
 		}
 	}
-	r := &run{site: s, options: o, troubles: chosen, users: &users{site: s, random: rand.New(rand.NewPCG(o.Seed, jobStream))}}
+	r := &run{site: s, options: o, troubles: chosen, users: s.users}
 	r.play(ctx)
-	r.judge(&result)
+	if err := r.judge(&result); err != nil {
+		return Result{}, err
+	}
 	for _, violation := range result.Violations {
 		record.event("violation: %s", violation)
 	}
@@ -184,7 +191,7 @@
 }
 
 // judge completes the result after the run.
-func (r *run) judge(result *Result) {
+func (r *run) judge(result *Result) error {
 	unanswered, done := r.users.checkKnown(time.Now().Add(knownTimeout))
 	waiting := r.waitingBesideRoom()
 	result.Violations = r.site.checker.Violations()
@@ -198,6 +205,16 @@
 	if result.Done == 0 {
 		result.Violations = append(result.Violations, "nothing_ran: no job is done")
 	}
+	for _, c := range r.site.controllers {
+		lines, err := c.violatedInvariants()
+		if err != nil {
+			return err
+		}
+		for _, line := range lines {
+			result.Violations = append(result.Violations, "invariant: "+line)
+		}
+	}
+	return nil
 }
 
 // waitingBesideRoom returns the tasks that wait for maxWait while a machine has room for them.
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -16,6 +16,8 @@
 	{"kill-controller", killController},
 	{"kill-in-series", killInSeries},
 	{"kill-all", killAll},
+	{"owners-change", changeOwners},
+	{"owner-learns-late", changeOwnersLate},
 	{"pause-controller", onController((*controller).setPaused)},
 	{"cut-peers", onController((*controller).setPeersCut)},
 	{"refuse-controller", refuseController},
@@ -24,6 +26,7 @@
 	{"store-outage", func(s *site, _ *rand.Rand) func() { return toggle(s.store.SetOutage) }},
 	{"store-slow", slowStore},
 	{"store-slow-for-one", slowStoreForOne},
+	{"job-watch-slow", slowJobWatch},
 	{"answers-lost", loseAnswers},
 	{"writes-late", delayWrites},
 	{"writes-repeated", repeatWrites},
@@ -33,6 +36,7 @@
 	{"machines-deaf", onMachines(func(s *site, m string, on bool) { s.fleet.DropInbound(m, on) })},
 	{"machines-mute", onMachines(func(s *site, m string, on bool) { s.fleet.DropHeartbeats(m, on) })},
 	{"machines-hang", onMachines(func(s *site, m string, on bool) { s.fleet.Pause(m, on) })},
+	{"hang-and-cancel", hangAndCancel},
 	{"commands-late", onMachines(func(s *site, m string, on bool) { s.fleet.HoldCommands(m, on) })},
 	{"reports-late", onMachines(func(s *site, m string, on bool) { s.fleet.HoldHeartbeats(m, on) })},
 	{"links-slow", slowLinks},
@@ -142,6 +146,31 @@
 	}
 }
 
+// changeOwners kills two controllers one after the other. Each is back at once and joins again, so
+// that teams change owner and come back.
+func changeOwners(s *site, random *rand.Rand) func() {
+	const rejoinTime = 2 * time.Second // from a start until the controller is a member again
+	for range 2 {
+		c := s.randomController(random)
+		s.record.event("  kill %s, back at once", c.name)
+		c.kill()
+		s.startLogged(c)
+		time.Sleep(rejoinTime + randomDuration(random, time.Second))
+	}
+	return noEnd
+}
+
+// changeOwnersLate is changeOwners while one controller gets slow responses of the store, and
+// learns late of jobs that are accepted, done and cancelled meanwhile.
+func changeOwnersLate(s *site, random *rand.Rand) func() {
+	endWatch, endStore := slowJobWatch(s, random), slowStoreForOne(s, random)
+	changeOwners(s, random)
+	return func() {
+		endWatch()
+		endStore()
+	}
+}
+
 // setPeersCut cuts a controller's links to the others, or restores them.
 func (c *controller) setPeersCut(on bool) {
 	for _, link := range c.links {
@@ -195,6 +224,29 @@
 	return func() { s.store.DelayNodeResponses(name, 0) }
 }
 
+// slowJobWatch delays what one controller learns of jobs by its watch.
+func slowJobWatch(s *site, random *rand.Rand) func() {
+	const prefix = "jobs/"
+	name, delay := s.randomController(random).name, randomDuration(random, time.Second)
+	s.record.event("  at %s, by %v", name, delay)
+	s.store.DelayWatch(name, prefix, delay)
+	return func() { s.store.DelayWatch(name, prefix, 0) }
+}
+
+// hangAndCancel lets up to three machines hang, and users cancel the jobs of their tasks.
+func hangAndCancel(s *site, random *rand.Rand) func() {
+	machines := []string{s.randomMachine(random), s.randomMachine(random), s.randomMachine(random)}
+	s.record.event("  at %v", machines)
+	pause := func(on bool) {
+		for _, machine := range machines {
+			s.fleet.Pause(machine, on)
+		}
+	}
+	pause(true)
+	s.users.cancelJobsOn(machines, random)
+	return func() { pause(false) }
+}
+
 // loseAnswers loses the responses to the next transactions.
 func loseAnswers(s *site, random *rand.Rand) func() {
 	s.store.DropResponses(1 + random.IntN(20))
--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,28 +54,39 @@
 	return time.Duration(1+n%20) * time.Second
 }
 
+// taskCPUs are the CPUs that the tasks of a job may have.
+var taskCPUs = []float64{0.1, 0.5, 1, 1.5, 2, 3, 4}
+
 // submission returns the n-th job.
 func (u *users) submission(n int) userJob {
 	kind, tasks := wire.KindArray, 1+u.random.IntN(12)
-	if n%7 == 0 {
+	switch {
+	case n%7 == 0:
 		kind, tasks = wire.KindService, 1+u.random.IntN(3)
+	case n%5 == 0:
+		kind, tasks = wire.KindGang, 2+u.random.IntN(2)
+	}
+	team := u.site.teams[u.random.IntN(len(u.site.teams))]
+	gpus := 0
+	if team.gpusMax > 0 {
+		gpus = u.random.IntN(3)
 	}
-	team := openTeam
-	if u.random.IntN(3) == 0 {
-		team = quotaTeam
+	checkpointS, saveS := 0.0, 0.0
+	if n%4 == 0 {
+		checkpointS, saveS = 5, float64(1+u.random.IntN(4))
 	}
 	id := fmt.Sprintf("wk-%06d", n)
 	body, err := json.Marshal(map[string]any{
-		"uid": id, "flight": "c", wire.FieldTeam: team, "gait": kind, "rank": []wire.Priority{wire.PriorityProd, wire.PriorityHigh,
+		"uid": id, "flight": "c", wire.FieldTeam: team.name, "gait": kind, "rank": []wire.Priority{wire.PriorityProd, wire.PriorityHigh,
 			wire.PriorityNormal, wire.PriorityLow}[u.random.IntN(priorities)],
-		"feathers": tasks, "cores": float64(1 + u.random.IntN(4)), "accelerators": 0.0, "ram_gb": 4.0,
+		"feathers": tasks, "cores": taskCPUs[u.random.IntN(len(taskCPUs))], "accelerators": float64(gpus), "ram_gb": 4.0,
 		"plumage": fmt.Sprintf("img-%d", n%3), "pull_gb": 0.5, "breeds": nil, "marsh": nil, "same_place": false,
-		"spread": false, "drift": true, "flight_s": 10.0, "molt_s": 0.0, "preen_s": 0.0, "dusk_s": nil,
+		"spread": false, "drift": true, "flight_s": 10.0, "molt_s": checkpointS, "preen_s": saveS, "dusk_s": nil,
 	})
 	if err != nil {
 		panic(err) // cannot happen: the values can be encoded
 	}
-	return userJob{id: id, body: body, cancellable: u.random.IntN(4) == 0}
+	return userJob{id: id, body: body, cancellable: kind == wire.KindService || u.random.IntN(4) == 0}
 }
 
 // call sends a user's request to a controller, which the checker observes.
@@ -140,6 +153,24 @@
 	u.site.record.event("cancel %s at %s: %d %s", job.id, c.name, status, reply.State)
 }
 
+// cancelJobsOn asks random controllers to cancel the jobs of the tasks that run on machines, all at
+// the same time.
+func (u *users) cancelJobsOn(machines []string, random *rand.Rand) {
+	running := u.site.checker.Running()
+	cancelled := map[string]bool{}
+	var requests sync.WaitGroup
+	for _, task := range slices.Sorted(maps.Keys(running)) {
+		id, _, _ := wire.SplitTaskID(task)
+		if !slices.Contains(machines, running[task]) || cancelled[id] {
+			continue
+		}
+		cancelled[id] = true
+		c := u.randomController(random)
+		requests.Go(func() { u.cancel(c, userJob{id: id}) })
+	}
+	requests.Wait()
+}
+
 // randomJob returns one of the accepted jobs. Half of the time it is among the last ten.
 func (u *users) randomJob(random *rand.Rand) (job userJob, ok bool) {
 	const recent = 10
--- a/internal/standin/checker.go
+++ b/internal/standin/checker.go
@@ -14,8 +14,9 @@
 // controllers. Its exported fields are set before use; its methods are safe for concurrent
 // use.
 type Checker struct {
-	// TeamQuotas are the quotas of the teams in CPUs; a team that is not listed has none.
-	TeamQuotas map[string]float64
+	// TeamQuotas and TeamGPUQuotas are the quotas of the teams in CPUs and in GPUs; a team that
+	// is not listed has none.
+	TeamQuotas, TeamGPUQuotas map[string]float64
 	// CancelTimeout is how long the tasks of a job may keep running after a response first
 	// reported the job as cancelled; 0 disables the check.
 	CancelTimeout time.Duration
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -89,13 +89,13 @@
 
 // headroomLocked returns the machine's free resources and the tasks on it.
 func (w *Worker) headroomLocked() Headroom {
-	headroom := Headroom{Location: w.location(), CPUs: w.machineType.CPUs, MemoryGB: w.machineType.MemoryGB}
+	headroom := Headroom{Location: w.location(), CPUs: w.machineType.CPUs, GPUs: w.machineType.GPUs, MemoryGB: w.machineType.MemoryGB}
 	for _, t := range w.tasks {
 		if t.State == wire.TaskExited {
 			continue
 		}
 		if job := w.fleet.Checker.Job(t.Task); job != nil {
-			headroom.CPUs, headroom.MemoryGB = headroom.CPUs-job.CPUs, headroom.MemoryGB-job.MemoryGB
+			headroom.CPUs, headroom.GPUs, headroom.MemoryGB = headroom.CPUs-job.CPUs, headroom.GPUs-job.GPUs, headroom.MemoryGB-job.MemoryGB
 			headroom.Tasks = append(headroom.Tasks, t.Task)
 		}
 	}
