--- a/internal/scheduler/rebuild_test.go
+++ b/internal/scheduler/rebuild_test.go
@@ -200,3 +200,39 @@
 		}
 	})
 }
+
+// Guards against ran_twice: a task was placed here, but not recorded yet, when an assignment began
+// that this scheduler never saw and in which another member placed it.
+func TestUnrecordedAttemptIsDroppedAfterUnseenAssignment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newTestScheduler(t)
+		queued := s.addJobLocked(p.add("wk-000001", "ours", wire.PriorityNormal, 1, 1))
+		a := s.newAttempt(queued, 0)
+		s.placeLocked(a, m, time.Now())
+		earlier := p.epoch
+		p.beginAssignment(func(e *cluster.Epoch) { e.Teams = map[string]string{"ours": "peer", "theirs": "peer"} })
+		p.beginAssignment(func(e *cluster.Epoch) { e.Teams = earlier.Teams })
+		value, err := json.Marshal(fleet.RecordBucket{Machines: map[string]fleet.Record{
+			"m9": {Address: "m9", Incarnation: 1, Attempts: map[string]uint64{"wk-000001/0": 7}},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.records = []wire.Item{{Key: fleet.JournalKey("peer", 4, 0), Value: value, Version: 9}}
+		p.peerSince = map[string]uint64{"m9": 4}
+		p.allActive = []*job.Record{queued.Record}
+		s.mu.Lock()
+		s.followEpochLocked()
+		s.mu.Unlock()
+		synctest.Wait()
+		s.mu.Lock()
+		s.recordPlacementsLocked()
+		s.mu.Unlock()
+		synctest.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if dropped := m.Attempts.Get(a.Key); dropped != nil {
+			t.Errorf("got attempt %d here, recorded %v, beside the one of the other member, want it dropped", dropped.Attempt, dropped.Recorded)
+		}
+	})
+}
