--- a/internal/quota/refusal.go
+++ b/internal/quota/refusal.go
@@ -10,6 +10,3 @@
 	Incomplete Refusal = "the records of the assignment have not been read"
 	Doubted    Refusal = "a check has found an attempt of the team that was not counted"
 )
-
-// Error implements error.
-func (r Refusal) Error() string { return string(r) }
