--- a/internal/scheduler/adoption.go
+++ b/internal/scheduler/adoption.go
@@ -49,9 +49,11 @@
 }
 
 // adoptHostedLocked turns hosted attempts on the scheduler's machines into its own
-// attempts if the scheduler has gained their jobs.
+// attempts if the scheduler has gained their jobs. It first removes those that were placed
+// under an earlier assignment and not recorded: their jobs' owners since then did not know them.
 func (s *Scheduler) adoptHostedLocked(gained map[string]bool) {
 	for _, m := range s.machines {
+		s.dropStaleHostedLocked(m)
 		for _, a := range m.Attempts.All() {
 			if !gained[a.Job] {
 				continue
