--- a/internal/scheduler/rebuild.go
+++ b/internal/scheduler/rebuild.go
@@ -19,6 +19,7 @@
 	var records recovery.Records
 	var err error
 	read := s.needsRecords(epoch) || len(adopt) > 0 || gainsJobs
+	began := time.Now()
 	if read {
 		records, err = recovery.Read(ctx, s.opts.Records, s.opts.Jobs)
 	}
@@ -37,7 +38,7 @@
 	s.dropLostJobsLocked(epoch) // jobs that were added under the old epoch meanwhile
 	s.setEpochLocked(view)
 	if read {
-		s.restoreLocked(records, adopt)
+		s.restoreLocked(records, adopt, time.Since(began))
 	} else {
 		s.countEndedJobsLocked()
 	}
@@ -59,8 +60,8 @@
 }
 
 // restoreLocked adds the jobs that the scheduler gains, and restores from the records
-// which attempts may be on which machines.
-func (s *Scheduler) restoreLocked(records recovery.Records, adopt []string) {
+// which attempts may be on which machines. The records were read in the given time.
+func (s *Scheduler) restoreLocked(records recovery.Records, adopt []string, readTime time.Duration) {
 	first := !s.loaded
 	if first {
 		s.startVersion = s.epoch.condition.Version
@@ -70,9 +71,9 @@
 	s.countEndedJobsLocked()
 	adopted := s.restoreRecordsLocked(records, adopt, gained, now)
 	if first || len(gained)+adopted > 0 {
-		s.log.Info("scheduler rebuilt", "token", s.epoch.Token, "leader", s.epoch.Leader, "jobs", len(s.jobs), "gained", len(gained),
+		s.log.Info("scheduler rebuilt", "token", s.epoch.Token, "assignment", s.epoch.Assignment.Token, "leader", s.epoch.Leader, "jobs", len(s.jobs), "gained", len(gained),
 			"machines", len(s.machines), "adopted", adopted, "remote", s.remoteAttempts.Len(),
-			"records_revision", records.Revision, "record_keys", len(records.Buckets), "record_pages", records.Pages)
+			"records_revision", records.Revision, "record_keys", len(records.Buckets), "record_pages", records.Pages, "read_time", readTime)
 	}
 }
 
