--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -108,7 +108,12 @@
 func (l *Ledger) Count(key fleet.Key, name string, size placement.Resources) {
 	t := l.team(name)
 	l.logChange("attempt counted", name, t, key)
+	within := !t.used.exceedsLimit(t.limit)
 	t.add(key, AmountsOf(size, 1))
+	if within && t.used.exceedsLimit(t.limit) {
+		// Either the limit was broken, or records still name attempts that are gone.
+		l.log.LogAttrs(context.Background(), slog.LevelInfo, "a team's counted attempts exceed its limit", append(l.state(name, t), keyAttrs(key)...)...)
+	}
 }
 
 // Release no longer counts an attempt.
@@ -235,10 +240,15 @@
 	if !l.log.Enabled(context.Background(), slog.LevelDebug) {
 		return
 	}
-	attrs := append(l.state(name, t), slog.String("task", key.Task), slog.Uint64("attempt", key.Attempt))
+	attrs := append(l.state(name, t), keyAttrs(key)...)
 	l.log.LogAttrs(context.Background(), slog.LevelDebug, message, append(attrs, more...)...)
 }
 
+// keyAttrs returns the attributes that name an attempt.
+func keyAttrs(key fleet.Key) []slog.Attr {
+	return []slog.Attr{slog.String("task", key.Task), slog.Uint64("attempt", key.Attempt)}
+}
+
 // state returns the attributes that describe a team's usage and what it rests on.
 func (l *Ledger) state(name string, t *team) []slog.Attr {
 	return []slog.Attr{
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -112,6 +112,7 @@
 		{func() { l.Release(first, "ours", Exited) },
 			`msg="usage released" ` + state("2", "1") + ` task=wk-1/0 attempt=7 evidence="its worker reports that it has exited"`},
 		{func() { l.Count(third, "ours", size) }, `msg="attempt counted" ` + state("0", "0") + " task=wk-1/2 attempt=9"},
+		{func() { l.Count(first, "ours", size) }, `level=INFO msg="a team's counted attempts exceed its limit" ` + state("4", "2")},
 	} {
 		text.Reset()
 		if step.do(); step.want == "" && text.Len() > 0 || !strings.Contains(text.String(), step.want) {
