--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -44,7 +45,7 @@
 			}
 			os.Exit(code)
 		}))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := args.run(ctx)
 	stop()
 	os.Exit(code)
