--- a/internal/scheduler/usagecheck.go
+++ b/internal/scheduler/usagecheck.go
@@ -41,6 +41,9 @@
 	}
 	doubted := map[string]bool{}
 	for _, m := range s.machines {
+		if !s.synced(m) {
+			continue // what is known of it may come from a late copy of an old heartbeat
+		}
 		for _, a := range m.Attempts.All() {
 			if a.State == "" || a.Exited() || !a.SizeKnown || !s.teams.IsLimited(a.Team) {
 				continue
--- a/internal/scheduler/usagecheck_test.go
+++ b/internal/scheduler/usagecheck_test.go
@@ -116,3 +116,25 @@
 		}
 	})
 }
+
+// Guards against a false alarm: a late copy of an old heartbeat shows a task that has ended long ago
+// on a machine that was adopted and has not been heard from since.
+func TestTaskInOldHeartbeatOfAdoptedMachineViolatesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, m := newLimitedScheduler(t)
+		p.add("wk-000001", "theirs", wire.PriorityNormal, 1, 1)
+		m.syncToken = 9 // the worker has not been heard from under the token of this epoch
+		s.mu.Lock()
+		reportRunning(s, m, fleet.Key{Task: "wk-000001/0", Attempt: 7})
+		s.mu.Unlock()
+		for end := time.Now().Add(3 * untrackedAfter); time.Now().Before(end); time.Sleep(settleInterval) {
+			s.Settle(&peerpb.SettleRequest{Node: "peer", Token: 5, Since: 3})
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.checkUsageLocked()
+		if got := s.opts.Violations.Count(); got != 0 {
+			t.Errorf("got %d violations, want none", got)
+		}
+	})
+}
