--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -113,6 +113,7 @@
 		for ctx.Err() == nil {
 			status, _ := u.call(u.randomController(u.random), http.MethodPost, wire.PathJobs, job.body)
 			if status == http.StatusOK || status == http.StatusCreated {
+				u.site.record.event("accepted %s", job.body)
 				u.mu.Lock()
 				u.jobs = append(u.jobs, job)
 				u.mu.Unlock()
