--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -120,3 +120,13 @@
 		}
 	}
 }
+
+// Guards against a usage that is no longer the sum of its attempts without anybody noticing.
+func TestUsageThatDiffersFromItsAttemptsIsNoticed(t *testing.T) {
+	l := newTestLedger(slog.New(slog.DiscardHandler), 100, 0)
+	l.Count(first, "ours", size)
+	l.teams["ours"].used = Amounts{} // the planted fault
+	if l.SumMatches("ours") {
+		t.Error("got a matching sum of 0 CPUs for an attempt of 2, want it noticed")
+	}
+}
