--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -55,10 +55,10 @@
 	outage           bool
 	rejectedNodes    map[string]bool
 	responseDelay    time.Duration
-	nodeDelays       map[string]time.Duration // further delays of responses, by node
-	watchDelays      map[watchKey]time.Duration
-	dropResponses    int // number of upcoming transactions whose responses are dropped
-	holdTransactions int // number of upcoming transactions that are held back
+	nodeDelays       map[string]time.Duration   // further delays of responses, by node
+	watchDelays      map[watchKey]time.Duration // delays of the events of watches
+	dropResponses    int                        // number of upcoming transactions whose responses are dropped
+	holdTransactions int                        // number of upcoming transactions that are held back
 	heldTransactions []wire.Txn
 	applied          []wire.Txn // the last transactions that were carried out, for ReplayTransactions
 }
