--- a/internal/scheduler/rebuild_test.go
+++ b/internal/scheduler/rebuild_test.go
@@ -236,3 +236,32 @@
 		}
 	})
 }
+
+// Guards against a leader that adopts no machines of a member that has left and joined again,
+// because their transfers are gone by then: the records still name their tasks (rule ran_twice).
+func TestLeaderReadsRecordsWhenMembershipEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, p, _ := newTestScheduler(t)
+		value, err := json.Marshal(fleet.RecordBucket{Machines: map[string]fleet.Record{
+			"m9": {Address: "m9", Incarnation: 1, Attempts: map[string]uint64{"wk-000001/0": 7}},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.active["wk-000001"] = &job.Record{Job: wire.Job{ID: "wk-000001", Team: "theirs", Tasks: 1, CPUs: 1}}
+		p.records = []wire.Item{{Key: fleet.JournalKey("peer", 4, 0), Value: value, Version: 9}}
+		p.peerSince = map[string]uint64{"m9": 4}
+		p.beginAssignment(func(e *cluster.Epoch) {
+			e.Members = map[string]cluster.Member{"me": {Incarnation: 1, Since: 3}, "peer": {Incarnation: 3, Since: e.Token}}
+		})
+		s.mu.Lock()
+		s.followEpochLocked()
+		s.mu.Unlock()
+		synctest.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.adoptedToken != p.epoch.Token || s.machines["m9"] == nil {
+			t.Errorf("got machines adopted under token %d of %d, and m9 among them %v, want it adopted", s.adoptedToken, p.epoch.Token, s.machines["m9"] != nil)
+		}
+	})
+}
