--- a/internal/scheduler/rebuild.go
+++ b/internal/scheduler/rebuild.go
@@ -51,12 +51,28 @@
 }
 
 // needsRecords reports whether the records must be read for a rebuild even if the
-// scheduler gains no jobs or machines. A new leader must read them because it also takes
-// over what the previous leader owned without a transfer being written.
+// scheduler is not known to gain jobs or machines. A new leader must read them because it
+// also takes over what the previous leader owned without a transfer being written, and a leader
+// when a membership has ended, because the transfers to that member may have been removed.
 func (s *Scheduler) needsRecords(epoch *cluster.Epoch) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.loaded || s.becomesLeaderLocked(epoch) || s.gainsLimitLocked(epoch)
+	takesOver := epoch.Leader == s.opts.Node && s.mayEndMembershipLocked(epoch)
+	return !s.loaded || s.becomesLeaderLocked(epoch) || takesOver || s.gainsLimitLocked(epoch)
+}
+
+// mayEndMembershipLocked reports whether any membership may have ended between the scheduler's
+// epoch and a later one.
+func (s *Scheduler) mayEndMembershipLocked(epoch *cluster.Epoch) bool {
+	if !epoch.Assignment.Succeeds(s.epoch.Assignment) {
+		return true // a member may have joined and left in between
+	}
+	for node, member := range s.epoch.Members {
+		if epoch.Members[node].Since != member.Since {
+			return true
+		}
+	}
+	return false
 }
 
 // restoreLocked adds the jobs that the scheduler gains, and restores from the records
